--- /dev/null
+++ b/cmd/teaselrack/main.go
@@ -0,0 +1,4 @@
+// Command teaselrack is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/teaselrackd/main.go
@@ -0,0 +1,4 @@
+// Command teaselrackd is the daemon beside a target.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/fault/table.go
@@ -0,0 +1,104 @@
+package fault
+
+import (
+	"net/http"
+	"time"
+)
+
+// Outcome says what is known about whether the request ran at a target.
+type Outcome string
+
+// Outcomes, as sent in the Teaselrack-Outcome header.
+const (
+	// NotRun means that no target was given the request.
+	NotRun Outcome = "not-run"
+	// Unknown means that a target may have run the request.
+	Unknown Outcome = "unknown"
+	// Ran means that a target ran the request.
+	Ran Outcome = "ran"
+)
+
+// statusCallerGone is the status logged for a caller that closed its
+// connection; no caller receives it.
+const statusCallerGone = 499
+
+// Answer is the row of the table for one kind.
+type Answer struct {
+	// Status is the HTTP status.
+	Status int
+	// Outcome is sent in the Teaselrack-Outcome header.
+	Outcome Outcome
+	// Retry says whether the same request may succeed later or elsewhere.
+	Retry bool
+	// RetryAfter is the advised wait before a retry; zero sends no advice.
+	RetryAfter time.Duration
+}
+
+const (
+	retrySoon  = 1 * time.Second
+	retryLater = 3 * time.Second
+)
+
+var table = map[Kind]Answer{
+	BadRequest:        {http.StatusBadRequest, NotRun, false, 0},
+	TooLarge:          {http.StatusRequestEntityTooLarge, NotRun, false, 0},
+	UnknownRoute:      {http.StatusNotFound, NotRun, false, 0},
+	Unauthenticated:   {http.StatusUnauthorized, NotRun, false, 0},
+	Forbidden:         {http.StatusForbidden, NotRun, false, 0},
+	QuotaExceeded:     {http.StatusTooManyRequests, NotRun, true, retrySoon},
+	QuotaUnavailable:  {http.StatusServiceUnavailable, NotRun, true, retryLater},
+	Overloaded:        {http.StatusServiceUnavailable, NotRun, true, retrySoon},
+	TargetCold:        {http.StatusServiceUnavailable, NotRun, true, retrySoon},
+	TargetLeaving:     {http.StatusServiceUnavailable, NotRun, true, retrySoon},
+	OutOfService:      {http.StatusServiceUnavailable, NotRun, true, retrySoon},
+	NoTarget:          {http.StatusServiceUnavailable, NotRun, true, retrySoon},
+	LeaseExpired:      {http.StatusServiceUnavailable, NotRun, true, retryLater},
+	DeadlineNotRun:    {http.StatusGatewayTimeout, NotRun, true, retrySoon},
+	DeadlineUnknown:   {http.StatusGatewayTimeout, Unknown, false, 0},
+	DepthExceeded:     {http.StatusLoopDetected, NotRun, false, 0},
+	ConnectFailed:     {http.StatusBadGateway, NotRun, true, retrySoon},
+	ConnectionLost:    {http.StatusBadGateway, Unknown, false, 0},
+	AnswerBroken:      {http.StatusBadGateway, Ran, false, 0},
+	AnswerTooLarge:    {http.StatusBadGateway, Ran, false, 0},
+	CallerGone:        {statusCallerGone, Unknown, false, 0},
+	HandleUnknown:     {http.StatusForbidden, NotRun, false, 0},
+	OnceKeyMissing:    {http.StatusBadRequest, NotRun, false, 0},
+	OnceConflict:      {http.StatusConflict, NotRun, false, 0},
+	OnceUnknown:       {http.StatusConflict, Unknown, false, 0},
+	OnceCanceled:      {http.StatusServiceUnavailable, NotRun, true, retrySoon},
+	LedgerUnavailable: {http.StatusServiceUnavailable, NotRun, true, retryLater},
+	LedgerUnknown:     {http.StatusServiceUnavailable, Unknown, true, retryLater},
+	ShuttingDown:      {http.StatusServiceUnavailable, NotRun, true, retrySoon},
+	Internal:          {http.StatusInternalServerError, Unknown, false, 0},
+
+	NoteInvalid:     {http.StatusUnprocessableEntity, NotRun, false, 0},
+	NoteGap:         {http.StatusConflict, NotRun, false, 0},
+	NoteConflict:    {http.StatusConflict, NotRun, false, 0},
+	NoLeader:        {http.StatusServiceUnavailable, Unknown, true, retrySoon},
+	NotLeader:       {http.StatusServiceUnavailable, NotRun, true, retrySoon},
+	NotFounded:      {http.StatusServiceUnavailable, NotRun, true, retryLater},
+	AlreadyFounded:  {http.StatusConflict, NotRun, false, 0},
+	MembershipBusy:  {http.StatusConflict, NotRun, true, retrySoon},
+	SettingsInvalid: {http.StatusUnprocessableEntity, NotRun, false, 0},
+	StorageFailed:   {http.StatusInternalServerError, Unknown, false, 0},
+	Damaged:         {http.StatusInternalServerError, Unknown, false, 0},
+}
+
+// AnswerFor returns the table row for k. A kind outside the list is answered
+// as Internal.
+func AnswerFor(k Kind) Answer {
+	a, ok := table[k]
+	if !ok {
+		return table[Internal]
+	}
+	return a
+}
+
+// Kinds returns every kind of the closed list, in no fixed order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(table))
+	for k := range table {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
--- /dev/null
+++ b/internal/version/model.go
@@ -0,0 +1,145 @@
+// Package version holds the configuration that one accepted release note puts
+// in force: teams, keys, routes, failure domains and targets. A State is
+// immutable; applying a note yields a new State.
+package version
+
+import "time"
+
+// Importance orders requests under overload: the lowest value is shed last.
+// The zero value is not valid.
+type Importance uint8
+
+// Importances, from shed last to shed first.
+const (
+	Critical Importance = iota + 1
+	High
+	Normal
+	Low
+)
+
+// ImportanceCount is the number of importances.
+const ImportanceCount = 4
+
+// Mode says whether a request may be repeated.
+type Mode string
+
+// Modes of a route.
+const (
+	// Idempotent requests may be retried and sent again.
+	Idempotent Mode = "idempotent"
+	// Once requests run at most once and carry an Idempotency-Key.
+	Once Mode = "once"
+)
+
+// Access says who may call a route.
+type Access string
+
+// Accesses of a route.
+const (
+	// Keyed routes need the key of a team.
+	Keyed Access = "keyed"
+	// Open routes need no key.
+	Open Access = "open"
+	// Internal routes may be called by targets only.
+	Internal Access = "internal"
+)
+
+// OpenTeam is the team under which requests on open routes run.
+const OpenTeam = "open"
+
+// Defaults of a route.
+const (
+	DefaultTimeout = 2 * time.Second
+	DefaultRetries = 2
+	MaxRetries     = 10
+	MaxTimeout     = 60 * time.Second
+)
+
+// Team is a tenant with its rate and burst over all instances together.
+type Team struct {
+	Name string `yaml:"name" cbor:"1,keyasint" validate:"required,name"`
+	// Rate is the sustained limit in requests a second.
+	Rate float64 `yaml:"rate" cbor:"2,keyasint" validate:"gt=0,lte=1000000"`
+	// Burst is the limit above the rate, in requests.
+	Burst float64 `yaml:"burst" cbor:"3,keyasint" validate:"gte=1,lte=1000000"`
+	// Weight is the share of the team within one importance. Default 1.
+	Weight uint32 `yaml:"weight,omitempty" cbor:"4,keyasint,omitempty" validate:"lte=1000"`
+}
+
+// Key is a caller's key, kept only as a hash.
+type Key struct {
+	// ID is the public name of the key: the first 16 hexadecimal digits of Hash.
+	// It is derived from Hash and never written in a note.
+	ID   string `yaml:"-" cbor:"1,keyasint"`
+	Team string `yaml:"team" cbor:"2,keyasint" validate:"required,name"`
+	// Hash is "sha256:" and 64 hexadecimal digits.
+	Hash string `yaml:"hash" cbor:"3,keyasint" validate:"required,keyhash"`
+}
+
+// Route maps a path prefix to a service.
+type Route struct {
+	Name string `yaml:"name" cbor:"1,keyasint" validate:"required,name"`
+	// Path is the longest-match prefix, on segment borders.
+	Path string `yaml:"path" cbor:"2,keyasint" validate:"required,routepath"`
+	// Methods are the HTTP methods; empty means all.
+	Methods []string `yaml:"methods,omitempty" cbor:"3,keyasint,omitempty"`
+	Service string   `yaml:"service" cbor:"4,keyasint" validate:"required,name"`
+	// Importance is critical, high, normal or low. Default normal.
+	Importance Importance `yaml:"importance,omitempty" cbor:"5,keyasint"`
+	// Mode is idempotent or once. Default idempotent.
+	Mode Mode `yaml:"mode,omitempty" cbor:"6,keyasint" validate:"oneof=idempotent once"`
+	// Access is keyed, open or internal. Default keyed.
+	Access Access `yaml:"access,omitempty" cbor:"7,keyasint" validate:"oneof=keyed open internal"`
+	// Timeout bounds the whole request at the root. Default 2s.
+	Timeout time.Duration `yaml:"timeout,omitempty" cbor:"8,keyasint"`
+	// Retries bounds the extra attempts over the whole call chain. Default 2.
+	Retries int `yaml:"retries" cbor:"9,keyasint" validate:"gte=0,lte=10"`
+}
+
+// FailureDomain is a set of instances that fail together.
+type FailureDomain struct {
+	Name   string `yaml:"name" cbor:"1,keyasint" validate:"required,name"`
+	Region string `yaml:"region,omitempty" cbor:"2,keyasint,omitempty"`
+	// InService is false where the operators took the domain out.
+	InService bool `yaml:"in_service" cbor:"3,keyasint"`
+}
+
+// Target is an override for one announced target. A target without an
+// override is in service.
+type Target struct {
+	// Name is the instance name of the daemon beside the target.
+	Name    string `yaml:"name" cbor:"1,keyasint" validate:"required,name"`
+	Service string `yaml:"service" cbor:"2,keyasint" validate:"required,name"`
+	// InService is false where the operators took the target out.
+	InService bool `yaml:"in_service" cbor:"3,keyasint"`
+}
+
+// Entries are the declarations of one section of a release note.
+type Entries struct {
+	Teams          []Team          `yaml:"teams,omitempty" cbor:"1,keyasint,omitempty" validate:"dive"`
+	Keys           []Key           `yaml:"keys,omitempty" cbor:"2,keyasint,omitempty" validate:"dive"`
+	Routes         []Route         `yaml:"routes,omitempty" cbor:"3,keyasint,omitempty" validate:"dive"`
+	FailureDomains []FailureDomain `yaml:"failure_domains,omitempty" cbor:"4,keyasint,omitempty" validate:"dive"`
+	Targets        []Target        `yaml:"targets,omitempty" cbor:"5,keyasint,omitempty" validate:"dive"`
+}
+
+// Names lists what a release note withdraws.
+type Names struct {
+	Teams []string `yaml:"teams,omitempty" cbor:"1,keyasint,omitempty"`
+	// Keys are key ids or full hashes.
+	Keys           []string `yaml:"keys,omitempty" cbor:"2,keyasint,omitempty"`
+	Routes         []string `yaml:"routes,omitempty" cbor:"3,keyasint,omitempty"`
+	FailureDomains []string `yaml:"failure_domains,omitempty" cbor:"4,keyasint,omitempty"`
+	Targets        []string `yaml:"targets,omitempty" cbor:"5,keyasint,omitempty"`
+}
+
+// Note is one release note: the change from the State with the number before.
+type Note struct {
+	// Number is the number in force plus one; the first note has number 1.
+	Number uint64 `yaml:"number" cbor:"1,keyasint" validate:"gte=1"`
+	// Comment is free text for people.
+	Comment   string  `yaml:"comment,omitempty" cbor:"2,keyasint,omitempty"`
+	Added     Entries `yaml:"added,omitempty" cbor:"3,keyasint,omitempty"`
+	Changed   Entries `yaml:"changed,omitempty" cbor:"4,keyasint,omitempty"`
+	Withdrawn Names   `yaml:"withdrawn,omitempty" cbor:"5,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/version/state.go
@@ -0,0 +1,219 @@
+package version
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+// State is the configuration in force after the note with its Number.
+// Invariant: a State never changes once it is built, so it may be read by any
+// number of goroutines.
+type State struct {
+	number uint64
+	// digest covers the whole content; two states with equal digests are equal.
+	digest string
+	// noteDigest is the digest of the note that led here.
+	noteDigest string
+
+	teams   map[string]Team
+	keys    map[string]Key // by hash
+	keyByID map[string]Key
+	routes  map[string]Route
+	byPath  []Route // longest path first
+	domains map[string]FailureDomain
+	targets map[string]Target // by service/name
+}
+
+// image is the canonical stored form of a State.
+type image struct {
+	Number     uint64  `cbor:"1,keyasint"`
+	NoteDigest string  `cbor:"2,keyasint"`
+	Entries    Entries `cbor:"3,keyasint"`
+}
+
+var canonical = mustCanonical()
+
+func mustCanonical() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Initial returns the state before the first note.
+func Initial() *State {
+	return fromEntries(0, "", Entries{})
+}
+
+// Number is the number of the last note; 0 before the first.
+func (s *State) Number() uint64 { return s.number }
+
+// Digest is the digest of the whole state, in hexadecimal.
+func (s *State) Digest() string { return s.digest }
+
+// NoteDigest is the digest of the note that led to this state.
+func (s *State) NoteDigest() string { return s.noteDigest }
+
+// Team returns the team called name.
+func (s *State) Team(name string) (Team, bool) {
+	t, ok := s.teams[name]
+	return t, ok
+}
+
+// Key returns the key with this secret, if it is in force.
+func (s *State) Key(secret string) (Key, bool) {
+	k, ok := s.keys[HashKey(secret)]
+	return k, ok
+}
+
+// KeyInForce reports whether the key with this public id is in force.
+func (s *State) KeyInForce(id string) bool {
+	_, ok := s.keyByID[id]
+	return ok
+}
+
+// Route returns the route with the longest path that matches. The second
+// result is false where no route fits method and path.
+func (s *State) Route(method, path string) (Route, bool) {
+	for _, r := range s.byPath {
+		if matchPath(r.Path, path) && matchMethod(r.Methods, method) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// DomainInService reports whether the failure domain may receive new work. A
+// domain that no note names is in service.
+func (s *State) DomainInService(name string) bool {
+	d, ok := s.domains[name]
+	return !ok || d.InService
+}
+
+// TargetInService reports whether the target of service beside the daemon
+// called instance may receive new work, as far as notes say.
+func (s *State) TargetInService(service, instance string) bool {
+	t, ok := s.targets[targetID(service, instance)]
+	return !ok || t.InService
+}
+
+// Entries returns a sorted copy of the whole content.
+func (s *State) Entries() Entries {
+	return Entries{
+		Teams:          sortedValues(s.teams),
+		Keys:           sortedValues(s.keys),
+		Routes:         sortedValues(s.routes),
+		FailureDomains: sortedValues(s.domains),
+		Targets:        sortedValues(s.targets),
+	}
+}
+
+// Encode returns the canonical CBOR form of the state.
+func (s *State) Encode() ([]byte, error) {
+	b, err := canonical.Marshal(image{s.number, s.noteDigest, s.Entries()})
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encode the state")
+	}
+	return b, nil
+}
+
+// DecodeState reads what Encode wrote.
+func DecodeState(b []byte) (*State, error) {
+	var img image
+	if err := cbor.Unmarshal(b, &img); err != nil {
+		return nil, fault.Wrap(fault.Damaged, err, "decode the state")
+	}
+	return fromEntries(img.Number, img.NoteDigest, img.Entries), nil
+}
+
+// HashKey returns the stored form of a caller's key.
+func HashKey(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+// KeyID returns the public id of the key with this hash.
+func KeyID(hash string) string {
+	digits := strings.TrimPrefix(hash, "sha256:")
+	return digits[:min(len(digits), keyIDLength)]
+}
+
+const keyIDLength = 16
+
+func targetID(service, instance string) string { return service + "/" + instance }
+
+func matchPath(prefix, path string) bool {
+	if prefix == "/" || path == prefix {
+		return true
+	}
+	return strings.HasPrefix(path, prefix) && path[len(prefix)] == '/'
+}
+
+func matchMethod(methods []string, method string) bool {
+	return len(methods) == 0 || slices.Contains(methods, method)
+}
+
+func sortedValues[V any](m map[string]V) []V {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	values := make([]V, 0, len(names))
+	for _, name := range names {
+		values = append(values, m[name])
+	}
+	return values
+}
+
+// fromEntries builds a state from its whole content.
+func fromEntries(number uint64, noteDigest string, e Entries) *State {
+	s := &State{
+		number:     number,
+		noteDigest: noteDigest,
+		teams:      make(map[string]Team, len(e.Teams)),
+		keys:       make(map[string]Key, len(e.Keys)),
+		keyByID:    make(map[string]Key, len(e.Keys)),
+		routes:     make(map[string]Route, len(e.Routes)),
+		domains:    make(map[string]FailureDomain, len(e.FailureDomains)),
+		targets:    make(map[string]Target, len(e.Targets)),
+	}
+	for _, t := range e.Teams {
+		s.teams[t.Name] = t
+	}
+	for _, k := range e.Keys {
+		k.ID = KeyID(k.Hash)
+		s.keys[k.Hash] = k
+		s.keyByID[k.ID] = k
+	}
+	for _, r := range e.Routes {
+		s.routes[r.Name] = r
+	}
+	for _, d := range e.FailureDomains {
+		s.domains[d.Name] = d
+	}
+	for _, t := range e.Targets {
+		s.targets[targetID(t.Service, t.Name)] = t
+	}
+	s.byPath = sortedValues(s.routes)
+	slices.SortStableFunc(s.byPath, func(a, b Route) int { return len(b.Path) - len(a.Path) })
+	s.digest = digestOf(image{number, noteDigest, s.Entries()})
+	return s
+}
+
+// digestOf returns the SHA-256 of the canonical form of v, in hexadecimal.
+func digestOf(v any) string {
+	b, err := canonical.Marshal(v)
+	if err != nil {
+		return ""
+	}
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:])
+}
