Configuration: replicated machine and the daemons' holder

Cause: accepted release notes must hold everywhere, be answered again after a lost answer, and never go back on a daemon.

Weighed: validating the whole note inside the machine (two releases of the program with different rules would let replicas end in different states) against validating before the proposal and checking only what depends on the state in force; the second was taken.

--- /dev/null
+++ b/internal/process/configuration/result.go
@@ -0,0 +1,61 @@
+// Package configuration holds the configuration in force: on control replicas
+// as a replicated state machine, on daemons as a holder with a freshness lease.
+package configuration
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+// Result is what the machine answers to one release note.
+type Result struct {
+	// Number is the number of the note.
+	Number uint64 `cbor:"1,keyasint"`
+	// Digest is the digest of the note that was accepted under Number, empty
+	// where none was.
+	Digest string `cbor:"2,keyasint,omitempty"`
+	// Repeated is true where the same note had been accepted before.
+	Repeated bool `cbor:"3,keyasint,omitempty"`
+	// Kind is empty where the note is accepted, else NoteInvalid, NoteGap or
+	// NoteConflict.
+	Kind fault.Kind `cbor:"4,keyasint,omitempty"`
+	// Message explains Kind.
+	Message string `cbor:"5,keyasint,omitempty"`
+}
+
+// Err returns the refusal as an error, nil where the note was accepted.
+func (r Result) Err() error {
+	if r.Kind == "" {
+		return nil
+	}
+	return fault.New(r.Kind, "%s", r.Message)
+}
+
+// EncodeResult returns the canonical CBOR form of r.
+func EncodeResult(r Result) ([]byte, error) {
+	b, err := canonical.Marshal(r)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encode the result of a note")
+	}
+	return b, nil
+}
+
+// DecodeResult reads what EncodeResult wrote.
+func DecodeResult(b []byte) (Result, error) {
+	var r Result
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return Result{}, fault.Wrap(fault.Internal, err, "decode the result of a note")
+	}
+	return r, nil
+}
+
+var canonical = mustCanonical()
+
+func mustCanonical() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
