--- /dev/null
+++ b/internal/process/ledger/entry.go
@@ -0,0 +1,77 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+)
+
+// record is a key that was granted.
+type record struct {
+	Key     protocol.OnceKey `cbor:"1,keyasint"`
+	Holder  string           `cbor:"2,keyasint"`
+	Digest  string           `cbor:"3,keyasint,omitempty"`
+	Granted time.Duration    `cbor:"4,keyasint"`
+	// Answer is the CBOR form of the stored answer; empty until it is stored.
+	Answer cbor.RawMessage `cbor:"5,keyasint,omitempty"`
+	// gone is true once the record has left the table and stands only in the
+	// queue.
+	gone bool
+}
+
+func (r *record) size() int {
+	return entryOverhead + keySize(r.Key) + len(r.Holder) + len(r.Digest) + len(r.Answer)
+}
+
+func (r *record) done() bool { return len(r.Answer) > 0 }
+
+// fenceKey names one attempt at one key.
+type fenceKey struct {
+	Key     protocol.OnceKey `cbor:"1,keyasint"`
+	Attempt string           `cbor:"2,keyasint"`
+}
+
+// fence bars an attempt that held no claim, or gave it back.
+type fence struct {
+	Name fenceKey      `cbor:"1,keyasint"`
+	Set  time.Duration `cbor:"2,keyasint"`
+}
+
+func (f *fence) size() int {
+	return entryOverhead + keySize(f.Name.Key) + len(f.Name.Attempt)
+}
+
+func keySize(k protocol.OnceKey) int {
+	return len(k.Team) + len(k.Service) + len(k.Key)
+}
+
+// queue holds entries in the order of their times.
+type queue[T any] struct {
+	items []T
+	head  int
+}
+
+func (q *queue[T]) push(v T) { q.items = append(q.items, v) }
+
+func (q *queue[T]) front() (T, bool) {
+	if q.head == len(q.items) {
+		var none T
+		return none, false
+	}
+	return q.items[q.head], true
+}
+
+// pop drops the front, and moves the rest once half of the array is unused.
+func (q *queue[T]) pop() {
+	var none T
+	q.items[q.head] = none
+	q.head++
+	if q.head*2 > len(q.items) {
+		q.items = append([]T(nil), q.items[q.head:]...)
+		q.head = 0
+	}
+}
+
+func (q *queue[T]) all() []T { return q.items[q.head:] }
