--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -83,6 +83,12 @@
 	// Sequence rises with each ask of one holder, so that a repeated or delayed
 	// ask is granted once.
 	Sequence uint64 `json:"q"`
+	// Spent is the number of tokens of the team that the holder has spent since
+	// its start.
+	Spent uint64 `json:"s,omitempty"`
+	// Left is the number of tokens that the holder still has. It gives up all
+	// others that asks before this one brought, or still would bring.
+	Left int `json:"k,omitempty"`
 }
 
 // QuotaGrant hands out tokens of one team.
--- /dev/null
+++ b/internal/process/quota/holder.go
@@ -0,0 +1,250 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+const (
+	// asksPerSecond bounds asks beside the renewals, over all teams.
+	asksPerSecond = 5
+	// askBurst is the number of asks that may follow each other at once.
+	askBurst = 5
+	// maxWait is how long a request waits for tokens before it is refused.
+	maxWait = 500 * time.Millisecond
+	// recheck is how often a waiting request looks whether an ask is due.
+	recheck      = 50 * time.Millisecond
+	holderShards = 16
+)
+
+// AskFunc sends asks to a control replica. sentAt is read before they are sent.
+type AskFunc func(ctx context.Context, asks []protocol.QuotaAsk) (grants []protocol.QuotaGrant, sentAt time.Time, err error)
+
+// Holder holds the tokens of a daemon. It implements hop.Quota. Asks of
+// different teams travel together, and at most one ask of a team is in flight.
+// Its methods may be called from any goroutine; Run must be running.
+type Holder struct {
+	now    func() time.Time
+	ask    AskFunc
+	due    chan struct{}
+	shards [holderShards]holderShard
+}
+
+type holderShard struct {
+	mu     sync.RWMutex
+	purses map[string]*purse
+}
+
+// NewHolder returns a holder without tokens. now must be monotonic, such as
+// time.Now.
+func NewHolder(now func() time.Time, ask AskFunc) *Holder {
+	h := &Holder{now: now, ask: ask, due: make(chan struct{}, 1)}
+	for i := range h.shards {
+		h.shards[i].purses = make(map[string]*purse)
+	}
+	return h
+}
+
+// Take spends one token of the team. Where none is held it asks the issuer and
+// waits for the answer, no longer than ctx allows. Errors: QuotaExceeded where
+// the issuer said that the team is at its limit, QuotaUnavailable where no
+// issuer answered.
+func (h *Holder) Take(ctx context.Context, team string) error {
+	p := h.purse(team)
+	p.mu.Lock()
+	now := h.now()
+	p.count(now)
+	ok := p.spend(now)
+	low := p.low(now) && !p.paused(now)
+	p.mu.Unlock()
+	if ok {
+		if low {
+			h.kick()
+		}
+		return nil
+	}
+	return h.wait(ctx, p)
+}
+
+// wait asks for a token until there is one, the issuer refuses, or the time is
+// over.
+func (h *Holder) wait(ctx context.Context, p *purse) error {
+	ctx, cancel := context.WithTimeout(ctx, maxWait)
+	defer cancel()
+	p.addWaiting(1)
+	defer p.addWaiting(-1)
+	for ctx.Err() == nil {
+		changed, done, err := h.attempt(p)
+		if done {
+			return err
+		}
+		h.kick()
+		pause(ctx, changed)
+	}
+	return fault.New(fault.QuotaUnavailable, "no token of team %s could be had in time", p.team)
+}
+
+func (h *Holder) attempt(p *purse) (changed <-chan struct{}, done bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := h.now()
+	if p.spend(now) {
+		return nil, true, nil
+	}
+	if p.paused(now) {
+		return nil, true, fault.New(fault.QuotaExceeded, "team %s is at its limit", p.team)
+	}
+	return p.changed, false, nil
+}
+
+func pause(ctx context.Context, changed <-chan struct{}) {
+	t := time.NewTimer(recheck)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (h *Holder) kick() {
+	select {
+	case h.due <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends asks between renewals until ctx ends.
+func (h *Holder) Run(ctx context.Context) error {
+	interval := time.Second / asksPerSecond
+	next := h.now().Add(-askBurst * interval)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.due:
+		}
+		now := h.now()
+		if earliest := now.Add(-(askBurst - 1) * interval); next.Before(earliest) {
+			next = earliest
+		}
+		if !sleep(ctx, next.Sub(now)) {
+			return nil
+		}
+		if h.askOnce(ctx) {
+			next = next.Add(interval)
+		}
+	}
+}
+
+// sleep waits for d; it returns false where ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// askOnce asks for every team that is low; it returns false where none is.
+func (h *Holder) askOnce(ctx context.Context) bool {
+	asks := h.collect(h.now(), func(p *purse, now time.Time) bool {
+		return p.low(now) && !p.paused(now)
+	})
+	if len(asks) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	grants, sentAt, err := h.ask(ctx, asks)
+	if err == nil {
+		h.Granted(sentAt, grants)
+	}
+	for _, a := range asks {
+		p := h.purse(a.Team)
+		p.mu.Lock()
+		p.fail(a.Sequence)
+		p.mu.Unlock()
+	}
+	return true
+}
+
+// Wants returns the asks that the next renewal carries: what is missing, and
+// what was spent or is given back. The caller passes a time read before the
+// renewal is sent, and hands the answer to Granted.
+func (h *Holder) Wants(now time.Time) []protocol.QuotaAsk {
+	return h.collect(now, func(*purse, time.Time) bool { return true })
+}
+
+func (h *Holder) collect(now time.Time, due func(*purse, time.Time) bool) []protocol.QuotaAsk {
+	var asks []protocol.QuotaAsk
+	for _, p := range h.all() {
+		p.mu.Lock()
+		if due(p, now) {
+			if ask, ok := p.begin(now); ok {
+				asks = append(asks, ask)
+			}
+		}
+		p.mu.Unlock()
+	}
+	return asks
+}
+
+// Granted takes the tokens of an answer. sentAt is when the asks were sent; a
+// time later than that would let tokens live too long.
+func (h *Holder) Granted(sentAt time.Time, grants []protocol.QuotaGrant) {
+	for _, g := range grants {
+		p := h.purse(g.Team)
+		p.mu.Lock()
+		p.settle(sentAt, g, h.now())
+		p.mu.Unlock()
+	}
+}
+
+func (h *Holder) purse(team string) *purse {
+	s := &h.shards[xxhash.Sum64String(team)%holderShards]
+	s.mu.RLock()
+	p, ok := s.purses[team]
+	s.mu.RUnlock()
+	if ok {
+		return p
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p, ok = s.purses[team]; !ok {
+		p = newPurse(team)
+		s.purses[team] = p
+	}
+	return p
+}
+
+func (h *Holder) all() []*purse {
+	var purses []*purse
+	for i := range h.shards {
+		s := &h.shards[i]
+		s.mu.RLock()
+		for _, p := range s.purses {
+			purses = append(purses, p)
+		}
+		s.mu.RUnlock()
+	}
+	return purses
+}
+
+func (p *purse) addWaiting(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting += n
+}
--- /dev/null
+++ b/internal/process/quota/purse.go
@@ -0,0 +1,201 @@
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+)
+
+const (
+	// demandWindow is the time over which the demand for tokens is averaged.
+	demandWindow = time.Second
+	// horizon is the time for which a holder wants to hold tokens.
+	horizon = 500 * time.Millisecond
+	// askTimeout is how long an ask may take before another one replaces it.
+	askTimeout = 500 * time.Millisecond
+	// finalPause is how long a holder refuses without asking after the issuer
+	// said that the team is at its limit.
+	finalPause = 50 * time.Millisecond
+)
+
+// purse holds the tokens of one team on one daemon.
+type purse struct {
+	team string
+
+	mu       sync.Mutex
+	batches  []batch
+	spent    uint64
+	reported uint64
+	sequence uint64
+	// asked is when the ask with sequence was made; zero where it is settled.
+	asked time.Time
+	// refused is when the issuer last said that the team is at its limit.
+	refused time.Time
+	waiting int
+	// changed is closed and replaced when an ask is settled.
+	changed chan struct{}
+
+	// demand is the averaged number of takes a second, brought up to date at
+	// counted.
+	demand  float64
+	counted time.Time
+}
+
+// batch is a number of tokens that expire together.
+type batch struct {
+	tokens  int
+	expires time.Time
+}
+
+func newPurse(team string) *purse {
+	return &purse{team: team, changed: make(chan struct{})}
+}
+
+// count adds one take to the demand.
+func (p *purse) count(now time.Time) {
+	p.decay(now)
+	p.demand += 1 / demandWindow.Seconds()
+}
+
+func (p *purse) decay(now time.Time) {
+	elapsed := now.Sub(p.counted)
+	if elapsed <= 0 {
+		return
+	}
+	p.demand *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+	p.counted = now
+}
+
+// spend takes one token that is good at now.
+func (p *purse) spend(now time.Time) bool {
+	p.drop(now)
+	if len(p.batches) == 0 {
+		return false
+	}
+	p.batches[0].tokens--
+	if p.batches[0].tokens == 0 {
+		p.batches = p.batches[1:]
+	}
+	p.spent++
+	return true
+}
+
+// drop removes tokens whose life is over.
+func (p *purse) drop(now time.Time) {
+	kept := p.batches[:0]
+	for _, b := range p.batches {
+		if now.Before(b.expires) {
+			kept = append(kept, b)
+		}
+	}
+	p.batches = kept
+}
+
+func (p *purse) left() int {
+	n := 0
+	for _, b := range p.batches {
+		n += b.tokens
+	}
+	return n
+}
+
+// target is the number of tokens that fit the demand.
+func (p *purse) target(now time.Time) int {
+	p.decay(now)
+	return p.waiting + int(math.Round(p.demand*horizon.Seconds()))
+}
+
+// low reports whether tokens should be asked for before the next renewal.
+func (p *purse) low(now time.Time) bool {
+	p.drop(now)
+	return p.left() < (p.target(now)+1)/2
+}
+
+// paused reports whether the issuer said a moment ago that the team is at its
+// limit.
+func (p *purse) paused(now time.Time) bool {
+	return !p.refused.IsZero() && now.Sub(p.refused) < finalPause
+}
+
+// inFlight reports whether an ask waits for its answer.
+func (p *purse) inFlight(now time.Time) bool {
+	return !p.asked.IsZero() && now.Sub(p.asked) < askTimeout
+}
+
+// begin makes the next ask where there is something to ask for or to report.
+// It gives back tokens above twice the target.
+func (p *purse) begin(now time.Time) (protocol.QuotaAsk, bool) {
+	if p.inFlight(now) {
+		return protocol.QuotaAsk{}, false
+	}
+	p.drop(now)
+	target := p.target(now)
+	surplus := p.trim(2*target + 1)
+	want := max(target-p.left(), 0)
+	if want == 0 && !surplus && p.spent == p.reported {
+		return protocol.QuotaAsk{}, false
+	}
+	p.sequence++
+	p.asked = now
+	p.reported = p.spent
+	ask := protocol.QuotaAsk{
+		Team:     p.team,
+		Want:     want,
+		Sequence: p.sequence,
+		Spent:    p.spent,
+		Left:     p.left(),
+	}
+	return ask, true
+}
+
+// trim drops the oldest tokens above limit.
+func (p *purse) trim(limit int) bool {
+	surplus := p.left() - limit
+	trimmed := surplus > 0
+	for surplus > 0 {
+		n := min(surplus, p.batches[0].tokens)
+		p.batches[0].tokens -= n
+		surplus -= n
+		if p.batches[0].tokens == 0 {
+			p.batches = p.batches[1:]
+		}
+	}
+	return trimmed
+}
+
+// settle takes the answer to the ask in flight. Answers to other asks are
+// ignored: their tokens were given up when the next ask was made. A grant that
+// carries neither tokens nor the word of an issuer wakes nobody.
+func (p *purse) settle(sentAt time.Time, grant protocol.QuotaGrant, now time.Time) {
+	if p.asked.IsZero() || grant.Sequence != p.sequence {
+		return
+	}
+	from := p.asked
+	if sentAt.Before(from) {
+		from = sentAt
+	}
+	p.asked = time.Time{}
+	if grant.Tokens > 0 {
+		p.batches = append(p.batches, batch{tokens: grant.Tokens, expires: from.Add(grant.Life)})
+	}
+	p.refused = time.Time{}
+	if grant.Final {
+		p.refused = now
+	}
+	p.wake()
+}
+
+// fail ends the ask with this sequence without an answer.
+func (p *purse) fail(sequence uint64) {
+	if sequence == p.sequence && !p.asked.IsZero() {
+		p.asked = time.Time{}
+		p.wake()
+	}
+}
+
+func (p *purse) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
