--- a/internal/version/apply.go
+++ b/internal/version/apply.go
@@ -1,6 +1,10 @@
 package version
 
-import "github.com/teaselrack/teaselrack/internal/fault"
+import (
+	"slices"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
 
 // Apply returns the state after the note n. It accepts only the successor of
 // the number in force; s itself does not change. Errors: NoteGap, NoteConflict
@@ -74,14 +78,47 @@
 	return sortedValues(all)
 }
 
+// checkReferences checks what depends on the whole content.
 func checkReferences(errs *problems, e Entries) {
+	checkKeys(errs, e)
+	checkRoutes(errs, e.Routes)
+}
+
+func checkKeys(errs *problems, e Entries) {
 	teams := make(map[string]bool, len(e.Teams))
 	for _, t := range e.Teams {
 		teams[t.Name] = true
 	}
+	ids := make(map[string]bool, len(e.Keys))
 	for _, k := range e.Keys {
+		id := KeyID(k.Hash)
 		if !teams[k.Team] {
-			errs.add("key %s names team %q, which is not in force", KeyID(k.Hash), k.Team)
+			errs.add("key %s names team %q, which is not in force", id, k.Team)
 		}
+		if ids[id] {
+			errs.add("two keys have the same id %s", id)
+		}
+		ids[id] = true
+	}
+}
+
+// checkRoutes refuses two routes that would take the same request.
+func checkRoutes(errs *problems, routes []Route) {
+	byPath := make(map[string][]Route, len(routes))
+	for _, r := range routes {
+		for _, other := range byPath[r.Path] {
+			if shareMethod(r.Methods, other.Methods) {
+				errs.add("routes %q and %q have the same path %s and a method in common", other.Name, r.Name, r.Path)
+			}
+		}
+		byPath[r.Path] = append(byPath[r.Path], r)
+	}
+}
+
+// shareMethod reports whether some method is in both; no methods means all.
+func shareMethod(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return true
 	}
+	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
 }
--- /dev/null
+++ b/internal/version/export.go
@@ -0,0 +1,25 @@
+package version
+
+import (
+	"fmt"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+// Export returns a release note in YAML that adds the whole content of s. Its
+// number is 1: it recreates the content as the first note of a new mesh, and
+// is refused by the mesh that it came from. The comment names the state.
+func Export(s *State) ([]byte, error) {
+	n := Note{
+		Number:  1,
+		Comment: fmt.Sprintf("export of state %d, digest %s", s.Number(), s.Digest()),
+		Added:   s.Entries(),
+	}
+	b, err := yaml.Marshal(n)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "write the note")
+	}
+	return b, nil
+}
--- a/internal/version/model.go
+++ b/internal/version/model.go
@@ -58,9 +58,10 @@
 // Team is a tenant with its rate and burst over all instances together.
 type Team struct {
 	Name string `yaml:"name" cbor:"1,keyasint" validate:"required,name"`
-	// Rate is the sustained limit in requests a second.
-	Rate float64 `yaml:"rate" cbor:"2,keyasint" validate:"gt=0,lte=1000000"`
-	// Burst is the limit above the rate, in requests.
+	// Rate is the sustained limit in requests a second; parts below a
+	// thousandth have no effect.
+	Rate float64 `yaml:"rate" cbor:"2,keyasint" validate:"gte=0.001,lte=1000000"`
+	// Burst is the limit above the rate, in whole requests.
 	Burst float64 `yaml:"burst" cbor:"3,keyasint" validate:"gte=1,lte=1000000"`
 	// Weight is the share of the team within one importance. Default 1.
 	Weight uint32 `yaml:"weight,omitempty" cbor:"4,keyasint,omitempty" validate:"lte=1000"`
@@ -82,16 +83,16 @@
 	// Path is the longest-match prefix, on segment borders.
 	Path string `yaml:"path" cbor:"2,keyasint" validate:"required,routepath"`
 	// Methods are the HTTP methods; empty means all.
-	Methods []string `yaml:"methods,omitempty" cbor:"3,keyasint,omitempty"`
+	Methods []string `yaml:"methods,omitempty" cbor:"3,keyasint,omitempty" validate:"unique,dive,oneof=GET HEAD POST PUT PATCH DELETE OPTIONS"`
 	Service string   `yaml:"service" cbor:"4,keyasint" validate:"required,name"`
 	// Importance is critical, high, normal or low. Default normal.
-	Importance Importance `yaml:"importance,omitempty" cbor:"5,keyasint"`
+	Importance Importance `yaml:"importance,omitempty" cbor:"5,keyasint" validate:"gte=1,lte=4"`
 	// Mode is idempotent or once. Default idempotent.
 	Mode Mode `yaml:"mode,omitempty" cbor:"6,keyasint" validate:"oneof=idempotent once"`
 	// Access is keyed, open or internal. Default keyed.
 	Access Access `yaml:"access,omitempty" cbor:"7,keyasint" validate:"oneof=keyed open internal"`
 	// Timeout bounds the whole request at the root. Default 2s.
-	Timeout time.Duration `yaml:"timeout,omitempty" cbor:"8,keyasint"`
+	Timeout time.Duration `yaml:"timeout,omitempty" cbor:"8,keyasint" validate:"gte=1ms,lte=60s"`
 	// Retries bounds the extra attempts over the whole call chain. Default 2.
 	Retries int `yaml:"retries" cbor:"9,keyasint" validate:"gte=0,lte=10"`
 }
@@ -99,7 +100,7 @@
 // FailureDomain is a set of instances that fail together.
 type FailureDomain struct {
 	Name   string `yaml:"name" cbor:"1,keyasint" validate:"required,name"`
-	Region string `yaml:"region,omitempty" cbor:"2,keyasint,omitempty"`
+	Region string `yaml:"region,omitempty" cbor:"2,keyasint,omitempty" validate:"omitempty,name"`
 	// InService is false where the operators took the domain out.
 	InService bool `yaml:"in_service" cbor:"3,keyasint"`
 }
@@ -125,18 +126,19 @@
 
 // Names lists what a release note withdraws.
 type Names struct {
-	Teams []string `yaml:"teams,omitempty" cbor:"1,keyasint,omitempty"`
+	Teams []string `yaml:"teams,omitempty" cbor:"1,keyasint,omitempty" validate:"dive,name"`
 	// Keys are key ids or full hashes.
-	Keys           []string `yaml:"keys,omitempty" cbor:"2,keyasint,omitempty"`
-	Routes         []string `yaml:"routes,omitempty" cbor:"3,keyasint,omitempty"`
-	FailureDomains []string `yaml:"failure_domains,omitempty" cbor:"4,keyasint,omitempty"`
-	Targets        []string `yaml:"targets,omitempty" cbor:"5,keyasint,omitempty"`
+	Keys           []string `yaml:"keys,omitempty" cbor:"2,keyasint,omitempty" validate:"dive,keyname"`
+	Routes         []string `yaml:"routes,omitempty" cbor:"3,keyasint,omitempty" validate:"dive,name"`
+	FailureDomains []string `yaml:"failure_domains,omitempty" cbor:"4,keyasint,omitempty" validate:"dive,name"`
+	// Targets are service/instance pairs.
+	Targets []string `yaml:"targets,omitempty" cbor:"5,keyasint,omitempty" validate:"dive,target"`
 }
 
 // Note is one release note: the change from the State with the number before.
 type Note struct {
 	// Number is the number in force plus one; the first note has number 1.
-	Number uint64 `yaml:"number" cbor:"1,keyasint" validate:"gte=1"`
+	Number uint64 `yaml:"number" cbor:"1,keyasint" validate:"required"`
 	// Comment is free text for people.
 	Comment   string  `yaml:"comment,omitempty" cbor:"2,keyasint,omitempty"`
 	Added     Entries `yaml:"added,omitempty" cbor:"3,keyasint,omitempty"`
--- a/internal/version/note.go
+++ b/internal/version/note.go
@@ -1,32 +1,11 @@
 package version
 
 import (
-	"bytes"
-
 	"github.com/fxamacker/cbor/v2"
-	"github.com/goccy/go-yaml"
 
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
-// MaxNoteSize is the largest release note, in bytes of YAML.
-const MaxNoteSize = 1 << 20
-
-// ParseNote reads a release note from YAML. An unknown field, a wrong type or
-// a value out of range is a NoteInvalid error that names line and field.
-func ParseNote(text []byte) (*Note, error) {
-	if len(text) > MaxNoteSize {
-		return nil, fault.New(fault.NoteInvalid, "the note has %d bytes, the limit is %d", len(text), MaxNoteSize)
-	}
-	n := new(Note)
-	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict())
-	if err := decoder.Decode(n); err != nil {
-		return nil, fault.New(fault.NoteInvalid, "%s", yaml.FormatError(err, false, false))
-	}
-	n.setDefaults()
-	return n, nil
-}
-
 // Digest is the digest of the note's content, apart from its layout.
 func (n *Note) Digest() string { return digestOf(n) }
 
@@ -39,7 +18,7 @@
 	return b, nil
 }
 
-// DecodeNote reads what Encode wrote.
+// DecodeNote reads what Encode wrote. It does not validate the note.
 func DecodeNote(b []byte) (*Note, error) {
 	n := new(Note)
 	if err := cbor.Unmarshal(b, n); err != nil {
