--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -32,19 +32,25 @@
 	// last is when level was brought up to date.
 	last time.Time
 
+	// issued holds the grants that may still be spent, by expiry.
+	issued []*issued
+
 	holders map[string]*holding
+	// swept is when unused holders were last forgotten.
+	swept time.Time
 }
 
 // holding is what one holder of the bucket has.
 type holding struct {
 	sequence uint64
 	spent    uint64
-	grants   []issued
+	// grants are the grants of this holder by expiry.
+	grants []*issued
 	// seen is when the holder last asked.
 	seen time.Time
 }
 
-// issued is one grant that may still be spent until it expires.
+// issued is one grant; its tokens may still be spent until it expires.
 type issued struct {
 	tokens  int
 	expires time.Time
@@ -52,7 +58,7 @@
 
 // newBucket returns a bucket that was empty at since.
 func newBucket(since time.Time, team version.Team) *bucket {
-	b := &bucket{last: since, holders: make(map[string]*holding)}
+	b := &bucket{last: since, swept: since, holders: make(map[string]*holding)}
 	b.rate, b.burst = limitsOf(team)
 	return b
 }
@@ -65,13 +71,45 @@
 // rate changes, the time since the last call counts with the lower rate.
 func (b *bucket) advance(now time.Time, team version.Team) {
 	rate, burst := limitsOf(team)
-	b.expire(now)
+	b.expire(now, min(rate, b.rate))
 	b.refill(now, min(rate, b.rate))
 	b.rate = rate
 	b.burst = burst
+	b.clamp()
+	b.forget(now)
+}
+
+// clamp keeps the invariant where the burst has been lowered.
+func (b *bucket) clamp() {
 	b.level = max(0, min(b.level, b.burst-b.out))
 }
 
+// expire counts tokens whose life is over as spent when it ended, since their
+// holder has not said otherwise. Until that moment they leave no room for a
+// refill.
+func (b *bucket) expire(now time.Time, rate int64) {
+	for len(b.issued) > 0 && !now.Before(b.issued[0].expires) {
+		g := b.issued[0]
+		b.refill(g.expires, rate)
+		b.out -= amount(g.tokens) * oneToken
+		g.tokens = 0
+		b.issued = b.issued[1:]
+	}
+}
+
+// forget drops holders that have no tokens and have not asked for long.
+func (b *bucket) forget(now time.Time) {
+	if now.Sub(b.swept) < forgetAfter {
+		return
+	}
+	b.swept = now
+	for name, h := range b.holders {
+		if now.Sub(h.seen) >= forgetAfter {
+			delete(b.holders, name)
+		}
+	}
+}
+
 func (b *bucket) refill(now time.Time, rate int64) {
 	elapsed := now.Sub(b.last)
 	if elapsed <= 0 {
@@ -89,25 +127,6 @@
 	b.level += amount(int64(elapsed) * rate)
 }
 
-// expire counts tokens whose life is over as spent, since their holder has not
-// said otherwise.
-func (b *bucket) expire(now time.Time) {
-	for name, h := range b.holders {
-		kept := h.grants[:0]
-		for _, g := range h.grants {
-			if now.Before(g.expires) {
-				kept = append(kept, g)
-				continue
-			}
-			b.out -= amount(g.tokens) * oneToken
-		}
-		h.grants = kept
-		if len(kept) == 0 && now.Sub(h.seen) > forgetAfter {
-			delete(b.holders, name)
-		}
-	}
-}
-
 // settle takes over what an ask says about earlier grants. Tokens that are
 // neither left nor spent are given up by the holder and go back to the level.
 // It returns false for an ask that is not newer than the last one.
@@ -123,6 +142,7 @@
 	closed := h.keep(max(ask.Left, 0))
 	b.out -= amount(closed) * oneToken
 	b.level += amount(closed-h.spentOf(closed, ask.Spent)) * oneToken
+	b.clamp()
 	h.sequence = ask.Sequence
 	h.spent = ask.Spent
 	h.seen = now
@@ -141,14 +161,14 @@
 // keep leaves at most left tokens in the newest grants and returns how many it
 // took out.
 func (h *holding) keep(left int) (closed int) {
-	kept := make([]issued, 0, len(h.grants)+1)
-	for i := len(h.grants) - 1; i >= 0; i-- {
-		g := h.grants[i]
+	kept := make([]*issued, 0, len(h.grants)+1)
+	for _, g := range slices.Backward(h.grants) {
 		n := min(g.tokens, left)
 		left -= n
 		closed += g.tokens - n
+		g.tokens = n
 		if n > 0 {
-			kept = append(kept, issued{tokens: n, expires: g.expires})
+			kept = append(kept, g)
 		}
 	}
 	slices.Reverse(kept)
@@ -164,7 +184,9 @@
 	}
 	b.level -= amount(n) * oneToken
 	b.out += amount(n) * oneToken
+	g := &issued{tokens: n, expires: expires}
 	h := b.holders[holder]
-	h.grants = append(h.grants, issued{tokens: n, expires: expires})
+	h.grants = append(h.grants, g)
+	b.issued = append(b.issued, g)
 	return n
 }
