JSON-RPC links between processes over mutual TLS

Cause: control messages need a link whose silence is noticed: a connection that accepts bytes and never answers keeps calls waiting for good.

Ruled out: a periodic heartbeat on each link. At one ping each 300 ms it would cost several hundred bytes a second on 1,500 idle daemons. A probe that is sent only while a call waits costs nothing on an idle link.

--- /dev/null
+++ b/internal/connection/rpc/codec.go
@@ -0,0 +1,58 @@
+package rpc
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+// MaxMessage is the largest message on a link, in bytes.
+const MaxMessage = 32 << 20
+
+const lengthBytes = 4
+
+// frameCodec writes each message as a big-endian length and JSON. It
+// implements jsonrpc2.ObjectCodec.
+type frameCodec struct{}
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (frameCodec) WriteObject(w io.Writer, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if len(b) > MaxMessage {
+		return fault.New(fault.TooLarge, "a message of %d bytes exceeds %d", len(b), MaxMessage)
+	}
+	var length [lengthBytes]byte
+	binary.BigEndian.PutUint32(length[:], uint32(len(b)))
+	if _, err := w.Write(length[:]); err != nil {
+		return err
+	}
+	_, err = w.Write(b)
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec. It never allocates more than the
+// bytes that arrive, whatever length the frame announces.
+func (frameCodec) ReadObject(r *bufio.Reader, v any) error {
+	var length [lengthBytes]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(length[:])
+	if n > MaxMessage {
+		return fault.New(fault.TooLarge, "a message of %d bytes exceeds %d", n, MaxMessage)
+	}
+	b, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	if err != nil {
+		return err
+	}
+	if len(b) < int(n) {
+		return io.ErrUnexpectedEOF
+	}
+	return json.Unmarshal(b, v)
+}
--- /dev/null
+++ b/internal/connection/rpc/server.go
@@ -0,0 +1,186 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+// maxCallsPerLink bounds the calls that one link may have running.
+const maxCallsPerLink = 1024
+
+// Handler serves one method for a verified peer.
+type Handler func(ctx context.Context, peer mesh.Peer, params json.RawMessage) (any, error)
+
+// Method builds a Handler from a typed function that peers with one of the
+// roles may call.
+func Method[P, R any](serve func(context.Context, mesh.Peer, P) (R, error), roles ...mesh.Role) Handler {
+	return func(ctx context.Context, peer mesh.Peer, params json.RawMessage) (any, error) {
+		if err := peer.Allow(roles...); err != nil {
+			return nil, err
+		}
+		var p P
+		if err := json.Unmarshal(params, &p); err != nil {
+			return nil, fault.Wrap(fault.BadRequest, err, "the parameters cannot be read")
+		}
+		return serve(ctx, peer, p)
+	}
+}
+
+// Server accepts links and serves methods on them.
+type Server struct {
+	id       *mesh.Identity
+	handlers map[string]Handler
+	log      *zap.Logger
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+	closed   bool
+	wg       sync.WaitGroup
+}
+
+// NewServer returns a server of the given methods. handlers must not change
+// afterwards.
+func NewServer(id *mesh.Identity, handlers map[string]Handler, log *zap.Logger) *Server {
+	return &Server{id: id, handlers: handlers, log: log, conns: make(map[net.Conn]struct{})}
+}
+
+// Run accepts links from ln until Close. It closes ln.
+func (s *Server) Run(ln net.Listener) error {
+	s.mu.Lock()
+	s.listener = ln
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return ln.Close()
+	}
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fault.Wrap(fault.Internal, err, "accept a link")
+		}
+		if !s.track(conn) {
+			_ = conn.Close()
+			return nil
+		}
+		go s.serve(conn)
+	}
+}
+
+// Close closes the listener and every link, and waits for their goroutines.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+	return nil
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	s.wg.Add(1)
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	s.wg.Done()
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer s.untrack(conn)
+	defer func() { _ = conn.Close() }()
+	peer, link, err := s.handshake(conn)
+	if err != nil {
+		s.log.Info("link refused", zap.String("from", conn.RemoteAddr().String()), zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stream := jsonrpc2.NewBufferedStream(deadlineConn{link}, frameCodec{})
+	rpc := jsonrpc2.NewConn(ctx, stream, &linkHandler{server: s, peer: peer, running: make(chan struct{}, maxCallsPerLink)})
+	<-rpc.DisconnectNotify()
+}
+
+func (s *Server) handshake(conn net.Conn) (mesh.Peer, net.Conn, error) {
+	link := tls.Server(conn, s.id.ServerTLS())
+	ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
+	defer cancel()
+	if err := link.HandshakeContext(ctx); err != nil {
+		return mesh.Peer{}, nil, fault.Wrap(fault.Forbidden, err, "the handshake failed")
+	}
+	state := link.ConnectionState()
+	peer, err := mesh.PeerOf(&state)
+	return peer, link, err
+}
+
+// linkHandler serves the calls of one link, each in its own goroutine.
+type linkHandler struct {
+	server  *Server
+	peer    mesh.Peer
+	running chan struct{}
+}
+
+// Handle implements jsonrpc2.Handler. It blocks the link while too many of its
+// calls run.
+func (h *linkHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Method == methodProbe {
+		_ = conn.Reply(ctx, req.ID, struct{}{})
+		return
+	}
+	h.running <- struct{}{}
+	go func() {
+		defer func() { <-h.running }()
+		h.answer(ctx, conn, req)
+	}()
+}
+
+func (h *linkHandler) answer(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	result, err := h.call(ctx, req)
+	if req.Notif {
+		return
+	}
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, req.ID, toWire(err))
+		return
+	}
+	_ = conn.Reply(ctx, req.ID, result)
+}
+
+func (h *linkHandler) call(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	handler, ok := h.server.handlers[req.Method]
+	if !ok {
+		return nil, fault.New(fault.BadRequest, "the method %q does not exist", req.Method)
+	}
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	return handler(ctx, h.peer, params)
+}
