--- /dev/null
+++ b/internal/process/settings/settings.go
@@ -0,0 +1,124 @@
+// Package settings reads the YAML settings of one daemon. Settings name what
+// differs between processes (addresses, files, roles); everything that holds
+// for all of them stands in release notes.
+package settings
+
+import "time"
+
+// Defaults of fields that a file leaves out or sets to zero.
+const (
+	DefaultRegion       = "default"
+	DefaultLedgerShards = 2
+	DefaultHeartbeat    = 100 * time.Millisecond
+	DefaultElection     = 400 * time.Millisecond
+	DefaultBody         = 1 << 20
+	DefaultHeader       = 16 << 10
+	DefaultConnections  = 4096
+	DefaultRenew        = time.Second
+	DefaultDrain        = 5 * time.Second
+	DefaultLogFormat    = "json"
+	DefaultLogLevel     = "info"
+)
+
+// Settings are the settings of one daemon. After Load every default is filled
+// in and every file name is absolute or relative to the working directory.
+type Settings struct {
+	// Instance is the name of this process, equal to the common name of its
+	// mesh certificate.
+	Instance string `yaml:"instance" validate:"required,name"`
+	// FailureDomain is the failure domain this process stands in.
+	FailureDomain string `yaml:"failure_domain" validate:"required,name"`
+	// Region is the region of the failure domain. Default "default".
+	Region string `yaml:"region" validate:"name"`
+	// Mesh names the files of the mesh certificate.
+	Mesh Mesh `yaml:"mesh"`
+	// Listen holds the addresses that this process listens on.
+	Listen Listen `yaml:"listen"`
+	// Advertise holds the addresses that others use, where they differ.
+	Advertise Advertise `yaml:"advertise"`
+	// Replicas are the control addresses of the control replicas.
+	Replicas []string `yaml:"replicas" validate:"required,min=1,max=7,unique,dive,ipport"`
+	// Data is the data folder, relative to the settings file. Required with
+	// the control role.
+	Data string `yaml:"data"`
+	// Control sets the control role.
+	Control Control `yaml:"control"`
+	// Subscribe lists the services that this daemon calls; empty means all.
+	Subscribe []string `yaml:"subscribe" validate:"unique,dive,name"`
+	// Limits bounds what one caller may send.
+	Limits Limits `yaml:"limits"`
+	// Renew is the interval between two renewals. Default 1s.
+	Renew time.Duration `yaml:"renew" validate:"min=50ms,max=1500ms"`
+	// Drain bounds how long a graceful shutdown waits for requests that run.
+	// Default 5s.
+	Drain time.Duration `yaml:"drain" validate:"min=0,max=10m"`
+	// Log sets the log output.
+	Log Log `yaml:"log"`
+}
+
+// Mesh names PEM files, relative to the settings file.
+type Mesh struct {
+	// Authority is the certificate of the mesh's authority.
+	Authority string `yaml:"authority" validate:"required,file"`
+	// Certificate is the certificate of this process.
+	Certificate string `yaml:"certificate" validate:"required,file"`
+	// Key is the private key of Certificate.
+	Key string `yaml:"key" validate:"required,file"`
+}
+
+// Listen holds listener addresses, each IP:port.
+type Listen struct {
+	// Ingress accepts callers.
+	Ingress string `yaml:"ingress" validate:"required,ipport"`
+	// Peer accepts other daemons over mutual TLS.
+	Peer string `yaml:"peer" validate:"required,ipport"`
+	// Control accepts JSON-RPC over mutual TLS; set with the control role only.
+	Control string `yaml:"control" validate:"omitempty,ipport"`
+	// Egress accepts the outgoing calls of the local target; loopback only.
+	Egress string `yaml:"egress" validate:"required,ipport,loopback"`
+	// Announce accepts the announcements of the local target; loopback only.
+	Announce string `yaml:"announce" validate:"required,ipport,loopback"`
+	// Operators serves expvar and health.
+	Operators string `yaml:"operators" validate:"required,ipport"`
+}
+
+// Advertise holds addresses as other processes reach them, each IP:port.
+type Advertise struct {
+	// Peer is the advertised peer address. Default: Listen.Peer.
+	Peer string `yaml:"peer" validate:"omitempty,ipport"`
+	// Control is the advertised control address. Default: Listen.Control.
+	Control string `yaml:"control" validate:"omitempty,ipport"`
+}
+
+// Control sets the role of a control replica.
+type Control struct {
+	// Enabled gives this process the control role. Default false.
+	Enabled bool `yaml:"enabled"`
+	// LedgerShards is the number of ledger groups, equal on each replica.
+	// Default 2.
+	LedgerShards int `yaml:"ledger_shards" validate:"min=1,max=64"`
+	// Heartbeat is the interval of a leader's heartbeats. Default 100ms.
+	Heartbeat time.Duration `yaml:"heartbeat" validate:"min=10ms,max=5s"`
+	// Election is the shortest election timeout, at least three heartbeats.
+	// Default 400ms.
+	Election time.Duration `yaml:"election" validate:"min=30ms,max=15s"`
+}
+
+// Limits bounds what one caller may send.
+type Limits struct {
+	// Body is the largest request body in bytes. Default 1 MiB.
+	Body int64 `yaml:"body" validate:"min=1,max=1073741824"`
+	// Header is the largest request header in bytes. Default 16 KiB.
+	Header int `yaml:"header" validate:"min=1024,max=1048576"`
+	// Connections is the largest number of open connections on each listener.
+	// Default 4096.
+	Connections int `yaml:"connections" validate:"min=1,max=1000000"`
+}
+
+// Log sets the log output.
+type Log struct {
+	// Format is json or console. Default json.
+	Format string `yaml:"format" validate:"oneof=json console"`
+	// Level is debug, info, warn or error. Default info.
+	Level string `yaml:"level" validate:"oneof=debug info warn error"`
+}
