--- /dev/null
+++ b/internal/process/events/clock.go
@@ -0,0 +1,96 @@
+package events
+
+import (
+	"cmp"
+	"math"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// MaxAhead bounds how far a remote timestamp may run ahead of the local
+// physical clock. One that is further ahead is ignored, so that one wrong
+// clock cannot carry all others away.
+const MaxAhead = time.Minute
+
+// Timestamp is a reading of a hybrid logical clock.
+type Timestamp struct {
+	// Wall is the physical part in nanoseconds since 1970.
+	Wall int64
+	// Logical orders readings with one Wall.
+	Logical uint32
+}
+
+// Compare returns -1, 0 or 1 as t is before, equal to or after u.
+func (t Timestamp) Compare(u Timestamp) int {
+	return cmp.Or(cmp.Compare(t.Wall, u.Wall), cmp.Compare(t.Logical, u.Logical))
+}
+
+// String returns the form that ParseTimestamp reads: two hexadecimal numbers.
+func (t Timestamp) String() string {
+	return strconv.FormatInt(t.Wall, 16) + "." + strconv.FormatUint(uint64(t.Logical), 16)
+}
+
+// ParseTimestamp reads what String wrote. The second result is false for any
+// other text.
+func ParseTimestamp(s string) (Timestamp, bool) {
+	wallText, logicalText, found := strings.Cut(s, ".")
+	if !found {
+		return Timestamp{}, false
+	}
+	wall, err := strconv.ParseInt(wallText, 16, 64)
+	if err != nil || wall < 0 {
+		return Timestamp{}, false
+	}
+	logical, err := strconv.ParseUint(logicalText, 16, 32)
+	if err != nil {
+		return Timestamp{}, false
+	}
+	return Timestamp{wall, uint32(logical)}, true
+}
+
+// next returns the smallest timestamp after t.
+func (t Timestamp) next() Timestamp {
+	if t.Logical == math.MaxUint32 {
+		return Timestamp{t.Wall + 1, 0}
+	}
+	return Timestamp{t.Wall, t.Logical + 1}
+}
+
+// Clock is a hybrid logical clock. Invariant: every reading is after all
+// earlier readings and after all remote timestamps observed before, however
+// the physical clock moves. Its methods may be called from any goroutine.
+type Clock struct {
+	mu   sync.Mutex
+	last Timestamp
+}
+
+// Tick returns a new reading at the physical time now.
+func (c *Clock) Tick(now time.Time) Timestamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.advance(now)
+}
+
+// Observe takes in the timestamp of a message from another process that was
+// received at the physical time now, and returns a new reading after it.
+func (c *Clock) Observe(now time.Time, remote Timestamp) Timestamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tooFar := remote.Wall > now.Add(MaxAhead).UnixNano()
+	if !tooFar && remote.Compare(c.last) > 0 {
+		c.last = remote
+	}
+	return c.advance(now)
+}
+
+func (c *Clock) advance(now time.Time) Timestamp {
+	physical := Timestamp{Wall: now.UnixNano()}
+	if physical.Compare(c.last) > 0 {
+		c.last = physical
+	} else {
+		c.last = c.last.next()
+	}
+	return c.last
+}
