--- /dev/null
+++ b/internal/operate/timeline.go
@@ -0,0 +1,106 @@
+package operate
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/events"
+)
+
+const (
+	// eventsPath is where a daemon serves its events on the peer listener.
+	eventsPath = "/v1/events"
+	// eventsTimeout bounds the read from one daemon.
+	eventsTimeout = 3 * time.Second
+	// eventsReaders is the number of daemons read at once.
+	eventsReaders = 16
+	// maxEventsBytes bounds the answer of one daemon.
+	maxEventsBytes = 64 << 20
+)
+
+// Timeline is the merged time line of all processes that answered.
+type Timeline struct {
+	Events []protocol.Event `json:"events"`
+	// Dropped is the number of events that the rings have overwritten.
+	Dropped uint64 `json:"dropped"`
+	// Missing lists the processes that could not be read.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// EventSource reads the events of one process.
+type EventSource interface {
+	Read(ctx context.Context, address string, request protocol.EventsRequest) (protocol.EventsReply, error)
+}
+
+// ReadTimeline reads the events of the given daemons and merges them.
+func ReadTimeline(ctx context.Context, source EventSource, daemons []protocol.DaemonStatus, request protocol.EventsRequest) Timeline {
+	replies := make([]protocol.EventsReply, len(daemons))
+	errs := make([]error, len(daemons))
+	turns := make(chan struct{}, eventsReaders)
+	var group sync.WaitGroup
+	for i, daemon := range daemons {
+		group.Go(func() {
+			turns <- struct{}{}
+			defer func() { <-turns }()
+			replies[i], errs[i] = source.Read(ctx, daemon.PeerAddress, request)
+		})
+	}
+	group.Wait()
+	var line Timeline
+	lists := make([][]protocol.Event, 0, len(daemons))
+	for i, daemon := range daemons {
+		if errs[i] != nil {
+			line.Missing = append(line.Missing, daemon.Instance)
+			continue
+		}
+		lists = append(lists, replies[i].Events)
+		line.Dropped += replies[i].Dropped
+	}
+	line.Events = events.Merge(lists...)
+	return line
+}
+
+// PeerEvents reads events from the peer listeners of daemons.
+type PeerEvents struct {
+	client *http.Client
+}
+
+// NewPeerEvents returns an EventSource that presents the operator's identity.
+func NewPeerEvents(id *mesh.Identity) *PeerEvents {
+	transport := &http.Transport{TLSClientConfig: id.ClientTLS(), ForceAttemptHTTP2: true}
+	return &PeerEvents{client: &http.Client{Transport: transport, Timeout: eventsTimeout}}
+}
+
+// Read implements EventSource.
+func (p *PeerEvents) Read(ctx context.Context, address string, request protocol.EventsRequest) (protocol.EventsReply, error) {
+	var reply protocol.EventsReply
+	query := url.Values{"request": {request.Request}, "team": {request.Team}, "target": {request.Target}}
+	target := url.URL{Scheme: "https", Host: address, Path: eventsPath, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return reply, fault.Wrap(fault.Internal, err, "build the request")
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return reply, fault.Wrap(fault.ConnectFailed, err, "read the events of %s", address)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return reply, fault.New(fault.Internal, "%s answered %s", address, resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxEventsBytes)).Decode(&reply); err != nil {
+		return reply, fault.Wrap(fault.AnswerBroken, err, "read the events of %s", address)
+	}
+	return reply, nil
+}
+
+// Close closes idle connections.
+func (p *PeerEvents) Close() { p.client.CloseIdleConnections() }
