Overload policy: first usable admission, routing and permits

Cause: the ports Admission, Router and Permits had no implementation.

Weighed for the learnt limit: the plain gradient (limit times best latency over latency), which takes a target that is slow for another reason down to a few slots; chosen: a lower limit is a trial for one window and stays only if the throughput did not fall with it. Weighed for teams: deficit round robin, which serves a team of weight 1000 in runs; chosen: start-time fair queueing. Weighed for the level at the root: shedding by cohort alone, which cuts all teams by the same share; chosen: the part that passes is divided max-min over the teams that the root sees, and the cohort is compared with the team's part.

Change: admission (queue core with time passed in, cold start, stall, learnt limit, delay bound, level, Controller), routing (two choices, spill, ejection, ramp, levels with expiry), permit (counter at the root, retry ratio).

For callers: Slot.Done wants the target's own time, without the time that it waited for its own calls; cohorts must be uniform over requests; a daemon that passes on an answer sends routing.Stricter of its own level and those of the deeper calls of the same request; permit.Options.Requests is Router.Requests.

--- /dev/null
+++ b/internal/process/admission/class.go
@@ -0,0 +1,139 @@
+package admission
+
+// maxIdleFlows bounds the teams without waiting tickets that a class remembers.
+const maxIdleFlows = 256
+
+// class is the queue of one importance: start-time fair queueing over teams.
+// A team that was served runs ahead in virtual time by 1/weight, and the team
+// that is furthest behind is served next.
+type class struct {
+	flows   map[string]*flow
+	active  []*flow
+	virtual float64
+	waiting int
+}
+
+func (c *class) push(t *Ticket) {
+	f := c.flowOf(t)
+	if len(f.tickets) == 0 {
+		f.start = max(f.start, c.virtual)
+		c.active = append(c.active, f)
+	}
+	f.tickets = append(f.tickets, t)
+	c.waiting++
+}
+
+// serve takes out the ticket that is due first and charges its team. It must
+// only be called while tickets wait.
+func (c *class) serve() *Ticket {
+	i := c.earliest()
+	f := c.active[i]
+	c.virtual = f.start
+	f.start += 1 / f.weight
+	t := f.popHead()
+	c.dropped(i)
+	return t
+}
+
+// refuse takes out the ticket that is due first without charging its team.
+func (c *class) refuse() *Ticket {
+	i := c.earliest()
+	t := c.active[i].popHead()
+	c.dropped(i)
+	return t
+}
+
+// displace takes out the newest ticket of the team with the most waiting
+// tickets for its weight.
+func (c *class) displace() *Ticket {
+	i := c.largest()
+	t := c.active[i].popTail()
+	c.dropped(i)
+	return t
+}
+
+func (c *class) remove(t *Ticket) bool {
+	for i, f := range c.active {
+		if f.team == t.Team && f.remove(t) {
+			c.dropped(i)
+			return true
+		}
+	}
+	return false
+}
+
+// dropped accounts for a ticket that left the i-th active flow.
+func (c *class) dropped(i int) {
+	c.waiting--
+	if len(c.active[i].tickets) > 0 {
+		return
+	}
+	last := len(c.active) - 1
+	c.active[i] = c.active[last]
+	c.active[last] = nil
+	c.active = c.active[:last]
+	c.forget()
+}
+
+// forget drops the memory of idle teams: all of it when no team waits, and the
+// teams that are not ahead when there are too many.
+func (c *class) forget() {
+	if len(c.active) == 0 {
+		clear(c.flows)
+		c.virtual = 0
+		return
+	}
+	if len(c.flows) < len(c.active)+maxIdleFlows {
+		return
+	}
+	for team, f := range c.flows {
+		if len(f.tickets) == 0 && f.start <= c.virtual {
+			delete(c.flows, team)
+		}
+	}
+}
+
+func (c *class) earliest() int {
+	best := -1
+	for i, f := range c.active {
+		if best < 0 || f.start < c.active[best].start {
+			best = i
+		}
+	}
+	return best
+}
+
+func (c *class) largest() int {
+	best := -1
+	for i, f := range c.active {
+		if best < 0 || f.load() > c.active[best].load() {
+			best = i
+		}
+	}
+	return best
+}
+
+func (c *class) flowOf(t *Ticket) *flow {
+	if c.flows == nil {
+		c.flows = make(map[string]*flow)
+	}
+	f, ok := c.flows[t.Team]
+	if !ok {
+		f = &flow{team: t.Team, start: c.virtual}
+		c.flows[t.Team] = f
+	}
+	f.weight = weightOf(t)
+	return f
+}
+
+func weightOf(t *Ticket) float64 { return float64(max(t.Weight, 1)) }
+
+// ahead is the number of tickets of this importance that are served before t,
+// if it is pushed now.
+func (c *class) ahead(t *Ticket) int {
+	own := 0
+	if f, ok := c.flows[t.Team]; ok {
+		own = len(f.tickets)
+	}
+	return min(c.waiting, own*max(len(c.active), 1)+len(c.active))
+}
--- /dev/null
+++ b/internal/process/admission/controller.go
@@ -0,0 +1,172 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/request/hop"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// Controller admits requests to the targets beside this daemon. It implements
+// hop.Admission and may be used from any goroutine.
+type Controller struct {
+	options Options
+
+	mu      sync.RWMutex
+	targets map[string]*target
+}
+
+// New returns a Controller without targets.
+func New(o Options) *Controller {
+	return &Controller{options: o.withDefaults(), targets: make(map[string]*target)}
+}
+
+// Announce takes what a target beside this daemon says about itself.
+func (c *Controller) Announce(now time.Time, a protocol.Announcement) {
+	c.ensure(now, a.Service).announce(now, a)
+}
+
+// Expire gives up the target of a service that no longer announces itself.
+func (c *Controller) Expire(service string) {
+	if g := c.find(service); g != nil {
+		g.gone()
+	}
+}
+
+// Connections returns the number of connections that the target of service
+// bears; 0 where none is known.
+func (c *Controller) Connections(service string) int {
+	g := c.find(service)
+	if g == nil {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.announcement.Connections, 0)
+}
+
+// Level returns the level in force for the target of service.
+func (c *Controller) Level(service string) hop.Level {
+	g := c.find(service)
+	if g == nil {
+		return hop.Level{Importance: version.Low, Cohort: envelope.CohortCount}
+	}
+	return g.level()
+}
+
+// Admit waits for a slot at the target of e.Service.
+func (c *Controller) Admit(ctx context.Context, e *envelope.Envelope) (hop.Slot, error) {
+	g := c.find(e.Service)
+	if g == nil {
+		return hop.Slot{}, fault.New(fault.NoTarget, "no target of %s here", e.Service)
+	}
+	t := c.ticket(ctx, e)
+	phase, ready, address := g.offer(t)
+	if phase == Waiting {
+		phase = c.wait(ctx, g, t, ready)
+	}
+	if phase == Running {
+		return g.slot(t, address), nil
+	}
+	return hop.Slot{}, refusal(e.Service, t.Kind)
+}
+
+func (c *Controller) ticket(ctx context.Context, e *envelope.Envelope) *Ticket {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = c.options.Clock().Add(e.Remaining)
+	}
+	return &Ticket{
+		Team:       e.Team,
+		Weight:     c.options.Weight(e.Team),
+		Importance: validImportance(e.Importance),
+		Deadline:   deadline,
+	}
+}
+
+// validImportance treats an unknown importance as the least.
+func validImportance(i version.Importance) version.Importance {
+	if !i.Valid() {
+		return version.Low
+	}
+	return i
+}
+
+// wait returns the phase of t once it no longer waits.
+func (c *Controller) wait(ctx context.Context, g *target, t *Ticket, ready <-chan struct{}) Phase {
+	timer := time.NewTimer(t.Bound.Sub(c.options.Clock()))
+	defer timer.Stop()
+	select {
+	case <-ready:
+		return t.Phase
+	case <-timer.C:
+		return g.expire(t)
+	case <-ctx.Done():
+		g.leave(t)
+		t.Kind = endOf(ctx)
+		return Refused
+	}
+}
+
+// endOf is the kind of a wait that ended with ctx.
+func endOf(ctx context.Context) fault.Kind {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fault.DeadlineNotRun
+	}
+	return fault.CallerGone
+}
+
+func refusal(service string, kind fault.Kind) error {
+	switch kind {
+	case fault.DeadlineNotRun:
+		return fault.New(kind, "the deadline is too near for %s", service)
+	case fault.TargetCold:
+		return fault.New(kind, "the target of %s is in cold start", service)
+	case fault.TargetLeaving:
+		return fault.New(kind, "the target of %s is leaving", service)
+	case fault.NoTarget:
+		return fault.New(kind, "the target of %s is gone", service)
+	case fault.CallerGone:
+		return fault.New(kind, "the caller left")
+	}
+	return fault.New(kind, "the target of %s is overloaded", service)
+}
+
+func (c *Controller) find(service string) *target {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.targets[service]
+}
+
+func (c *Controller) ensure(now time.Time, service string) *target {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g, ok := c.targets[service]
+	if !ok {
+		g = &target{clock: c.options.Clock}
+		g.queue = NewQueue(now, settled, c.noter(service))
+		c.targets[service] = g
+	}
+	return g
+}
+
+// noter returns the function that records the events of one target.
+func (c *Controller) noter(service string) func(name, detail string) {
+	return func(name, detail string) {
+		if c.options.Events == nil {
+			return
+		}
+		c.options.Events.Record(protocol.Event{
+			Process: c.options.Instance,
+			Name:    name,
+			Target:  service + "/" + c.options.Instance,
+			Detail:  detail,
+		})
+	}
+}
--- /dev/null
+++ b/internal/process/routing/passing.go
@@ -0,0 +1,72 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/request/hop"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+const (
+	// passingShare is the weight of one answer.
+	passingShare = 1.0 / 8
+	// passingLife is how long a level is good without a new answer; after it,
+	// the part that passes doubles once in each passingLife.
+	passingLife = 200 * time.Millisecond
+	// probePart is the least part of an importance that is sent, so that the
+	// end of an overload is noticed.
+	probePart = 0.01
+)
+
+// passing is the part of one importance that a target lets pass, by the levels
+// that came back on answers to that importance.
+type passing struct {
+	part float64
+	at   time.Time
+}
+
+// observe takes the level of one answer.
+func (p *passing) observe(now time.Time, part float64) {
+	v := p.current(now)
+	p.part = v + (part-v)*passingShare
+	p.at = now
+}
+
+// current is the part from 0 to 1.
+func (p *passing) current(now time.Time) float64 {
+	if p.at.IsZero() {
+		return 1
+	}
+	age := now.Sub(p.at) - passingLife
+	if age <= 0 {
+		return p.part
+	}
+	grown := max(p.part, probePart) * math.Exp2(float64(age)/float64(passingLife))
+	return min(grown, 1)
+}
+
+// partOf is the part of importance i that passes at level l.
+func partOf(l hop.Level, i version.Importance) float64 {
+	switch {
+	case i < l.Importance:
+		return 1
+	case i > l.Importance:
+		return 0
+	}
+	return min(float64(l.Cohort)/envelope.CohortCount, 1)
+}
+
+// Stricter returns the level that sheds more. A daemon that passes on an answer
+// sends back the strictest of its own level and those of the deeper calls that
+// were made for the same request.
+func Stricter(a, b hop.Level) hop.Level {
+	if a.Importance < b.Importance {
+		return a
+	}
+	if a.Importance == b.Importance && a.Cohort < b.Cohort {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/process/routing/peer.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/request/hop"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+const (
+	// latencyShare is the weight of one answer in the latency.
+	latencyShare = 1.0 / 8
+	// latencyFloor keeps a target that answers at once from drawing everything.
+	latencyFloor = 100 * time.Microsecond
+	// failureShare is the weight of one answer in the share of failures.
+	failureShare = 1.0 / 8
+	// failureCost is how much a share of failures of 1 adds to the cost.
+	failureCost = 10.0
+	// rampTime is how long a newcomer or a returned target takes to its full
+	// weight, and rampStart where it begins.
+	rampTime  = time.Second
+	rampStart = 0.1
+	// coldWeight is the weight of a target that announces itself cold.
+	coldWeight = 0.02
+	// leavingPause is how long a target that refuses as leaving is left alone.
+	leavingPause = 500 * time.Millisecond
+	// coldPause is how long a target that refuses in cold start is left alone.
+	coldPause = 50 * time.Millisecond
+)
+
+// peer is one target as this process sees it.
+type peer struct {
+	record   protocol.TargetRecord
+	inFlight int
+	// latency is the mean time to the first byte, in nanoseconds.
+	latency float64
+	// since is when the target was last taken into use.
+	since    time.Time
+	paused   time.Time
+	ejection ejection
+	passing  [version.ImportanceCount]passing
+	// usable and listed are set by refresh.
+	usable bool
+	listed bool
+}
+
+// weight is the share of work that the target should get, in slots.
+func (p *peer) weight(now time.Time) float64 {
+	slots := float64(max(p.record.Slots, 1))
+	if p.record.State == protocol.Cold {
+		return slots * coldWeight
+	}
+	part := float64(now.Sub(p.since)) / float64(rampTime)
+	return slots * min(max(part, rampStart), 1)
+}
+
+// cost is the expected wait at the target; the lowest is best.
+func (p *peer) cost(now time.Time) float64 {
+	latency := max(p.latency, float64(latencyFloor))
+	load := float64(p.inFlight+1) / p.weight(now)
+	return latency * load * (1 + failureCost*p.ejection.failing)
+}
+
+// available reports whether the target may be chosen now.
+func (p *peer) available(now time.Time) bool {
+	return p.usable && !now.Before(p.paused) && !p.ejection.active(now)
+}
+
+// answered takes the latency of an answer.
+func (p *peer) answered(latency time.Duration) {
+	v := float64(latency)
+	if p.latency == 0 {
+		p.latency = v
+		return
+	}
+	p.latency += (v - p.latency) * latencyShare
+}
+
+// levelled takes the level that came back to a request of importance i.
+func (p *peer) levelled(now time.Time, i version.Importance, l hop.Level) {
+	p.passing[i-version.Critical].observe(now, partOf(l, i))
+}
+
+// pause leaves the target alone for d; it comes back by ramp.
+func (p *peer) pause(now time.Time, d time.Duration) {
+	until := now.Add(d)
+	if until.After(p.paused) {
+		p.paused = until
+		p.since = until
+	}
+}
