--- /dev/null
+++ b/internal/process/replica/election.go
@@ -0,0 +1,113 @@
+package replica
+
+import (
+	"github.com/teaselrack/teaselrack/internal/process/storage"
+)
+
+// campaign starts a pre-vote, or the election itself.
+func (c *core) campaign(as role) {
+	c.role = as
+	c.leaderID, c.leaderAddress = "", ""
+	request := Message{Type: PreVote, Term: c.state.Term + 1}
+	if as == candidate {
+		c.state.Term++
+		c.state.Vote = c.state.ID
+		c.out.state = true
+		request = Message{Type: Vote}
+	}
+	last := c.tail.last()
+	request.Index, request.LogTerm = last.index, last.term
+	c.votes = map[string]bool{c.state.ID: true}
+	for _, m := range c.members() {
+		if m.ID != c.state.ID && !m.Learner {
+			c.send(m.Address, m.ID, request)
+		}
+	}
+	c.countVotes()
+}
+
+func (c *core) countVotes() {
+	if !c.members().quorum(func(id string) bool { return c.votes[id] }) {
+		return
+	}
+	if c.role == preCandidate {
+		c.campaign(candidate)
+		return
+	}
+	c.lead()
+}
+
+// lead makes this replica the leader of its term. Its first entry commits
+// everything before it.
+func (c *core) lead() {
+	c.role = leader
+	c.leaderID, c.leaderAddress = c.state.ID, c.address
+	c.votes = nil
+	c.peers = make(map[string]*progress)
+	for _, m := range c.members() {
+		c.track(m.ID)
+	}
+	c.heartbeatAt = c.now + c.heartbeat
+	c.push(storage.Entry{Index: c.tail.lastIndex() + 1, Term: c.state.Term, Kind: kindBarrier})
+	c.broadcast(true)
+}
+
+// track begins to follow the progress of a member.
+func (c *core) track(id string) {
+	if id == c.state.ID || c.peers[id] != nil {
+		return
+	}
+	c.peers[id] = &progress{next: c.tail.lastIndex() + 1, probing: true, heard: c.now}
+}
+
+// leaderIsAlive reports whether this replica leads, or heard from a leader
+// within the election timeout: it gives no votes then.
+func (c *core) leaderIsAlive() bool {
+	return c.role == leader || (c.leaderID != "" && c.now-c.heard < c.election)
+}
+
+// mayVote reports whether a candidate with this last entry can have the vote.
+// A replica that was not admitted yet has none.
+func (c *core) mayVote(m Message) bool {
+	if _, admitted := c.members().find(c.state.ID); !admitted {
+		return false
+	}
+	last := c.tail.last()
+	if m.LogTerm != last.term {
+		return m.LogTerm > last.term
+	}
+	return m.Index >= last.index
+}
+
+func (c *core) onPreVote(m Message) {
+	if m.Term > c.state.Term && c.mayVote(m) && !c.leaderIsAlive() {
+		c.reply(m, Message{Type: PreVoteReply, Term: m.Term})
+		return
+	}
+	c.reply(m, Message{Type: PreVoteReply, Reject: true})
+}
+
+func (c *core) onVote(m Message) {
+	free := c.state.Vote == "" || c.state.Vote == m.From
+	if c.role == leader || !free || !c.mayVote(m) {
+		c.reply(m, Message{Type: VoteReply, Reject: true})
+		return
+	}
+	if c.state.Vote == "" {
+		c.state.Vote = m.From
+		c.out.state = true
+	}
+	c.resetDeadline()
+	c.reply(m, Message{Type: VoteReply})
+}
+
+func (c *core) onVoteReply(m Message, as role) {
+	if c.role != as || m.Reject {
+		return
+	}
+	if as == preCandidate && m.Term != c.state.Term+1 {
+		return
+	}
+	c.votes[m.From] = true
+	c.countVotes()
+}
--- /dev/null
+++ b/internal/process/replica/proposals.go
@@ -0,0 +1,71 @@
+package replica
+
+import "github.com/teaselrack/teaselrack/internal/process/storage"
+
+// proposal is one command whose result is awaited.
+type proposal struct {
+	command []byte
+	term    uint64
+	done    func([]byte, error)
+}
+
+// proposals are the commands of one replica that were not answered yet.
+type proposals struct {
+	// staged commands go into the log together at the next flush.
+	staged  []proposal
+	waiting map[uint64]proposal
+}
+
+// submit puts the staged commands into the leader's log.
+func (e *engine) submit() {
+	staged := e.proposals.staged
+	if len(staged) == 0 {
+		return
+	}
+	e.proposals.staged = nil
+	if err := e.leads(); err != nil {
+		for _, p := range staged {
+			p.done(nil, err)
+		}
+		return
+	}
+	commands := make([][]byte, len(staged))
+	for i := range staged {
+		commands[i] = staged[i].command
+	}
+	first := e.core.propose(commands...)
+	if e.proposals.waiting == nil {
+		e.proposals.waiting = make(map[uint64]proposal)
+	}
+	for i, p := range staged {
+		p.command = nil
+		p.term = e.core.state.Term
+		e.proposals.waiting[first+uint64(i)] = p
+	}
+}
+
+// applied answers the proposal at the entry's index. Another entry may have
+// been committed in its place.
+func (ps *proposals) applied(entry storage.Entry, result []byte) {
+	p, ok := ps.waiting[entry.Index]
+	if !ok {
+		return
+	}
+	delete(ps.waiting, entry.Index)
+	if p.term != entry.Term {
+		p.done(nil, errLeadershipLost())
+		return
+	}
+	p.done(result, nil)
+}
+
+func (ps *proposals) fail(err error) {
+	for index, p := range ps.waiting {
+		delete(ps.waiting, index)
+		p.done(nil, err)
+	}
+	for _, p := range ps.staged {
+		p.done(nil, err)
+	}
+	ps.staged = nil
+}
