--- /dev/null
+++ b/internal/connection/drain/drain.go
@@ -0,0 +1,129 @@
+// Package drain lets a process leave without cutting off a request.
+//
+// http.Server.Shutdown alone closes idle HTTP/1.1 connections at once, also
+// under a caller that is just sending. A Drain leaves in phases: every answer
+// says that its connection ends, while requests that still arrive are served;
+// only connections without a request for the whole grace period are closed
+// when idle.
+package drain
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// DefaultAnnounce is the least time between the start of leaving and the
+	// closing of listeners, in which other processes learn of it.
+	DefaultAnnounce = 3 * time.Second
+	// DefaultGrace is the most time for HTTP/1.1 connections to end by
+	// themselves.
+	DefaultGrace = 8 * time.Second
+	// lookInterval is the time between two looks for open connections.
+	lookInterval = 50 * time.Millisecond
+)
+
+// Drain is the leaving of one process. It may be used by any number of
+// goroutines.
+type Drain struct {
+	// Announce and Grace may be changed before Run is called.
+	Announce time.Duration
+	Grace    time.Duration
+
+	leaving atomic.Bool
+
+	mu   sync.Mutex
+	open map[net.Conn]struct{}
+}
+
+// New returns a Drain with the default times.
+func New() *Drain {
+	return &Drain{
+		Announce: DefaultAnnounce,
+		Grace:    DefaultGrace,
+		open:     make(map[net.Conn]struct{}),
+	}
+}
+
+// Leaving reports whether the process has begun to leave.
+func (d *Drain) Leaving() bool { return d.leaving.Load() }
+
+// Begin starts the first phase: answers announce the end of their connections.
+func (d *Drain) Begin() { d.leaving.Store(true) }
+
+// Track makes server part of the drain; call it before the server starts. Run
+// waits for the HTTP/1.1 connections of tracked servers.
+func (d *Drain) Track(server *http.Server) {
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.Leaving() && r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+	before := server.ConnState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		d.note(conn, state)
+		if before != nil {
+			before(conn, state)
+		}
+	}
+}
+
+// Run begins to leave, waits until the connections of callers have ended or
+// the grace period is over, and then shuts the servers down one after the
+// other, each once its requests have ended. List them from the callers'
+// listener inwards. Where ctx ends first the servers are closed and its error
+// is returned.
+func (d *Drain) Run(ctx context.Context, servers ...*http.Server) error {
+	d.Begin()
+	d.wait(ctx)
+	var errs []error
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			errs = append(errs, err, s.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (d *Drain) wait(ctx context.Context) {
+	start := time.Now()
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		passed := time.Since(start)
+		if passed >= d.Grace || passed >= d.Announce && d.openCount() == 0 {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// note follows HTTP/1.1 connections. One that turns to HTTP/2 stays active;
+// Shutdown ends it in order by itself.
+func (d *Drain) note(conn net.Conn, state http.ConnState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch state {
+	case http.StateNew, http.StateActive, http.StateIdle:
+		d.open[conn] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(d.open, conn)
+	}
+}
+
+func (d *Drain) openCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.open)
+}
--- /dev/null
+++ b/internal/request/hop/beside.go
@@ -0,0 +1,151 @@
+package hop
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// NewBeside returns the handler of the listener for peer links. It is the only
+// way to the targets beside this process, and so the witness of what they were
+// given.
+func NewBeside(d Deps) http.Handler {
+	return &beside{Deps: d}
+}
+
+type beside struct {
+	Deps
+}
+
+// work is one attempt beside its target.
+type work struct {
+	envelope *envelope.Envelope
+	request  *http.Request
+	body     []byte
+	// deadline is when the attempt ends.
+	deadline time.Time
+}
+
+// ServeHTTP refuses the attempt or passes the answer of the target on.
+func (h *beside) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e, err := accept(r)
+	if err != nil {
+		WriteError(w, "", err)
+		return
+	}
+	deadline := time.Now().Add(e.Remaining)
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	a, err := h.run(ctx, w, &work{envelope: e, request: r, deadline: deadline})
+	w.Header().Set(HeaderLevel, h.Admission.Level(e.Service).String())
+	if err != nil {
+		record(h.Deps, "attempt.refused", e, h.Instance, string(fault.KindOf(err)))
+		WriteError(w, e.RequestID, err)
+		return
+	}
+	a.write(ctx, w)
+}
+
+// accept returns the envelope of a request that a daemon sent.
+func accept(r *http.Request) (*envelope.Envelope, error) {
+	peer, err := mesh.PeerOf(r.TLS)
+	if err != nil {
+		return nil, err
+	}
+	if err := peer.Allow(mesh.Daemon, mesh.Replica); err != nil {
+		return nil, err
+	}
+	values := r.Header[envelope.Header]
+	if len(values) != 1 {
+		return nil, fault.New(fault.BadRequest, "a request on a peer link needs one request context")
+	}
+	e, err := envelope.Decode(values[0])
+	if err != nil {
+		return nil, err
+	}
+	if e.Depth > envelope.MaxDepth {
+		return nil, fault.New(fault.DepthExceeded, "a call chain has at most %d hops", envelope.MaxDepth)
+	}
+	return e, nil
+}
+
+// run admits the attempt and gives it to the target.
+func (h *beside) run(ctx context.Context, w http.ResponseWriter, work *work) (*answer, error) {
+	if err := h.mayStart(ctx, work.envelope); err != nil {
+		return nil, err
+	}
+	var err error
+	if work.body, err = readBody(ctx, w, work.request, h.bodyLimit()); err != nil {
+		return nil, err
+	}
+	slot, err := h.Admission.Admit(ctx, work.envelope)
+	if err != nil {
+		return nil, err
+	}
+	if err := h.mayDispatch(ctx, work.envelope, slot.Address); err != nil {
+		slot.Done(0, err, false)
+		return nil, err
+	}
+	if work.envelope.Mode == version.Once {
+		return h.runOnce(ctx, work, slot)
+	}
+	return h.dispatch(ctx, work, slot)
+}
+
+// mayDispatch checks everything that may have changed while the attempt
+// waited. It is called again just before each dispatch.
+func (h *beside) mayDispatch(ctx context.Context, e *envelope.Envelope, address string) error {
+	if err := h.Announced.Check(e.Service, address); err != nil {
+		return err
+	}
+	return h.mayStart(ctx, e)
+}
+
+// mayStart checks the attempt against the state in force.
+func (h *beside) mayStart(ctx context.Context, e *envelope.Envelope) error {
+	state, err := h.inForce()
+	if err != nil {
+		return err
+	}
+	if !state.DomainInService(h.FailureDomain) {
+		return fault.New(fault.OutOfService, "the failure domain is out of service")
+	}
+	if !state.TargetInService(e.Service, h.Instance) {
+		return fault.New(fault.OutOfService, "the target is out of service")
+	}
+	if e.Depth == 1 && e.KeyID != "" && !state.KeyInForce(e.KeyID) {
+		return fault.New(fault.Unauthenticated, "the key is no longer in force")
+	}
+	return ended(ctx)
+}
+
+// inForce returns a state that was held while the lease was good. The lease is
+// checked between two looks at the state: a process that was frozen between
+// them sees that the state has changed.
+func (h *beside) inForce() (*version.State, error) {
+	for {
+		before := h.Configuration.Current()
+		if err := h.Configuration.Fresh(); err != nil {
+			return nil, err
+		}
+		if h.Configuration.Current() == before {
+			return before, nil
+		}
+	}
+}
+
+// ended returns the kind of a context that ended before anything was sent.
+func ended(ctx context.Context) error {
+	switch ctx.Err() {
+	case nil:
+		return nil
+	case context.DeadlineExceeded:
+		return fault.New(fault.DeadlineNotRun, "the deadline passed before the target was given the request")
+	}
+	return fault.New(fault.CallerGone, "the caller left")
+}
--- /dev/null
+++ b/internal/request/hop/body.go
@@ -0,0 +1,77 @@
+package hop
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+// firstRead is what is allocated for a body before any of it has come.
+const firstRead = 16 << 10
+
+// checkLength refuses a body that says itself that it is too large.
+func checkLength(r *http.Request, limit int64) error {
+	if r.ContentLength > limit {
+		return tooLarge(limit)
+	}
+	return nil
+}
+
+// readBody reads the whole body of r, at most limit bytes, before the deadline
+// of ctx. Nothing has been dispatched where it fails.
+func readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil, nil
+	}
+	controller := http.NewResponseController(w)
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = controller.SetReadDeadline(deadline)
+		defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	}
+	body, err := readUpTo(r.Body, r.ContentLength, limit)
+	switch {
+	case errors.Is(err, errTooLong):
+		return nil, tooLarge(limit)
+	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return nil, fault.Wrap(fault.DeadlineNotRun, err, "the deadline passed before the body had come")
+	case err != nil:
+		return nil, fault.Wrap(fault.BadRequest, err, "the body ended before it was whole")
+	}
+	return body, nil
+}
+
+var errTooLong = errors.New("longer than the limit")
+
+// readUpTo reads all of r. It fails with errTooLong where that is more than
+// limit bytes. length is the expected length, or -1.
+func readUpTo(r io.Reader, length, limit int64) ([]byte, error) {
+	size := int64(firstRead)
+	if length >= 0 && length < size {
+		size = length
+	}
+	buf := make([]byte, 0, size+1)
+	for {
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if int64(len(buf)) > limit {
+			return buf, errTooLong
+		}
+		if errors.Is(err, io.EOF) {
+			return buf, nil
+		}
+		if err != nil {
+			return buf, err
+		}
+		if len(buf) == cap(buf) {
+			buf = append(buf, 0)[:len(buf)]
+		}
+	}
+}
+
+func tooLarge(limit int64) error {
+	return fault.New(fault.TooLarge, "the body exceeds %d bytes", limit)
+}
--- /dev/null
+++ b/internal/request/hop/call.go
@@ -0,0 +1,112 @@
+package hop
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// transitTime is kept back from the remaining time at each hop, so that the
+// refusal of a hop can still reach its sender before the sender's deadline.
+const transitTime = 2 * time.Millisecond
+
+// call is one request as a root or an egress listener sends it on. Each
+// attempt sends the same method, URL, header and body.
+type call struct {
+	route   version.Route
+	timeout time.Duration
+	// envelope lacks what changes with each attempt: AttemptID and Remaining.
+	envelope envelope.Envelope
+	method   string
+	url      url.URL // path and query only
+	header   http.Header
+	body     []byte
+	digest   string // of method, URL and body; set for once requests
+}
+
+// take copies from r what is passed on, without the key.
+func (c *call) take(r *http.Request, s scrubber) error {
+	var err error
+	if c.timeout, err = timeoutOf(r, c.route); err != nil {
+		return err
+	}
+	if c.envelope.OnceKey, err = checkOnceKey(r, c.route); err != nil {
+		return err
+	}
+	if s.holds(r.URL.Path) || s.holds(r.URL.EscapedPath()) || s.holds(c.envelope.OnceKey) {
+		return fault.New(fault.BadRequest, "a key must stand in the Authorization header only")
+	}
+	c.envelope.Service = c.route.Service
+	c.envelope.Mode = c.route.Mode
+	c.url = url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: s.query(r.URL.RawQuery)}
+	c.header = endToEnd(r.Header)
+	s.header(c.header)
+	return nil
+}
+
+// next returns the envelope of a new attempt. It fails with DeadlineNotRun
+// where no time is left for one.
+func (c *call) next(ctx context.Context) (*envelope.Envelope, error) {
+	deadline, ok := ctx.Deadline()
+	remaining := time.Until(deadline) - transitTime
+	if !ok || remaining <= 0 {
+		return nil, fault.New(fault.DeadlineNotRun, "the deadline passed before the request was sent")
+	}
+	e := c.envelope
+	e.AttemptID = envelope.NewID()
+	e.Remaining = remaining
+	return &e, nil
+}
+
+// request builds the HTTP request of one attempt.
+func (c *call) request(ctx context.Context, e *envelope.Envelope, address string) (*http.Request, error) {
+	encoded, err := envelope.Encode(e)
+	if err != nil {
+		return nil, err
+	}
+	header := make(http.Header, len(c.header)+1)
+	for name, values := range c.header {
+		header[name] = values
+	}
+	header[envelope.Header] = []string{encoded}
+	return newRequest(ctx, "https", address, c.method, c.url, header, c.body), nil
+}
+
+// newRequest builds a request whose body can be read only once, so that no
+// library can send it a second time.
+func newRequest(ctx context.Context, scheme, address, method string, u url.URL, header http.Header, content []byte) *http.Request {
+	u.Scheme = scheme
+	u.Host = address
+	r := &http.Request{
+		Method:     method,
+		URL:        &u,
+		Host:       address,
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Header:     header,
+	}
+	if len(content) > 0 {
+		r.Body = newOneShot(content)
+		r.ContentLength = int64(len(content))
+	}
+	return r.WithContext(ctx)
+}
+
+// record records an event of the request under e.
+func record(d Deps, name string, e *envelope.Envelope, target, detail string) {
+	d.Recorder.Record(protocol.Event{
+		Process: d.Instance,
+		Name:    name,
+		Request: e.RequestID,
+		Team:    e.Team,
+		Target:  target,
+		Detail:  detail,
+	})
+}
--- /dev/null
+++ b/internal/request/hop/check.go
@@ -0,0 +1,78 @@
+package hop
+
+import (
+	"net/http"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// checkForm refuses requests from callers and targets whose form is not
+// served, before anything is looked up.
+func checkForm(r *http.Request, bodyLimit int64) error {
+	if len(r.Header[envelope.Header]) > 0 {
+		return fault.New(fault.Forbidden, "a request context is accepted on peer links only")
+	}
+	if !slices.Contains(methods, r.Method) {
+		return fault.New(fault.BadRequest, "the method is not served")
+	}
+	if !r.ProtoAtLeast(1, 1) {
+		return fault.New(fault.BadRequest, "HTTP/1.1 or HTTP/2 is required")
+	}
+	if !cleanPath(r.URL.Path) {
+		return fault.New(fault.BadRequest, "the path is not in its shortest form")
+	}
+	return checkLength(r, bodyLimit)
+}
+
+// cleanPath reports whether p is absolute and without empty, "." and ".."
+// segments, so that a target cannot read another path in it than the routes
+// were matched with.
+func cleanPath(p string) bool {
+	if !strings.HasPrefix(p, "/") || strings.ContainsAny(p, "\\\x00") {
+		return false
+	}
+	cleaned := path.Clean(p)
+	return p == cleaned || p == cleaned+"/"
+}
+
+// checkOnceKey returns the Idempotency-Key of a once request.
+func checkOnceKey(r *http.Request, route version.Route) (string, error) {
+	if route.Mode != version.Once {
+		return "", nil
+	}
+	values := r.Header.Values(headerOnceKey)
+	if len(values) != 1 {
+		return "", fault.New(fault.OnceKeyMissing, "this route needs one Idempotency-Key")
+	}
+	if !envelope.ValidOnceKey(values[0]) {
+		return "", fault.New(fault.BadRequest, "the Idempotency-Key has not 1 to %d printable characters", envelope.MaxOnceKey)
+	}
+	return values[0], nil
+}
+
+// timeoutOf returns the time that a request has: that of its route, or less
+// where the caller asks for less.
+func timeoutOf(r *http.Request, route version.Route) (time.Duration, error) {
+	limit := min(route.Timeout, version.MaxTimeout)
+	text := r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 31)
+	if err != nil || ms == 0 {
+		return 0, fault.New(fault.BadRequest, "%s is not a number of milliseconds", HeaderTimeout)
+	}
+	return min(limit, time.Duration(ms)*time.Millisecond), nil
+}
--- /dev/null
+++ b/internal/request/hop/dispatch.go
@@ -0,0 +1,76 @@
+package hop
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/running"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// dispatch gives the attempt to the target. The slot and the handle are held
+// until the answer has been passed on or has broken off.
+func (h *beside) dispatch(ctx context.Context, work *work, slot Slot) (*answer, error) {
+	e := work.envelope
+	handle, remove := h.Running.Add(running.Request{Envelope: e, Context: ctx})
+	start := time.Now()
+	record(h.Deps, "attempt.dispatched", e, h.Instance, "")
+	request := work.toTarget(ctx, slot.Address, handle)
+	resp, err := h.Targets.RoundTrip(slot.Address, request, e.Mode == version.Idempotent) //nolint:bodyclose // the answer closes it
+	took := time.Since(start)
+	if err != nil {
+		remove()
+		slot.Done(took, err, isReset(err))
+		return nil, err
+	}
+	a := &answer{
+		status: resp.StatusCode,
+		header: endToEnd(resp.Header),
+		head:   work.request.Method == http.MethodHead,
+		rest:   resp.Body,
+	}
+	a.finish = func(err error) {
+		remove()
+		slot.Done(took, targetError(resp, err), err != nil && ctx.Err() == nil)
+	}
+	return a, nil
+}
+
+// toTarget builds the request that the target sees.
+func (w *work) toTarget(ctx context.Context, address, handle string) *http.Request {
+	header := endToEnd(w.request.Header)
+	header[HeaderHandle] = []string{handle}
+	header[HeaderRequest] = []string{w.envelope.RequestID}
+	header[HeaderTeam] = []string{w.envelope.Team}
+	header[HeaderImportance] = []string{w.envelope.Importance.String()}
+	header[HeaderTimeout] = []string{milliseconds(time.Until(w.deadline))}
+	return newRequest(ctx, "http", address, w.request.Method, *pathAndQuery(w.request.URL), header, w.body)
+}
+
+func pathAndQuery(u *url.URL) *url.URL {
+	return &url.URL{Path: u.Path, RawPath: u.RawPath, RawQuery: u.RawQuery}
+}
+
+// targetError tells admission of an answer that broke off, and of a target
+// that sheds load by itself.
+func targetError(resp *http.Response, err error) error {
+	if err != nil {
+		return fault.Wrap(fault.AnswerBroken, err, "the answer broke off")
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		return fault.New(fault.Overloaded, "the target sheds load")
+	}
+	return nil
+}
+
+// isReset reports whether the target ended the connection.
+func isReset(err error) bool {
+	switch fault.KindOf(err) {
+	case fault.ConnectionLost, fault.ConnectFailed, fault.AnswerBroken:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/request/hop/root.go
@@ -0,0 +1,126 @@
+package hop
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// NewRoot returns the handler of the listener for callers. Here a request gets
+// its id, team, importance, cohort and deadline, and loses its key.
+func NewRoot(d Deps) http.Handler {
+	return &root{Deps: d, sender: newSender(d)}
+}
+
+type root struct {
+	Deps
+	sender *sender
+}
+
+// ServeHTTP refuses the request or passes the answer of a target on.
+func (h *root) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := envelope.NewID()
+	w.Header().Set(HeaderRequest, id)
+	c, err := h.check(r, id)
+	if err != nil {
+		h.refuse(w, c, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
+	defer cancel()
+	h.Permits.Open(id, c.route.Retries)
+	defer h.Permits.Close(id)
+	a, err := h.run(ctx, w, r, c)
+	if err != nil {
+		h.refuse(w, c, err)
+		return
+	}
+	h.event("request.answered", c, "")
+	a.write(ctx, w)
+}
+
+// run takes what the request costs and sends it.
+func (h *root) run(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) (*answer, error) {
+	if err := h.takeQuota(ctx, c.envelope.Team); err != nil {
+		return nil, err
+	}
+	h.event("request.accepted", c, c.route.Name)
+	var err error
+	if c.body, err = readBody(ctx, w, r, h.bodyLimit()); err != nil {
+		return nil, err
+	}
+	return h.sender.send(ctx, c)
+}
+
+// check does everything that needs neither the body nor another process.
+// The call it returns is never nil.
+func (h *root) check(r *http.Request, id string) (*call, error) {
+	c := &call{method: r.Method}
+	c.envelope.RequestID = id
+	if err := checkForm(r, h.bodyLimit()); err != nil {
+		return c, err
+	}
+	state := h.Configuration.Current()
+	if err := h.Configuration.Fresh(); err != nil {
+		return c, err
+	}
+	route, ok := state.Route(r.Method, r.URL.Path)
+	if !ok || route.Access == version.Internal {
+		return c, fault.New(fault.UnknownRoute, "no route serves this method and path")
+	}
+	c.route = route
+	key := bearer(r.Header)
+	if err := h.identify(c, state, key); err != nil {
+		return c, err
+	}
+	if err := c.take(r, newScrubber(key)); err != nil {
+		return c, err
+	}
+	c.envelope.Importance = route.Importance
+	c.envelope.Cohort = envelope.CohortOf(id)
+	c.envelope.Depth = 1
+	c.envelope.Root = h.PeerAddress
+	c.envelope.Version = state.Number()
+	return c, nil
+}
+
+// identify finds the team in whose name the request runs.
+func (h *root) identify(c *call, state *version.State, key string) error {
+	if c.route.Access == version.Open {
+		c.envelope.Team = version.OpenTeam
+		return nil
+	}
+	if key == "" {
+		return fault.New(fault.Unauthenticated, "this route needs a key")
+	}
+	k, ok := state.Key(key)
+	if !ok {
+		return fault.New(fault.Unauthenticated, "the key is not in force")
+	}
+	c.envelope.Team = k.Team
+	c.envelope.KeyID = k.ID
+	return nil
+}
+
+// takeQuota takes a token of the team. Open routes are limited where the
+// operators have given the open team a rate.
+func (h *root) takeQuota(ctx context.Context, team string) error {
+	if team == version.OpenTeam {
+		if _, ok := h.Configuration.Current().Team(team); !ok {
+			return nil
+		}
+	}
+	return h.Quota.Take(ctx, team)
+}
+
+func (h *root) refuse(w http.ResponseWriter, c *call, err error) {
+	h.event("request.refused", c, string(fault.KindOf(err)))
+	WriteError(w, c.envelope.RequestID, err)
+}
+
+func (h *root) event(name string, c *call, detail string) {
+	record(h.Deps, name, &c.envelope, "", detail)
+}
--- /dev/null
+++ b/internal/request/hop/sender.go
@@ -0,0 +1,167 @@
+package hop
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// bufferLimit is the largest answer that is read whole before it is passed on,
+// in bytes. A longer one is streamed and cannot be fetched again.
+const bufferLimit = 64 << 10
+
+// sender sends calls to the daemons beside targets. It makes one attempt, and
+// further ones only with a permit of the root each.
+type sender struct {
+	Deps
+}
+
+func newSender(d Deps) *sender { return &sender{Deps: d} }
+
+// send returns an answer to pass on, or the error to refuse the request with.
+func (s *sender) send(ctx context.Context, c *call) (*answer, error) {
+	if c.route.Mode == version.Once {
+		c.digest = digestOf(c.method, &c.url, c.body)
+	}
+	var exclude []string
+	var last error
+	for {
+		e, choice, err := s.pick(ctx, c, exclude)
+		if err != nil && last != nil {
+			return nil, last
+		}
+		if err != nil {
+			return nil, err
+		}
+		a, err := s.attempt(ctx, c, e, choice)
+		if err == nil {
+			return a, nil
+		}
+		if !mayRepeat(ctx, c.route.Mode, err) || !s.Permits.Take(ctx, e) {
+			return nil, err
+		}
+		record(s.Deps, "request.retry", e, choice.Target.Instance, string(fault.KindOf(err)))
+		exclude = append(exclude, choice.Target.Instance)
+		last = err
+	}
+}
+
+// pick chooses a target that was not tried yet, or one that was where there is
+// no other.
+func (s *sender) pick(ctx context.Context, c *call, exclude []string) (*envelope.Envelope, Choice, error) {
+	e, err := c.next(ctx)
+	if err != nil {
+		return nil, Choice{}, err
+	}
+	choice, err := s.Router.Pick(e, exclude)
+	if fault.Is(err, fault.NoTarget) && len(exclude) > 0 {
+		choice, err = s.Router.Pick(e, nil)
+	}
+	return e, choice, err
+}
+
+// attempt sends one attempt and calls choice.Done when it has ended.
+func (s *sender) attempt(ctx context.Context, c *call, e *envelope.Envelope, choice Choice) (*answer, error) {
+	start := time.Now()
+	resp, err := s.roundTrip(ctx, c, e, choice)
+	latency := time.Since(start)
+	if err != nil {
+		choice.Done(latency, err, nil)
+		return s.settle(ctx, c, e, err, false)
+	}
+	level := parseLevel(resp.Header.Get(HeaderLevel))
+	if resp.Header.Get(HeaderKind) != "" {
+		err = readRefusal(resp)
+		choice.Done(latency, err, level)
+		return s.settle(ctx, c, e, err, true)
+	}
+	a, err := receive(resp, c)
+	if err != nil {
+		choice.Done(latency, err, level)
+		return s.settle(ctx, c, e, err, false)
+	}
+	if a.rest == nil {
+		choice.Done(latency, nil, level)
+		return a, nil
+	}
+	a.finish = func(err error) { choice.Done(latency, err, level) }
+	return a, nil
+}
+
+func (s *sender) roundTrip(ctx context.Context, c *call, e *envelope.Envelope, choice Choice) (*http.Response, error) {
+	r, err := c.request(ctx, e, choice.Target.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	return s.Peers.RoundTrip(choice.Target.PeerAddress, r)
+}
+
+// settle returns what a failed attempt means for the call. refused is true
+// where the error is the answer of the daemon beside the target.
+func (s *sender) settle(ctx context.Context, c *call, e *envelope.Envelope, err error, refused bool) (*answer, error) {
+	if c.route.Mode != version.Once {
+		return nil, err
+	}
+	return s.settleOnce(ctx, c, e, err, refused)
+}
+
+// receive reads the beginning of an answer, and all of it where it is small or
+// answers a once request.
+func receive(resp *http.Response, c *call) (*answer, error) {
+	a := &answer{
+		status: resp.StatusCode,
+		header: endToEnd(resp.Header),
+		head:   c.method == http.MethodHead,
+	}
+	if replayed := resp.Header.Get(HeaderReplayed); replayed != "" {
+		a.header[HeaderReplayed] = []string{replayed}
+	}
+	body, whole, err := readStart(resp.Body, resp.ContentLength)
+	a.body = body
+	if err != nil {
+		_ = resp.Body.Close()
+		return nil, fault.Wrap(fault.AnswerBroken, err, "the answer ended before it was whole")
+	}
+	if whole {
+		_ = resp.Body.Close()
+		return a, nil
+	}
+	a.rest = resp.Body
+	return a, nil
+}
+
+// readStart reads up to bufferLimit bytes and reports whether that was all.
+func readStart(r io.Reader, length int64) ([]byte, bool, error) {
+	if length > bufferLimit {
+		return nil, false, nil
+	}
+	body, err := readUpTo(r, length, bufferLimit)
+	if errors.Is(err, errTooLong) {
+		return body, false, nil
+	}
+	return body, err == nil, err
+}
+
+// mayRepeat reports whether another attempt may follow err: always where the
+// request certainly did not run and another target may be better off, and for
+// idempotent requests also where it may have run.
+func mayRepeat(ctx context.Context, mode version.Mode, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch fault.KindOf(err) {
+	case fault.Overloaded, fault.TargetCold, fault.TargetLeaving, fault.OutOfService,
+		fault.NoTarget, fault.LeaseExpired, fault.ConnectFailed, fault.ShuttingDown,
+		fault.OnceCanceled:
+		return true
+	case fault.ConnectionLost, fault.AnswerBroken:
+		return mode == version.Idempotent
+	}
+	return false
+}
