--- /dev/null
+++ b/internal/connection/memnet/conn.go
@@ -0,0 +1,165 @@
+package memnet
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+var errReset = errors.New("connection reset by peer")
+
+// Conn is one end of a connection.
+type Conn struct {
+	in, out *stream
+	address addr
+}
+
+func newPair(latency time.Duration, address addr) (client, server *Conn) {
+	a, b := newStream(latency), newStream(latency)
+	return &Conn{in: a, out: b, address: address}, &Conn{in: b, out: a, address: address}
+}
+
+func (c *Conn) Read(b []byte) (int, error)  { return c.in.read(b) }
+func (c *Conn) Write(b []byte) (int, error) { return c.out.write(b) }
+
+// Close ends the connection: the other end reads what was written, then EOF.
+func (c *Conn) Close() error {
+	c.out.push(nil, io.EOF)
+	c.in.closeRead(net.ErrClosed)
+	c.out.closeWrite(net.ErrClosed)
+	return nil
+}
+
+// Reset ends the connection with an error at both ends.
+func (c *Conn) Reset() {
+	c.out.push(nil, errReset)
+	c.in.closeRead(errReset)
+	c.out.closeWrite(errReset)
+}
+
+func (c *Conn) LocalAddr() net.Addr                { return c.address }
+func (c *Conn) RemoteAddr() net.Addr               { return c.address }
+func (c *Conn) SetReadDeadline(t time.Time) error  { c.in.setDeadline(t); return nil }
+func (c *Conn) SetWriteDeadline(_ time.Time) error { return nil }
+func (c *Conn) SetDeadline(t time.Time) error      { return c.SetReadDeadline(t) }
+
+// stream carries data in one direction. Writes never block.
+type stream struct {
+	latency time.Duration
+
+	mu       sync.Mutex
+	changed  *sync.Cond
+	chunks   []chunk
+	silent   bool
+	readErr  error // why reads fail at once
+	writeErr error
+	deadline time.Time
+}
+
+type chunk struct {
+	data []byte
+	err  error // ends the stream where data is empty
+	at   time.Time
+}
+
+func newStream(latency time.Duration) *stream {
+	s := &stream{latency: latency}
+	s.changed = sync.NewCond(&s.mu)
+	return s
+}
+
+func (s *stream) write(b []byte) (int, error) {
+	s.mu.Lock()
+	err := s.writeErr
+	s.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	s.push(append([]byte(nil), b...), nil)
+	return len(b), nil
+}
+
+func (s *stream) push(data []byte, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent || s.writeErr != nil {
+		return
+	}
+	s.chunks = append(s.chunks, chunk{data, err, time.Now().Add(s.latency)})
+	s.wakeAfter(s.latency)
+}
+
+func (s *stream) read(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		now := time.Now()
+		switch {
+		case s.readErr != nil:
+			return 0, s.readErr
+		case !s.deadline.IsZero() && !now.Before(s.deadline):
+			return 0, os.ErrDeadlineExceeded
+		case len(s.chunks) > 0 && !now.Before(s.chunks[0].at):
+			return s.take(b)
+		}
+		s.changed.Wait()
+	}
+}
+
+func (s *stream) take(b []byte) (int, error) {
+	first := &s.chunks[0]
+	if first.err != nil {
+		return 0, first.err
+	}
+	n := copy(b, first.data)
+	first.data = first.data[n:]
+	if len(first.data) == 0 {
+		s.chunks = s.chunks[1:]
+	}
+	return n, nil
+}
+
+// closeRead fails the reads of the reading end at once; what is written goes
+// nowhere from then on.
+func (s *stream) closeRead(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readErr = err
+	s.silent = true
+	s.changed.Broadcast()
+}
+
+// closeWrite fails further writes.
+func (s *stream) closeWrite(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeErr = err
+}
+
+func (s *stream) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = true
+	s.chunks = nil
+}
+
+func (s *stream) setDeadline(t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deadline = t
+	s.changed.Broadcast()
+	if !t.IsZero() {
+		s.wakeAfter(time.Until(t))
+	}
+}
+
+func (s *stream) wakeAfter(d time.Duration) {
+	time.AfterFunc(d, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.changed.Broadcast()
+	})
+}
