End to end: stand-in target, layout of a whole system, demo and its driver

Cause: the system must be run as separate processes on loopback by one command, and its promises checked against what the targets themselves saw.

Ruled out: fixed ports (two runs on one machine would meet) and ports from the outgoing range (taken between the draw and the start); a driver that starts processes, so that the shell alone starts and stops, by recorded id.

Change: module e2e with system (layout, operator and caller clients), the programs standin, layout and demo, shell scripts, and make demo, up, down and test-e2e. Lint runs in each module.

--- a/Makefile
+++ b/Makefile
@@ -5,16 +5,32 @@
 LINT_VERSION := v2.15.0
 MODULES := . ./e2e
 
-.PHONY: build test test-unit test-race lint fmt ci clean
+.PHONY: build test test-race test-e2e demo up down lint fmt clean
 
 build:
-	$(GO) build -o $(BIN)/ ./cmd/...
+	$(GO) build -o $(BIN)/ ./cmd/... ./e2e/cmd/...
 
-test: test-race
+test: test-race test-e2e
 
 test-race:
 	$(GO) test -race ./...
 
+# test-e2e starts real processes on free loopback ports and stops them by id.
+test-e2e: build
+	cd e2e && TEASELRACK_BIN=$(CURDIR)/$(BIN) $(GO) test -count=1 ./...
+
+# demo runs the whole system once and leaves no process behind.
+demo: build
+	@e2e/demo/demo.sh
+
+# up leaves the demo system running; see build/demo/endpoints.env.
+up: build
+	@e2e/demo/up.sh
+
+# down stops what up started.
+down:
+	@e2e/demo/down.sh
+
 fmt:
 	@bad="$$(gofmt -l $$(git ls-files '*.go'))"; if [ -n "$$bad" ]; then echo "not formatted:"; echo "$$bad"; exit 1; fi
 
@@ -22,8 +38,9 @@
 	GOBIN=$(CURDIR)/$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 lint: $(TOOLS)/golangci-lint
-	$(GO) vet ./...
-	$(TOOLS)/golangci-lint run ./...
+	@set -e; for module in $(MODULES); do \
+		(cd $$module && $(GO) vet ./... && $(CURDIR)/$(TOOLS)/golangci-lint run ./...); \
+	done
 
 clean:
 	rm -rf build
--- /dev/null
+++ b/e2e/cmd/standin/admin.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/teaselrack/teaselrack/e2e/system"
+)
+
+// adminHandler serves the record and takes changes of behaviour and state.
+func adminHandler(t *target, a *announcer) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /records", t.serveRecords)
+	mux.HandleFunc("GET /stats", t.serveStats)
+	mux.HandleFunc("PUT /behaviour", t.takeBehaviour)
+	mux.HandleFunc("PUT /state/{state}", func(w http.ResponseWriter, r *http.Request) {
+		a.set(r.PathValue("state"))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+func (t *target) serveRecords(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	records := append([]system.Record{}, t.records...)
+	t.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(records)
+}
+
+func (t *target) serveStats(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	stats := t.stats
+	t.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(stats)
+}
+
+func (t *target) takeBehaviour(w http.ResponseWriter, r *http.Request) {
+	var behaviour system.Behaviour
+	if err := json.NewDecoder(r.Body).Decode(&behaviour); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.mu.Lock()
+	t.behaviour = behaviour
+	t.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/e2e/demo/up.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Starts the demo system and leaves it running.
+set -u
+cd "$(dirname "$0")/../.." || exit 1
+. e2e/demo/lib.sh
+start_all || exit 1
+if ! "$BIN/demo" -dir "$DIR" -found; then
+	echo "the logs are in $DIR/log" >&2
+	stop_all
+	exit 1
+fi
+echo "the system is up: see $DIR/endpoints.env, and stop it with: make down"
