--- /dev/null
+++ b/internal/process/events/link_test.go
@@ -0,0 +1,44 @@
+package events
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+)
+
+// handlerLink is a PeerLink that calls a handler directly.
+type handlerLink struct{ handler http.Handler }
+
+func (l handlerLink) RoundTrip(_ string, r *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	l.handler.ServeHTTP(recorder, r)
+	return recorder.Result(), nil
+}
+
+// TestLinkOrdersBothWays has a server whose clock is behind and one whose clock
+// is ahead of the client's.
+func TestLinkOrdersBothWays(t *testing.T) {
+	for _, second := range []int64{1, 40} {
+		client := New("client", 10, func() time.Time { return time.Unix(20, 0) })
+		server := New("server", 10, func() time.Time { return time.Unix(second, 0) })
+		serve := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server.Record(protocol.Event{Name: "serve"})
+			w.WriteHeader(http.StatusNoContent)
+		})
+		client.Record(protocol.Event{Name: "send"})
+		link := NewLink(client, handlerLink{Handler(server, serve)})
+		resp, err := link.RoundTrip("", httptest.NewRequest(http.MethodGet, "/", nil))
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+		client.Record(protocol.Event{Name: "done"})
+		line := Merge(client.Read(protocol.EventsRequest{}).Events, server.Read(protocol.EventsRequest{}).Events)
+		must.Eq(t, "send", line[0].Name)
+		must.Eq(t, "serve", line[1].Name)
+		must.Eq(t, "done", line[2].Name)
+	}
+}
