Daemon and control role: the whole path in separate processes

Cause: the packages exist, nothing runs them together yet.

Ruled out: forwarding calls to the leader by the caller's role. A replica's own daemon part calls with the replica role too and was never forwarded, so its quota asks failed at followers; a separate method name marks forwarded calls instead.

Change: the control service (notes, renewals with a quorum-confirmed lease, quota tokens that wait out an earlier leader, registry exchange, once commands, memberships), the renewal loop, the daemon's assembly on oklog/run, and teaselrackd's main.

--- a/cmd/teaselrackd/main.go
+++ b/cmd/teaselrackd/main.go
@@ -1,4 +1,73 @@
-// Command teaselrackd is the daemon beside a target.
+// Command teaselrackd is the daemon beside a target; with the control role in
+// its settings it is a control replica too.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/process/daemon"
+	"github.com/teaselrack/teaselrack/internal/process/settings"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	o, err := parse(os.Args[1:])
+	if err != nil {
+		os.Exit(exitUsage)
+	}
+	if o == nil {
+		return
+	}
+	if err := serve(o); err != nil {
+		fmt.Fprintln(os.Stderr, "teaselrackd:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+// parse reads the command line. It returns nil where help was asked for.
+func parse(args []string) (*options, error) {
+	o := new(options)
+	_, err := flags.ParseArgs(o, args)
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		return nil, nil
+	}
+	return o, err
+}
+
+func serve(o *options) error {
+	s, err := settings.Load(o.Settings)
+	if err != nil {
+		return err
+	}
+	if o.Check {
+		fmt.Println("the settings are valid")
+		return nil
+	}
+	log, err := newLogger(s.Log)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	d, err := daemon.New(s, log.With(zap.String("instance", s.Instance)))
+	if err != nil {
+		return err
+	}
+	expvar.Publish("teaselrack", d.Vars())
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	return d.Run(ctx)
+}
--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -21,6 +21,7 @@
 	MethodRemove  = "control.remove"
 	MethodOnce    = "once.command"
 	MethodReplica = "replica.message"
+	MethodSync    = "registry.sync"
 	MethodEvents  = "events.read"
 )
 
@@ -186,6 +187,9 @@
 	Targets       []Announcement `json:"targets"`
 }
 
+// RoleLeader is the role of the member that leads a group.
+const RoleLeader = "leader"
+
 // ReplicaStatus is the state of one member of one replica group.
 type ReplicaStatus struct {
 	ID      string `json:"id"`
@@ -232,12 +236,30 @@
 // AdmitRequest admits a new replica: as learner, and as voter once it has
 // caught up and stored everything.
 type AdmitRequest struct {
+	// Address is the control address of the new replica, IP:port.
 	Address string `json:"address"`
+	// Group limits the change to one group; empty means all.
+	Group string `json:"group,omitempty"`
 }
 
 // RemoveRequest removes a replica from the groups.
 type RemoveRequest struct {
+	// ID is the id of the replica in a group, or its control address.
 	ID string `json:"id"`
+	// Group limits the change to one group; empty means all.
+	Group string `json:"group,omitempty"`
+}
+
+// ReplicaMessages carries messages between members of replica groups, each in
+// the encoding of package replica.
+type ReplicaMessages struct {
+	Messages [][]byte `json:"m"`
+}
+
+// OnceCall carries one ledger command to the replicas of a shard.
+type OnceCall struct {
+	Shard   int         `json:"shard"`
+	Request OnceRequest `json:"request"`
 }
 
 // Empty is a reply without content.
--- /dev/null
+++ b/internal/process/control/notes.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"context"
+
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/configuration"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// Apply commits a release note. Sending the same note again is answered as
+// before. Errors: NoteInvalid, NoteGap, NoteConflict; NoLeader where the note
+// may or may not have been accepted.
+func (s *Service) Apply(ctx context.Context, peer mesh.Peer, req protocol.ApplyRequest) (protocol.ApplyReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	note, err := version.ParseNote(req.Note)
+	if err != nil {
+		return protocol.ApplyReply{}, err
+	}
+	command, err := note.Encode()
+	if err != nil {
+		return protocol.ApplyReply{}, err
+	}
+	var reply protocol.ApplyReply
+	forwarded, err := s.forward(ctx, s.o.Group, protocol.MethodApply, req, &reply)
+	if forwarded {
+		return reply, err
+	}
+	result, err := s.o.Group.Propose(ctx, command)
+	if err != nil {
+		return protocol.ApplyReply{}, err
+	}
+	return s.answer(peer, result)
+}
+
+func (s *Service) answer(peer mesh.Peer, encoded []byte) (protocol.ApplyReply, error) {
+	result, err := configuration.DecodeResult(encoded)
+	if err != nil {
+		return protocol.ApplyReply{}, err
+	}
+	if result.Kind != "" {
+		return protocol.ApplyReply{}, fault.New(result.Kind, "%s", result.Message)
+	}
+	s.record("note.accepted", "number %d digest %s by %s", result.Number, result.Digest, peer.Name)
+	return protocol.ApplyReply{Number: result.Number, Digest: result.Digest, Repeated: result.Repeated}, nil
+}
+
+// Plan returns the difference that a note would make to the state in force.
+func (s *Service) Plan(ctx context.Context, _ mesh.Peer, req protocol.ApplyRequest) (protocol.PlanReply, error) {
+	note, err := version.ParseNote(req.Note)
+	if err != nil {
+		return protocol.PlanReply{}, err
+	}
+	before, err := s.confirmedState(ctx)
+	if err != nil {
+		return protocol.PlanReply{}, err
+	}
+	after, err := before.Apply(note)
+	if err != nil {
+		return protocol.PlanReply{}, err
+	}
+	return protocol.PlanReply{Number: after.Number(), Changes: version.Diff(before, after)}, nil
+}
+
+// Export returns the state in force as one release note.
+func (s *Service) Export(ctx context.Context, _ mesh.Peer, _ protocol.Empty) (protocol.ExportReply, error) {
+	state, err := s.confirmedState(ctx)
+	if err != nil {
+		return protocol.ExportReply{}, err
+	}
+	note, err := version.Export(state)
+	if err != nil {
+		return protocol.ExportReply{}, err
+	}
+	return protocol.ExportReply{Number: state.Number(), Digest: state.Digest(), Note: note}, nil
+}
+
+// confirmedState returns the state in force at some moment after the call.
+func (s *Service) confirmedState(ctx context.Context) (*version.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	if err := s.o.Group.Confirm(ctx); err != nil {
+		return nil, err
+	}
+	return s.o.Machine.State(), nil
+}
--- /dev/null
+++ b/internal/process/daemon/build.go
@@ -0,0 +1,135 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/peer"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/connection/rpc"
+	"github.com/teaselrack/teaselrack/internal/connection/target"
+	"github.com/teaselrack/teaselrack/internal/process/admission"
+	"github.com/teaselrack/teaselrack/internal/process/announce"
+	"github.com/teaselrack/teaselrack/internal/process/configuration"
+	"github.com/teaselrack/teaselrack/internal/process/events"
+	"github.com/teaselrack/teaselrack/internal/process/ledger"
+	"github.com/teaselrack/teaselrack/internal/process/quota"
+	"github.com/teaselrack/teaselrack/internal/process/registry"
+	"github.com/teaselrack/teaselrack/internal/process/renewal"
+	"github.com/teaselrack/teaselrack/internal/process/routing"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/request/permit"
+	"github.com/teaselrack/teaselrack/internal/request/running"
+)
+
+// build makes every part of the daemon, from the links up.
+func (d *Daemon) build() error {
+	s := d.settings
+	d.ring = events.New(s.Instance, events.DefaultCapacity, time.Now)
+	d.pool = rpc.NewPool(d.id)
+	d.closers = append(d.closers, d.pool)
+	d.peers = peer.NewClient(d.id, peer.Options{})
+	d.closers = append(d.closers, closeFunc(d.peers.Close))
+	d.targets = target.NewClient(target.Options{})
+	d.closers = append(d.closers, closeFunc(d.targets.Close))
+	d.running = running.NewTable()
+	if err := d.buildState(); err != nil {
+		return err
+	}
+	d.buildPolicy()
+	d.buildRenewal()
+	return d.buildControl()
+}
+
+// buildState makes what the renewal loop fills: configuration and targets.
+func (d *Daemon) buildState() error {
+	store, err := openFloor(d.settings.Data)
+	if err != nil {
+		return err
+	}
+	d.holder = configuration.NewHolder(configuration.HolderOptions{Now: time.Now, Save: store.saveFunc(), Floor: store.floor})
+	d.table = registry.NewTable(time.Now)
+	return nil
+}
+
+// buildPolicy makes what decides about requests.
+func (d *Daemon) buildPolicy() {
+	s := d.settings
+	d.router = routing.New(routing.Options{
+		FailureDomain: s.FailureDomain,
+		Targets:       d.table.Targets,
+		InService:     d.inService,
+		Weight:        d.weight,
+		Events:        d.ring,
+		Instance:      s.Instance,
+	})
+	d.admission = admission.New(admission.Options{Weight: d.weight, Events: d.ring, Instance: s.Instance})
+	d.permits = permit.New(permit.Options{Self: s.Advertise.Peer, Ask: d.askPermit, Requests: d.router.Requests})
+	d.announced = announce.New(announce.Hooks{OnAnnounce: d.onAnnounce, OnExpire: d.onExpire})
+}
+
+func (d *Daemon) buildRenewal() {
+	s := d.settings
+	d.quota = quota.NewHolder(time.Now, d.ask)
+	d.renewal = renewal.New(renewal.Options{
+		Instance:      s.Instance,
+		Session:       envelope.NewID(),
+		PeerAddress:   s.Advertise.Peer,
+		FailureDomain: s.FailureDomain,
+		Replicas:      s.Replicas,
+		Subscriptions: d.subscriptions,
+		Interval:      s.Renew,
+		Caller:        d.pool,
+		Holder:        d.holder,
+		Table:         d.table,
+		Quota:         d.quota,
+		Targets:       d.announced.List,
+		Leaving:       d.leaving.Load,
+		Clock:         time.Now,
+		Recorder:      d.ring,
+		Log:           d.log,
+	})
+	d.ledger = ledger.NewClient(d.renewal, s.Control.LedgerShards)
+}
+
+// subscriptions returns the services that this daemon may call: those of the
+// settings, else those of every route in force.
+func (d *Daemon) subscriptions() []string {
+	if len(d.settings.Subscribe) > 0 {
+		return d.settings.Subscribe
+	}
+	var services []string
+	for _, r := range d.holder.Current().Entries().Routes {
+		services = append(services, r.Service)
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
+func (d *Daemon) weight(team string) uint32 {
+	t, _ := d.holder.Current().Team(team)
+	return t.Weight
+}
+
+func (d *Daemon) inService(r protocol.TargetRecord) bool {
+	state := d.holder.Current()
+	return state.DomainInService(r.FailureDomain) && state.TargetInService(r.Service, r.Instance)
+}
+
+// onAnnounce takes a new or changed announcement of a local target.
+func (d *Daemon) onAnnounce(before *protocol.Announcement, now protocol.Announcement) {
+	d.admission.Announce(time.Now(), now)
+	d.targets.SetLimit(now.Address, now.Connections)
+	if before == nil || before.State != now.State || before.Incarnation != now.Incarnation {
+		d.ring.Record(protocol.Event{Name: "target.announced", Target: now.Service, Detail: string(now.State)})
+		d.renewal.Kick()
+	}
+}
+
+// onExpire takes note that a local target is gone.
+func (d *Daemon) onExpire(last protocol.Announcement) {
+	d.admission.Expire(last.Service)
+	d.targets.Forget(last.Address)
+	d.ring.Record(protocol.Event{Name: "target.expired", Target: last.Service})
+	d.renewal.Kick()
+}
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,143 @@
+// Package daemon puts the parts of teaselrackd together: the listeners of the
+// data path, the renewal loop, and the control role where the settings ask for
+// it.
+package daemon
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/connection/peer"
+	"github.com/teaselrack/teaselrack/internal/connection/rpc"
+	"github.com/teaselrack/teaselrack/internal/connection/target"
+	"github.com/teaselrack/teaselrack/internal/process/admission"
+	"github.com/teaselrack/teaselrack/internal/process/announce"
+	"github.com/teaselrack/teaselrack/internal/process/configuration"
+	"github.com/teaselrack/teaselrack/internal/process/events"
+	"github.com/teaselrack/teaselrack/internal/process/ledger"
+	"github.com/teaselrack/teaselrack/internal/process/quota"
+	"github.com/teaselrack/teaselrack/internal/process/registry"
+	"github.com/teaselrack/teaselrack/internal/process/renewal"
+	"github.com/teaselrack/teaselrack/internal/process/routing"
+	"github.com/teaselrack/teaselrack/internal/process/settings"
+	"github.com/teaselrack/teaselrack/internal/request/permit"
+	"github.com/teaselrack/teaselrack/internal/request/running"
+)
+
+// Daemon is one teaselrackd process. Build it with New, then call Run once.
+type Daemon struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	id       *mesh.Identity
+	leaving  atomic.Bool
+
+	ring      *events.Ring
+	pool      *rpc.Pool
+	peers     *peer.Client
+	targets   *target.Client
+	holder    *configuration.Holder
+	table     *registry.Table
+	quota     *quota.Holder
+	ledger    *ledger.Client
+	router    *routing.Router
+	admission *admission.Controller
+	permits   *permit.Book
+	running   *running.Table
+	announced *announce.Registry
+	renewal   *renewal.Loop
+	control   *controlRole
+
+	// closers are closed in reverse order when the daemon ends.
+	closers []io.Closer
+}
+
+// New builds a daemon from validated settings. It opens the data folder of the
+// control role, and starts nothing. Errors: SettingsInvalid, StorageFailed,
+// Damaged.
+func New(s *settings.Settings, log *zap.Logger) (*Daemon, error) {
+	id, err := mesh.LoadIdentity(s.Mesh.Authority, s.Mesh.Certificate, s.Mesh.Key)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: s, log: log, id: id}
+	if err := d.build(); err != nil {
+		d.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Run serves until ctx ends, then leaves gracefully. It returns early with an
+// error where a part fails, StorageFailed in particular.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.close()
+	l, err := listen(d.settings.Listen)
+	if err != nil {
+		return err
+	}
+	var g run.Group
+	d.addLeaving(ctx, &g)
+	d.addServers(&g, l)
+	addLoop(&g, d.renewal.Run)
+	addLoop(&g, d.quota.Run)
+	addLoop(&g, d.announced.Run)
+	d.control.add(&g, l.control)
+	d.log.Info("daemon started", zap.String("ingress", l.ingress.Addr().String()))
+	return g.Run()
+}
+
+// addLoop adds an actor that runs until its context ends.
+func addLoop(g *run.Group, loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+}
+
+// addLeaving adds the actor that ends the group: once ctx ends, the daemon
+// announces that it leaves, waits for the drain time, and returns.
+func (d *Daemon) addLeaving(ctx context.Context, g *run.Group) {
+	stop := make(chan struct{})
+	g.Add(func() error {
+		select {
+		case <-ctx.Done():
+			d.leave(stop)
+		case <-stop:
+		}
+		return nil
+	}, func(error) { close(stop) })
+}
+
+// leave announces that this daemon leaves and waits until its senders have
+// heard, or until stop is closed.
+func (d *Daemon) leave(stop <-chan struct{}) {
+	d.log.Info("leaving", zap.Duration("drain", d.settings.Drain))
+	d.leaving.Store(true)
+	d.renewal.Kick()
+	select {
+	case <-time.After(d.settings.Drain):
+	case <-stop:
+	}
+}
+
+func (d *Daemon) close() {
+	for i := len(d.closers) - 1; i >= 0; i-- {
+		if err := d.closers[i].Close(); err != nil {
+			d.log.Warn("close", zap.Error(err))
+		}
+	}
+	d.closers = nil
+}
+
+// closeFunc turns a function into an io.Closer.
+type closeFunc func()
+
+// Close implements io.Closer.
+func (f closeFunc) Close() error {
+	f()
+	return nil
+}
--- /dev/null
+++ b/internal/process/daemon/floor.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/google/renameio/v2"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/configuration"
+)
+
+const (
+	floorName  = "floor.json"
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// floorStore keeps the lowest configuration that a daemon with a data folder
+// may take after a restart. Without a folder nothing is kept.
+type floorStore struct {
+	path  string
+	floor configuration.Floor
+}
+
+// openFloor reads the stored floor. A folder without one has no floor. Errors:
+// StorageFailed, Damaged.
+func openFloor(folder string) (*floorStore, error) {
+	if folder == "" {
+		return &floorStore{}, nil
+	}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, fault.Wrap(fault.StorageFailed, err, "create the data folder %s", folder)
+	}
+	f := &floorStore{path: filepath.Join(folder, floorName)}
+	b, err := os.ReadFile(f.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return f, nil
+	}
+	if err != nil {
+		return nil, fault.Wrap(fault.StorageFailed, err, "read %s", f.path)
+	}
+	if err := json.Unmarshal(b, &f.floor); err != nil {
+		return nil, fault.Wrap(fault.Damaged, err, "read %s", f.path)
+	}
+	return f, nil
+}
+
+// saveFunc returns the function that stores a floor durably, nil without a
+// folder.
+func (f *floorStore) saveFunc() func(uint64, string) error {
+	if f.path == "" {
+		return nil
+	}
+	return f.save
+}
+
+func (f *floorStore) save(number uint64, digest string) error {
+	b, err := json.Marshal(configuration.Floor{Number: number, Digest: digest})
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "encode the floor")
+	}
+	if err := renameio.WriteFile(f.path, b, fileMode); err != nil {
+		return fault.Wrap(fault.StorageFailed, err, "write %s", f.path)
+	}
+	return syncFolder(filepath.Dir(f.path))
+}
+
+func syncFolder(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return fault.Wrap(fault.StorageFailed, err, "open %s", path)
+	}
+	defer func() { _ = dir.Close() }()
+	if err := dir.Sync(); err != nil {
+		return fault.Wrap(fault.StorageFailed, err, "sync %s", path)
+	}
+	return nil
+}
