--- /dev/null
+++ b/internal/process/control/role.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/teaselrack/teaselrack/internal/connection/rpc"
+	"github.com/teaselrack/teaselrack/internal/process/configuration"
+	"github.com/teaselrack/teaselrack/internal/process/ledger"
+	"github.com/teaselrack/teaselrack/internal/process/quota"
+	"github.com/teaselrack/teaselrack/internal/process/registry"
+	"github.com/teaselrack/teaselrack/internal/process/replica"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/request/hop"
+)
+
+// RoleOptions are the settings and ports of the control role. All are required
+// but Heartbeat and Election.
+type RoleOptions struct {
+	// Folder is the data folder; each group has a folder in it.
+	Folder string
+	// Address is the control address as other replicas reach it.
+	Address string
+	// Replicas are the control addresses of all replicas.
+	Replicas []string
+	// LedgerShards is the number of groups of the once ledger.
+	LedgerShards int
+	// Heartbeat and Election are passed to each group; see replica.Options.
+	Heartbeat time.Duration
+	Election  time.Duration
+	Caller    Caller
+	Recorder  hop.Recorder
+	Log       *zap.Logger
+}
+
+// Role is the control role of one process: its members of the replica groups
+// and the service above them.
+type Role struct {
+	o         RoleOptions
+	transport *Transport
+	nodes     map[string]*replica.Node
+	service   *Service
+}
+
+// NewRole opens the data folder. Run must be called for the role to take part.
+// Errors: SettingsInvalid, StorageFailed.
+func NewRole(o RoleOptions) (*Role, error) {
+	r := &Role{o: o, transport: NewTransport(o.Caller), nodes: make(map[string]*replica.Node)}
+	if err := r.open(); err != nil {
+		_ = r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Role) open() error {
+	machine := configuration.NewMachine(configuration.DefaultHistory)
+	group, err := r.openGroup(ConfigurationGroup, machine)
+	if err != nil {
+		return err
+	}
+	shards, err := r.openShards()
+	if err != nil {
+		return err
+	}
+	r.service = New(Options{
+		Address:  r.o.Address,
+		Replicas: r.o.Replicas,
+		Group:    group,
+		Machine:  machine,
+		Shards:   shards,
+		Registry: registry.New(envelope.NewID()),
+		Issuer:   quota.NewIssuer(),
+		Caller:   r.o.Caller,
+		Receive:  r.receive,
+		Clock:    time.Now,
+		Recorder: r.o.Recorder,
+	})
+	return nil
+}
+
+func (r *Role) openShards() ([]Shard, error) {
+	shards := make([]Shard, r.o.LedgerShards)
+	for i := range shards {
+		machine := ledger.NewMachine(ledger.DefaultLimits())
+		group, err := r.openGroup(fmt.Sprintf("ledger-%d", i), machine)
+		if err != nil {
+			return nil, err
+		}
+		shards[i] = Shard{Group: group, Clock: ledger.NewClock(machine, time.Now)}
+	}
+	return shards, nil
+}
+
+func (r *Role) openGroup(name string, machine replica.Machine) (*replica.Node, error) {
+	node, err := replica.New(replica.Options{
+		Group:     name,
+		Dir:       filepath.Join(r.o.Folder, name),
+		Address:   r.o.Address,
+		Machine:   machine,
+		Transport: r.transport,
+		Logger:    r.o.Log,
+		Heartbeat: r.o.Heartbeat,
+		Election:  r.o.Election,
+	})
+	if err != nil {
+		return nil, err
+	}
+	r.nodes[name] = node
+	return node, nil
+}
+
+// receive hands a message to the member of its group.
+func (r *Role) receive(message replica.Message) {
+	if node, ok := r.nodes[message.Group]; ok {
+		node.Handle(message)
+	}
+}
+
+// Handlers returns the methods of the role.
+func (r *Role) Handlers() map[string]rpc.Handler { return r.service.Handlers() }
+
+// Run takes part in the groups until ctx ends. An error of a group, such as
+// StorageFailed, is final: the process must end.
+func (r *Role) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, node := range r.nodes {
+		g.Go(func() error { return node.Run(ctx) })
+	}
+	g.Go(func() error {
+		r.service.RunSync(ctx)
+		return nil
+	})
+	g.Go(func() error {
+		r.service.Watch(ctx)
+		return nil
+	})
+	return g.Wait()
+}
+
+// Close gives the data folder up. Run must have returned.
+func (r *Role) Close() error {
+	errs := []error{r.transport.Close()}
+	for _, node := range r.nodes {
+		errs = append(errs, node.Close())
+	}
+	return errors.Join(errs...)
+}
--- a/internal/process/control/service.go
+++ b/internal/process/control/service.go
@@ -7,8 +7,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/connection/rpc"
@@ -62,7 +60,6 @@
 	Receive  func(replica.Message)
 	Clock    func() time.Time
 	Recorder hop.Recorder
-	Log      *zap.Logger
 }
 
 // Service is the control role of one replica. Its methods may be called from
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/teaselrack/teaselrack/internal/process/admission"
 	"github.com/teaselrack/teaselrack/internal/process/announce"
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
+	"github.com/teaselrack/teaselrack/internal/process/control"
 	"github.com/teaselrack/teaselrack/internal/process/events"
 	"github.com/teaselrack/teaselrack/internal/process/ledger"
 	"github.com/teaselrack/teaselrack/internal/process/quota"
@@ -51,7 +52,7 @@
 	running   *running.Table
 	announced *announce.Registry
 	renewal   *renewal.Loop
-	control   *controlRole
+	control   *control.Role
 
 	// closers are closed in reverse order when the daemon ends.
 	closers []io.Closer
@@ -87,7 +88,7 @@
 	addLoop(&g, d.renewal.Run)
 	addLoop(&g, d.quota.Run)
 	addLoop(&g, d.announced.Run)
-	d.control.add(&g, l.control)
+	d.addControl(&g, l.control)
 	d.log.Info("daemon started", zap.String("ingress", l.ingress.Addr().String()))
 	return g.Run()
 }
