--- /dev/null
+++ b/internal/process/control/registry_test.go
@@ -0,0 +1,84 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+)
+
+func announcement(state protocol.TargetState) protocol.Announcement {
+	return protocol.Announcement{Service: "tides", Address: "127.0.0.1:9", Incarnation: "a", Slots: 4, Connections: 8, State: state}
+}
+
+// TestTargetsOutliveReplicas checks that daemons keep the targets while every
+// replica loses its soft state one after the other, and while none answers.
+func TestTargetsOutliveReplicas(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		c := newCluster(t, seed, 3, 4)
+		_, err := c.apply(teamNote)
+		must.NoError(t, err)
+		c.daemons[0].announce(announcement(protocol.Warm))
+		time.Sleep(4 * time.Second)
+		stop := make(chan struct{})
+		missing := make(chan int, 1)
+		go func() { missing <- countMissing(c, stop) }()
+		for _, r := range c.replicas {
+			r.stop()
+			time.Sleep(time.Second)
+			r.start()
+			time.Sleep(2 * time.Second)
+		}
+		c.net.isolate(c.daemons[1].name, c.names(), true)
+		time.Sleep(time.Minute)
+		must.True(t, c.daemons[1].table.Stale())
+		close(stop)
+		must.Eq(t, 0, <-missing)
+		c.net.isolate(c.daemons[1].name, c.names(), false)
+		c.close()
+	})
+}
+
+// countMissing counts the samples at which a daemon knew no target.
+func countMissing(c *cluster, stop <-chan struct{}) int {
+	missing := 0
+	for {
+		select {
+		case <-stop:
+			return missing
+		case <-time.After(sampleEvery):
+		}
+		for _, d := range c.daemons {
+			if len(d.table.Targets("tides")) == 0 {
+				missing++
+			}
+		}
+	}
+}
+
+// TestLeavingTargetIsKnownInTime checks that every daemon knows within
+// inForceWithin that a target leaves, and that it is gone.
+func TestLeavingTargetIsKnownInTime(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		c := newCluster(t, seed, 3, 4)
+		_, err := c.apply(teamNote)
+		must.NoError(t, err)
+		c.daemons[0].announce(announcement(protocol.Warm))
+		time.Sleep(4 * time.Second)
+		c.daemons[0].announce(announcement(protocol.Leaving))
+		time.Sleep(inForceWithin)
+		for _, d := range c.daemons {
+			for _, target := range d.table.Targets("tides") {
+				must.Eq(t, protocol.Leaving, target.State)
+			}
+		}
+		c.daemons[0].announce()
+		time.Sleep(inForceWithin)
+		for _, d := range c.daemons {
+			must.SliceEmpty(t, d.table.Targets("tides"))
+		}
+		c.close()
+	})
+}
