--- a/internal/process/replica/change.go
+++ b/internal/process/replica/change.go
@@ -104,14 +104,13 @@
 		c.retire()
 		return
 	}
-	if c.change == nil || c.change.id == "" {
-		return
-	}
-	if c.change.remove {
+	switch {
+	case c.change == nil:
+	case c.change.remove:
 		c.advanceRemoval()
-		return
+	case c.change.id != "":
+		c.advanceAdmission()
 	}
-	c.advanceAdmission()
 }
 
 // retire ends the leadership of a replica that was taken out.
--- a/internal/process/replica/confirms.go
+++ b/internal/process/replica/confirms.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -24,7 +25,7 @@
 	open   bool
 	asking []confirmation
 	next   []confirmation
-	// index and applying are the calls that wait for the machine.
+	// applying are the calls that wait until the machine reaches an index.
 	applying map[uint64][]confirmation
 }
 
@@ -92,10 +93,11 @@
 
 // applied completes the calls that waited for an entry up to index.
 func (cs *confirms) applied(index uint64) {
-	for at, calls := range cs.applying {
+	for _, at := range slices.Sorted(maps.Keys(cs.applying)) {
 		if at > index {
-			continue
+			return
 		}
+		calls := cs.applying[at]
 		delete(cs.applying, at)
 		for _, c := range calls {
 			c.done(nil)
@@ -105,8 +107,8 @@
 
 func (cs *confirms) fail(err error) {
 	calls := slices.Concat(cs.asking, cs.next)
-	for _, waiting := range cs.applying {
-		calls = append(calls, waiting...)
+	for _, at := range slices.Sorted(maps.Keys(cs.applying)) {
+		calls = append(calls, cs.applying[at]...)
 	}
 	token := cs.token
 	*cs = confirms{token: token}
--- a/internal/process/replica/proposals.go
+++ b/internal/process/replica/proposals.go
@@ -1,6 +1,11 @@
 package replica
 
-import "github.com/teaselrack/teaselrack/internal/process/storage"
+import (
+	"maps"
+	"slices"
+
+	"github.com/teaselrack/teaselrack/internal/process/storage"
+)
 
 // proposal is one command whose result is awaited.
 type proposal struct {
@@ -60,7 +65,8 @@
 }
 
 func (ps *proposals) fail(err error) {
-	for index, p := range ps.waiting {
+	for _, index := range slices.Sorted(maps.Keys(ps.waiting)) {
+		p := ps.waiting[index]
 		delete(ps.waiting, index)
 		p.done(nil, err)
 	}
--- /dev/null
+++ b/internal/process/replica/simulation_test.go
@@ -0,0 +1,126 @@
+package replica
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+var (
+	seedCount = flag.Int("seeds", 300, "number of seeds of the simulation")
+	oneSeed   = flag.Uint64("seed", 0, "run only this seed of the simulation")
+)
+
+const (
+	faultTime = 25 * time.Second
+	// recoveryTime is how long after the last fault the group must take
+	// commands again, with every replacement done.
+	recoveryTime = 15 * time.Second
+)
+
+// totals are counts over all seeds, so that a run shows what it met.
+type totals struct {
+	answered, operations, elections, losses, changes, entries atomic.Int64
+}
+
+func TestSimulation(t *testing.T) {
+	seeds := make([]uint64, 0, *seedCount)
+	for i := range *seedCount {
+		seeds = append(seeds, uint64(i)+1)
+	}
+	if *oneSeed != 0 {
+		seeds = []uint64{*oneSeed}
+	}
+	var sum totals
+	t.Run("seeds", func(t *testing.T) {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				if err := simulate(seed, &sum); err != nil {
+					t.Fatalf("%v\nreplay: go test ./internal/process/replica -run TestSimulation -seed=%d", err, seed)
+				}
+			})
+		}
+	})
+	t.Logf("%d seeds: %d of %d operations answered, %d elections, %d entries, %d folders lost or damaged, %d membership changes",
+		len(seeds), sum.answered.Load(), sum.operations.Load(), sum.elections.Load(), sum.entries.Load(), sum.losses.Load(), sum.changes.Load())
+}
+
+// simulate runs one seed and returns the first broken invariant.
+func simulate(seed uint64, sum *totals) error {
+	s := newSim(seed)
+	s.begin()
+	s.loss = 0.1 * s.rng.Float64()
+	s.duplicate = 0.1 * s.rng.Float64()
+	s.slow = []float64{0, 0.02, 0.2}[s.rng.IntN(3)]
+	s.pause = s.between(300*time.Millisecond, 2*time.Second)
+	s.clients.start()
+	s.misfortune()
+	s.runUntil(s.now + faultTime)
+	s.heal()
+	s.clients.stopped = true
+	s.runUntil(s.now + recoveryTime)
+	if s.check.err == nil {
+		s.checkEnd()
+	}
+	sum.answered.Add(int64(s.clients.answered))
+	sum.operations.Add(int64(len(s.clients.history)))
+	sum.elections.Add(int64(s.check.elections))
+	sum.entries.Add(int64(s.check.highest))
+	sum.losses.Add(int64(s.operator.losses))
+	sum.changes.Add(int64(s.operator.changes))
+	return s.check.err
+}
+
+// begin founds the group on a and admits b and c, without faults.
+func (s *sim) begin() {
+	a := s.host("a")
+	a.work(func() {
+		if err := a.engine.core.found(); err != nil {
+			s.check.broken("found: %v", err)
+		}
+	})
+	s.admit("b", func() { s.admit("c", func() {}) })
+	s.runUntil(2 * time.Second)
+	if s.operator.busy || s.operator.changes != 2 {
+		s.check.broken("the group was not complete after %s", s.now)
+	}
+}
+
+// checkEnd checks that the group works again, that every member ends in the
+// same state, that nothing acknowledged is missing, and the clients' history.
+func (s *sim) checkEnd() {
+	if s.operator.busy {
+		s.check.broken("a membership change did not end within %s without faults", recoveryTime)
+	}
+	l := s.leader()
+	if l == nil {
+		s.check.broken("there is no leader %s after the last fault", recoveryTime)
+		return
+	}
+	var answer *note
+	last := note{Number: l.machine.current().Number + 1, Content: 1 << 32}
+	l.work(func() {
+		l.engine.propose(last.encode(), s.clients.writer(last, func(n *note, _ error) { answer = n }))
+	})
+	s.runUntil(s.now + time.Second)
+	if answer == nil || *answer != last {
+		s.check.broken("a command was not accepted after the faults")
+	}
+	for _, m := range l.engine.core.members() {
+		if h := s.host(m.Address); h.machine.Digest != l.machine.Digest {
+			s.check.broken("the machine of %s ends in another state than the leader's", m.Address)
+		}
+	}
+	for _, n := range s.clients.accepted {
+		if !slices.Contains(l.machine.History, n) {
+			s.check.broken("acknowledged note %d is lost", n.Number)
+		}
+	}
+	if !s.clients.linearizable() {
+		s.check.broken("the history of the clients is not linearizable")
+	}
+}
--- a/internal/process/storage/frame.go
+++ b/internal/process/storage/frame.go
@@ -7,19 +7,21 @@
 
 // A frame holds the entries that one sync made durable. Layout, little endian:
 //
-//	magic u32 | payload length u32 | payload CRC32C u32 | header CRC32C u32
+//	magic u32 | payload length u32 | CRC32C of payload and padding u32 |
+//	CRC32C of the header before it u32
 //	payload: index before the first entry, count, then for each entry
 //	         term, kind, data length (all unsigned varints) and data
+//	padding up to a whole number of sectors
 //
-// A frame without entries restarts the log after its index.
+// A frame without entries restarts the log after its index. Frames fill whole
+// sectors and padding is not zero: so an interrupted append can't touch an
+// earlier frame, and shows in a sector that reads as zeros.
 const (
 	frameMagic = 0x4b52534c
 	headerSize = 16
 	// sectorSize is the smallest piece that a disk writes whole, in bytes.
 	sectorSize = 512
-	// minZeroPiece is the shortest run of zeros that counts as an unwritten
-	// sector, in bytes.
-	minZeroPiece = 16
+	padding    = 0xff
 	// MaxFrame is the largest payload of a frame, in bytes.
 	MaxFrame = 256 << 20
 )
@@ -55,10 +57,14 @@
 		b = binary.AppendUvarint(b, uint64(len(entries[i].Data)))
 		b = append(b, entries[i].Data...)
 	}
-	header, payload := b[start:start+headerSize], b[start+headerSize:]
+	length := len(b) - start - headerSize
+	for (len(b)-start)%sectorSize != 0 {
+		b = append(b, padding)
+	}
+	header, body := b[start:start+headerSize], b[start+headerSize:]
 	binary.LittleEndian.PutUint32(header[0:], frameMagic)
-	binary.LittleEndian.PutUint32(header[4:], uint32(len(payload)))
-	binary.LittleEndian.PutUint32(header[8:], crc32.Checksum(payload, castagnoli))
+	binary.LittleEndian.PutUint32(header[4:], uint32(length))
+	binary.LittleEndian.PutUint32(header[8:], crc32.Checksum(body, castagnoli))
 	binary.LittleEndian.PutUint32(header[12:], crc32.Checksum(header[:12], castagnoli))
 	return b
 }
@@ -72,17 +78,16 @@
 	}
 	length, ok := decodeHeader(b)
 	if !ok {
-		return frame{}, 0, tornOrCorrupt(segment, offset, offset+headerSize)
+		return frame{}, 0, tornOrCorrupt(b[:min(len(b), sectorSize)])
 	}
-	end := headerSize + length
+	end := (headerSize + length + sectorSize - 1) / sectorSize * sectorSize
 	if end > len(b) {
 		return frame{}, 0, torn
 	}
-	payload := b[headerSize:end]
-	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(b[8:]) {
-		return frame{}, 0, tornOrCorrupt(segment, offset+headerSize, offset+end)
+	if crc32.Checksum(b[headerSize:end], castagnoli) != binary.LittleEndian.Uint32(b[8:]) {
+		return frame{}, 0, tornOrCorrupt(b[:end])
 	}
-	f, ok = decodePayload(payload)
+	f, ok = decodePayload(b[headerSize : headerSize+length])
 	if !ok {
 		return frame{}, 0, corrupt
 	}
@@ -100,16 +105,16 @@
 	return int(n), n <= MaxFrame
 }
 
-// tornOrCorrupt judges bytes that fail their checksum. An append that a crash
+// tornOrCorrupt judges a frame that fails its checksum. An append that a crash
 // interrupted leaves whole sectors unwritten, which read as zeros. Anything
 // else was changed after it was written.
-func tornOrCorrupt(segment []byte, from, to int) verdict {
-	for start := from; start < to; {
-		end := min(to, (start/sectorSize+1)*sectorSize)
-		if end-start >= minZeroPiece && allZero(segment[start:end]) {
+func tornOrCorrupt(b []byte) verdict {
+	for len(b) > 0 {
+		n := min(sectorSize, len(b))
+		if allZero(b[:n]) {
 			return torn
 		}
-		start = end
+		b = b[n:]
 	}
 	return corrupt
 }
@@ -123,9 +128,9 @@
 	return true
 }
 
-// holdsFrame reports whether a whole frame starts anywhere in b.
+// holdsFrame reports whether a whole frame starts at any sector of b.
 func holdsFrame(b []byte) bool {
-	for i := 0; i+headerSize <= len(b); i++ {
+	for i := 0; i+headerSize <= len(b); i += sectorSize {
 		if binary.LittleEndian.Uint32(b[i:]) != frameMagic {
 			continue
 		}
--- a/internal/process/storage/replay.go
+++ b/internal/process/storage/replay.go
@@ -65,7 +65,7 @@
 			return fault.New(fault.Damaged, "segment %d has a gap at byte %d", seq, offset)
 		}
 		if v != whole {
-			if v == corrupt || !last || holdsFrame(b[offset+1:]) {
+			if v == corrupt || !last || holdsFrame(b[min(len(b), offset+sectorSize):]) {
 				return fault.New(fault.Damaged, "segment %d fails its checksum at byte %d", seq, offset)
 			}
 			if err := s.disk.Truncate(segmentName(seq), int64(offset)); err != nil {
--- a/internal/process/storage/store.go
+++ b/internal/process/storage/store.go
@@ -196,12 +196,13 @@
 	if err != nil {
 		return fault.Wrap(fault.StorageFailed, err, "list the data folder")
 	}
-	ours := slices.DeleteFunc(names, func(n string) bool { return n != snapshotName && !isSegment(n) })
-	slices.Sort(ours)
-	if slices.Contains(names, stateName) {
-		ours = append([]string{stateName}, ours...)
+	if i := slices.Index(names, stateName); i > 0 {
+		names[0], names[i] = names[i], names[0]
 	}
-	for _, name := range ours {
+	for _, name := range names {
+		if name != stateName && name != snapshotName && !isSegment(name) {
+			continue
+		}
 		if err := d.Rename(name, asidePrefix+name); err != nil {
 			return fault.Wrap(fault.StorageFailed, err, "move %s aside", name)
 		}
