Once and registry checks that see the faults they are meant for

Cause: two checks passed on code that was broken on purpose. The once check fenced only after the claim had failed, so no fence ever raced a claim. The registry check gave daemons a second to move to another replica, so none ever asked one that had just lost its soft state.

Change: another daemon cancels while the claim is under way; a replica is stopped and started again at once, 30 times.

--- a/internal/process/control/once_test.go
+++ b/internal/process/control/once_test.go
@@ -17,15 +17,17 @@
 // onceRuns counts what a target would have seen.
 type onceRuns struct {
 	mu       sync.Mutex
-	runs     map[string]int
-	released map[string]bool
+	runs     map[string]int  // by key
+	ran      map[string]bool // by attempt
+	notRun   map[string]bool // by attempt
 	problems []string
+	wg       sync.WaitGroup
 }
 
 // attempt does what the daemon beside a target does for one request: claim,
-// run, complete. Now and then it dies between two steps, or was fenced by a
-// sender that lost sight of it.
-func (o *onceRuns) attempt(d *daemonProcess, random func(int) int, key, attempt string) {
+// run, complete. Now and then it dies between two steps, or a sender that lost
+// sight of it cancels it meanwhile.
+func (o *onceRuns) attempt(d, sender *daemonProcess, random func(int) int, key, attempt string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	request := protocol.OnceRequest{
@@ -34,9 +36,15 @@
 		Attempt:   attempt,
 		Digest:    "digest",
 	}
+	if random(3) == 0 {
+		after := time.Duration(random(20)) * time.Millisecond
+		o.wg.Go(func() { o.cancel(sender, request, after) })
+	}
 	reply, err := d.ledger.Do(ctx, request)
 	if err != nil {
-		o.fence(d, request, err)
+		if fault.OutcomeOf(err) == fault.NotRun {
+			o.promise(attempt)
+		}
 		return
 	}
 	if reply.State != protocol.OnceGranted {
@@ -51,17 +59,14 @@
 	_, _ = d.ledger.Do(ctx, request)
 }
 
-// fence cancels an attempt whose claim was not answered. An answer that says
-// fenced, or an error that says not run, promises that it never runs.
-func (o *onceRuns) fence(d *daemonProcess, request protocol.OnceRequest, err error) {
-	if fault.OutcomeOf(err) == fault.NotRun {
-		o.promise(request.Attempt)
-		return
-	}
+// cancel fences an attempt from another daemon. An answer that says fenced
+// promises that the attempt never runs.
+func (o *onceRuns) cancel(sender *daemonProcess, request protocol.OnceRequest, after time.Duration) {
+	time.Sleep(after)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	request.Operation = protocol.OnceCancel
-	reply, err := d.ledger.Do(ctx, request)
+	reply, err := sender.ledger.Do(ctx, request)
 	if err == nil && reply.State == protocol.OnceFenced {
 		o.promise(request.Attempt)
 	}
@@ -70,7 +75,10 @@
 func (o *onceRuns) promise(attempt string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.released[attempt] = true
+	o.notRun[attempt] = true
+	if o.ran[attempt] {
+		o.problems = append(o.problems, attempt+" had run when it was said not to")
+	}
 }
 
 func (o *onceRuns) run(key, attempt string) {
@@ -80,7 +88,8 @@
 	if o.runs[key] > 1 {
 		o.problems = append(o.problems, key+" ran more than once")
 	}
-	if o.released[attempt] {
+	o.ran[attempt] = true
+	if o.notRun[attempt] {
 		o.problems = append(o.problems, attempt+" ran after it was said not to")
 	}
 }
@@ -94,11 +103,11 @@
 		c := newCluster(t, seed, 3, 4)
 		_, err := c.apply(teamNote)
 		must.NoError(t, err)
-		o := &onceRuns{runs: make(map[string]int), released: make(map[string]bool)}
+		o := &onceRuns{runs: make(map[string]int), ran: make(map[string]bool), notRun: make(map[string]bool)}
 		stop := make(chan struct{})
 		var wg sync.WaitGroup
-		for i, d := range c.daemons {
-			wg.Go(func() { o.load(d, uint64(i)+seed<<8, stop) })
+		for i := range c.daemons {
+			wg.Go(func() { o.load(c, i, stop, seed) })
 		}
 		for range 4 {
 			name, heal := upset(c, random)
@@ -109,6 +118,7 @@
 		}
 		close(stop)
 		wg.Wait()
+		o.wg.Wait()
 		must.Positive(t, len(o.runs))
 		must.Nil(t, o.problems)
 		c.close()
@@ -116,15 +126,16 @@
 }
 
 // load sends attempts for keys that all daemons share.
-func (o *onceRuns) load(d *daemonProcess, seed uint64, stop <-chan struct{}) {
-	random := rand.New(rand.NewPCG(seed, 4))
+func (o *onceRuns) load(c *cluster, index int, stop <-chan struct{}, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, uint64(index)))
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
 			return
 		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
 		}
-		key := fmt.Sprint("key", n/2)
-		o.attempt(d, random.IntN, key, fmt.Sprintf("%s-%d", d.name, n))
+		d := c.daemons[index]
+		sender := c.daemons[random.IntN(len(c.daemons))]
+		o.attempt(d, sender, random.IntN, fmt.Sprint("key", n/2), fmt.Sprintf("%s-%d", d.name, n))
 	}
 }
--- a/internal/process/control/registry_test.go
+++ b/internal/process/control/registry_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -25,11 +26,12 @@
 		stop := make(chan struct{})
 		missing := make(chan int, 1)
 		go func() { missing <- countMissing(c, stop) }()
-		for _, r := range c.replicas {
+		random := rand.New(rand.NewPCG(seed, 5))
+		for n := range 30 {
+			r := c.replicas[n%len(c.replicas)]
 			r.stop()
-			time.Sleep(time.Second)
 			r.start()
-			time.Sleep(2 * time.Second)
+			time.Sleep(time.Duration(1000+random.IntN(1000)) * time.Millisecond)
 		}
 		c.net.isolate(c.daemons[1].name, c.names(), true)
 		time.Sleep(time.Minute)
