--- /dev/null
+++ b/e2e/harness_test.go
@@ -0,0 +1,220 @@
+package e2e
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/e2e/system"
+)
+
+const (
+	// stopLimit bounds a graceful stop of one process.
+	stopLimit = 20 * time.Second
+	// logTail is how much of each log a failed test shows, in bytes.
+	logTail = 3000
+)
+
+// harness runs one system.
+type harness struct {
+	*system.Layout
+	t         *testing.T
+	processes map[string]*process
+	caller    *system.Caller
+}
+
+// process is one started program.
+type process struct {
+	command *exec.Cmd
+	done    chan struct{}
+	// stopped is true once the test has ended the process itself.
+	stopped bool
+}
+
+// start lays the demo's system out, lets adjust change it, starts it, founds it
+// and applies the first note.
+func start(t *testing.T, adjust func(*system.Layout)) *harness {
+	t.Helper()
+	l, err := system.New(t.TempDir(), programs, system.Demo())
+	must.NoError(t, err)
+	must.NoError(t, l.AddKey("A", "obala"))
+	must.NoError(t, l.AddKey("B", "sidro"))
+	if adjust != nil {
+		adjust(l)
+	}
+	h := &harness{Layout: l, t: t, processes: make(map[string]*process), caller: system.NewCaller()}
+	t.Cleanup(h.stopAll)
+	for _, i := range l.Instances {
+		must.NoError(t, l.WriteSettings(i))
+		h.launch(targetOf(i.Name), l.TargetCommand(i))
+	}
+	for _, i := range l.Instances {
+		h.launchDaemon(i.Name)
+	}
+	must.NoError(t, l.Found())
+	must.NoError(t, l.Apply(1, l.FirstNote()))
+	return h
+}
+
+func targetOf(name string) string { return "target-" + name }
+
+func (h *harness) launchDaemon(name string) {
+	h.t.Helper()
+	h.launch(name, h.DaemonCommand(*h.Instance(name)))
+}
+
+func (h *harness) launch(name string, command []string) {
+	h.t.Helper()
+	log, err := os.OpenFile(h.File(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must.NoError(h.t, err)
+	defer func() { _ = log.Close() }()
+	p := &process{command: exec.Command(command[0], command[1:]...), done: make(chan struct{})}
+	p.command.Stdout = log
+	p.command.Stderr = log
+	must.NoError(h.t, p.command.Start())
+	h.processes[name] = p
+	go func() {
+		_ = p.command.Wait()
+		close(p.done)
+	}()
+}
+
+func (h *harness) signal(name string, sig syscall.Signal) {
+	h.t.Helper()
+	must.NoError(h.t, h.processes[name].command.Process.Signal(sig))
+}
+
+// kill ends a process at once and waits until it is gone.
+func (h *harness) kill(name string) {
+	h.t.Helper()
+	h.processes[name].stopped = true
+	h.signal(name, syscall.SIGKILL)
+	<-h.processes[name].done
+}
+
+// terminate asks a process to stop and returns its exit code, or -1 where it
+// does not stop in time.
+func (h *harness) terminate(name string) int {
+	p := h.processes[name]
+	p.stopped = true
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	return p.wait()
+}
+
+// wait returns the exit code, or kills the process and returns -1 where it does
+// not stop in time.
+func (p *process) wait() int {
+	select {
+	case <-p.done:
+		return p.command.ProcessState.ExitCode()
+	case <-time.After(stopLimit):
+		_ = p.command.Process.Kill()
+		<-p.done
+		return -1
+	}
+}
+
+// stopAll stops what still runs, daemons first. Each must have run until now
+// and stop by itself.
+func (h *harness) stopAll() {
+	h.caller.Close()
+	var daemons, targets []string
+	for _, i := range h.Instances {
+		daemons = append(daemons, i.Name)
+		targets = append(targets, targetOf(i.Name))
+	}
+	h.stopTogether(daemons)
+	h.stopTogether(targets)
+	if h.t.Failed() {
+		h.showLogs()
+	}
+}
+
+func (h *harness) stopTogether(names []string) {
+	var stopping []string
+	for _, name := range names {
+		p, started := h.processes[name]
+		if !started || p.stopped {
+			continue
+		}
+		select {
+		case <-p.done:
+			h.t.Errorf("%s ended by itself: %v", name, p.command.ProcessState)
+			continue
+		default:
+		}
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Signal(syscall.SIGTERM)
+		stopping = append(stopping, name)
+	}
+	for _, name := range stopping {
+		if code := h.processes[name].wait(); code != 0 {
+			h.t.Errorf("%s stopped with exit code %d", name, code)
+		}
+	}
+}
+
+func (h *harness) showLogs() {
+	for name := range h.processes {
+		text, err := os.ReadFile(h.File(name + ".log"))
+		if err != nil || len(bytes.TrimSpace(text)) == 0 {
+			continue
+		}
+		h.t.Logf("log of %s:\n%s", name, text[max(0, len(text)-logTail):])
+	}
+}
+
+// do sends one call and fails the test where there is no answer.
+func (h *harness) do(call system.Call) system.Answer {
+	h.t.Helper()
+	answer, err := h.caller.Do(call)
+	must.NoError(h.t, err)
+	return answer
+}
+
+// settleLimit bounds how long the system may take to settle after a failure.
+const settleLimit = 20 * time.Second
+
+var errNoLeader = errors.New("no replica leads the configuration group")
+
+// leader returns the name of the instance that leads the configuration group.
+func (h *harness) leader() string {
+	h.t.Helper()
+	var name string
+	must.NoError(h.t, system.Await(settleLimit, func() error {
+		status, err := h.Status()
+		if err != nil {
+			return err
+		}
+		if name = h.leaderIn(status); name == "" {
+			return errNoLeader
+		}
+		return nil
+	}))
+	return name
+}
+
+// leaderIn returns the leader of the first group, which is the configuration.
+func (h *harness) leaderIn(status system.Status) string {
+	for _, replica := range status.Replicas {
+		if len(replica.Groups) > 0 && replica.Groups[0].Role == "leader" {
+			return h.byControl(replica.Address)
+		}
+	}
+	return ""
+}
+
+func (h *harness) byControl(address string) string {
+	for _, i := range h.Instances {
+		if i.Control == address {
+			return i.Name
+		}
+	}
+	return ""
+}
--- a/e2e/system/layout.go
+++ b/e2e/system/layout.go
@@ -27,6 +27,8 @@
 	Ingress, Peer, Control, Egress, Announce, Operators string
 	// Target is where the stand-in serves, Admin where it shows its record.
 	Target, Admin string
+	// AdvertisedPeer is the peer address as others use it, where it differs.
+	AdvertisedPeer string
 }
 
 // Layout is a whole system on loopback: addresses, files and commands.
@@ -106,11 +108,11 @@
 	return addresses
 }
 
-// Instance returns the instance with this name.
-func (l *Layout) Instance(name string) Instance {
-	for _, i := range l.Instances {
-		if i.Name == name {
-			return i
+// Instance returns the instance with this name. It panics where there is none.
+func (l *Layout) Instance(name string) *Instance {
+	for i := range l.Instances {
+		if l.Instances[i].Name == name {
+			return &l.Instances[i]
 		}
 	}
 	panic("no instance " + name)
@@ -163,6 +165,9 @@
 		line("control: {enabled: true}")
 		line("data: data-%s", i.Name)
 	}
+	if i.AdvertisedPeer != "" {
+		line("advertise: {peer: %s}", i.AdvertisedPeer)
+	}
 	line("replicas: [%s]", strings.Join(l.Replicas(), ", "))
 	line("log: {format: json, level: info}")
 	return os.WriteFile(l.settingsFile(i), []byte(b.String()), fileMode)
--- a/internal/operate/control.go
+++ b/internal/operate/control.go
@@ -13,6 +13,8 @@
 	// attemptTimeout bounds one call to one replica, so that a silent replica
 	// costs little of the command's time.
 	attemptTimeout = 3 * time.Second
+	// membershipTimeout bounds one change of members, catching up included.
+	membershipTimeout = 30 * time.Second
 	// roundPause is the wait after no replica has taken a call.
 	roundPause = 200 * time.Millisecond
 )
@@ -38,13 +40,18 @@
 // it, or ctx ends. The call must be safe to repeat. lost reports whether an
 // attempt before the last ended with an unknown outcome.
 func (c *Control) ask(ctx context.Context, method string, params, reply any) (lost bool, err error) {
+	return c.askWithin(ctx, attemptTimeout, method, params, reply)
+}
+
+// askWithin is ask with the given bound of one attempt.
+func (c *Control) askWithin(ctx context.Context, limit time.Duration, method string, params, reply any) (lost bool, err error) {
 	if len(c.replicas) == 0 {
 		return false, fault.New(fault.BadRequest, "no control replica is named")
 	}
 	for {
 		unfounded := 0
 		for _, address := range c.replicas {
-			err = c.callOne(ctx, address, method, params, reply)
+			err = c.callOne(ctx, limit, address, method, params, reply)
 			if !passesOn(err) {
 				return lost, err
 			}
@@ -61,8 +68,8 @@
 	}
 }
 
-func (c *Control) callOne(ctx context.Context, address, method string, params, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+func (c *Control) callOne(ctx context.Context, limit time.Duration, address, method string, params, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return c.caller.Call(ctx, address, method, params, reply)
 }
--- a/internal/operate/members.go
+++ b/internal/operate/members.go
@@ -16,12 +16,12 @@
 
 // Admit adds the replica at address and returns once it votes.
 func (c *Control) Admit(ctx context.Context, address string) error {
-	_, err := c.ask(ctx, protocol.MethodAdmit, protocol.AdmitRequest{Address: address}, &protocol.Empty{})
+	_, err := c.askWithin(ctx, membershipTimeout, protocol.MethodAdmit, protocol.AdmitRequest{Address: address}, &protocol.Empty{})
 	return err
 }
 
 // Remove takes the replica with this id out of the groups.
 func (c *Control) Remove(ctx context.Context, id string) error {
-	_, err := c.ask(ctx, protocol.MethodRemove, protocol.RemoveRequest{ID: id}, &protocol.Empty{})
+	_, err := c.askWithin(ctx, membershipTimeout, protocol.MethodRemove, protocol.RemoveRequest{ID: id}, &protocol.Empty{})
 	return err
 }
--- a/internal/operate/status.go
+++ b/internal/operate/status.go
@@ -41,7 +41,7 @@
 	var group sync.WaitGroup
 	for i, address := range c.replicas {
 		group.Go(func() {
-			errs[i] = c.callOne(ctx, address, protocol.MethodStatus, protocol.Empty{}, &replies[i])
+			errs[i] = c.callOne(ctx, attemptTimeout, address, protocol.MethodStatus, protocol.Empty{}, &replies[i])
 		})
 	}
 	group.Wait()
