JSON-RPC links: no library log lines when a link closes

Cause: the library writes 'protocol error' to standard error whenever a link is closed at shutdown; operators read it as a fault. Ruled out: waiting for the reader before closing; the line is logged anyway. Change: links drop those lines; callers learn of a closed link as an error.

--- a/internal/connection/rpc/client.go
+++ b/internal/connection/rpc/client.go
@@ -33,7 +33,7 @@
 func newClient(conn net.Conn) *Client {
 	stream := jsonrpc2.NewBufferedStream(deadlineConn{conn}, frameCodec{})
 	refuse := jsonrpc2.HandlerWithError(refuseCalls)
-	return &Client{conn: jsonrpc2.NewConn(context.Background(), stream, refuse)}
+	return &Client{conn: jsonrpc2.NewConn(context.Background(), stream, refuse, jsonrpc2.SetLogger(quiet{}))}
 }
 
 // refuseCalls answers requests on the client's end of a link, which serves none.
--- a/internal/connection/rpc/link.go
+++ b/internal/connection/rpc/link.go
@@ -35,3 +35,10 @@
 	}
 	return c.Conn.Write(b)
 }
+
+// quiet drops what the JSON-RPC library logs of links that close; the callers
+// learn of it as errors.
+type quiet struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (quiet) Printf(string, ...any) {}
--- a/internal/connection/rpc/server.go
+++ b/internal/connection/rpc/server.go
@@ -124,7 +124,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stream := jsonrpc2.NewBufferedStream(deadlineConn{link}, frameCodec{})
-	rpc := jsonrpc2.NewConn(ctx, stream, &linkHandler{server: s, peer: peer, running: make(chan struct{}, maxCallsPerLink)})
+	rpc := jsonrpc2.NewConn(ctx, stream, &linkHandler{server: s, peer: peer, running: make(chan struct{}, maxCallsPerLink)}, jsonrpc2.SetLogger(quiet{}))
 	<-rpc.DisconnectNotify()
 }
 
