Quota asks are paced by their size, so that a daemon stays under 4 KB/s

Cause: counted on a real link with TLS, a renewal takes 737 B and an ask for 16 teams 1,438 B; at the 5 asks a second that a holder may send that made 7,929 B/s, above the limit of 4,096 B/s (the test failed first with this).

Ruled out: fewer asks for all daemons alike; an ask for one team takes 352 B and is the one that a small team waits for.

Change: an ask takes up 160 ms plus 40 ms for each team in it.

TCP and IP headers are not in the count. TestControlBytesOfADaemon holds it to the limit.

--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"path/filepath"
 	"sync"
@@ -234,3 +235,18 @@
 	d.mu.Unlock()
 	d.loop.Kick()
 }
+
+// callRole calls a method of a role as an operator, without a network.
+func callRole(role *control.Role, method string, params any) error {
+	encoded, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	_, err = role.Handlers()[method](context.Background(), mesh.Peer{Name: operatorName, Role: mesh.Operator}, encoded)
+	return err
+}
+
+func applyAt(t *testing.T, role *control.Role, text string) {
+	t.Helper()
+	must.NoError(t, callRole(role, protocol.MethodApply, protocol.ApplyRequest{Note: []byte(text)}))
+}
--- a/internal/process/quota/holder.go
+++ b/internal/process/quota/holder.go
@@ -12,10 +12,14 @@
 )
 
 const (
-	// asksPerSecond bounds asks beside the renewals, over all teams.
-	asksPerSecond = 5
-	// askBurst is the number of asks that may follow each other at once.
-	askBurst = 5
+	// askInterval and askTeamInterval are the time that one ask beside the
+	// renewals takes up, and each team in it, so that the asks of a daemon
+	// stay within the bytes that it may send.
+	askInterval     = 160 * time.Millisecond
+	askTeamInterval = 40 * time.Millisecond
+	// askAhead is how much of that time asks may use in advance, so that a few
+	// can follow each other at once.
+	askAhead = 1 * time.Second
 	// maxWait is how long a request waits for tokens before it is refused.
 	maxWait = 500 * time.Millisecond
 	// recheck is how often a waiting request looks whether an ask is due.
@@ -122,8 +126,7 @@
 
 // Run sends asks between renewals until ctx ends.
 func (h *Holder) Run(ctx context.Context) error {
-	interval := time.Second / asksPerSecond
-	next := h.now().Add(-askBurst * interval)
+	next := h.now().Add(-askAhead)
 	for {
 		select {
 		case <-ctx.Done():
@@ -131,18 +134,29 @@
 		case <-h.due:
 		}
 		now := h.now()
-		if earliest := now.Add(-(askBurst - 1) * interval); next.Before(earliest) {
+		if earliest := now.Add(-askAhead); next.Before(earliest) {
 			next = earliest
 		}
 		if !sleep(ctx, next.Sub(now)) {
 			return nil
 		}
-		if h.askOnce(ctx) {
-			next = next.Add(interval)
+		if teams := h.askOnce(ctx); teams > 0 {
+			next = next.Add(askCost(teams))
 		}
 	}
 }
 
+// askCost returns the time that an ask for this number of teams takes up.
+func askCost(teams int) time.Duration {
+	return askInterval + time.Duration(teams)*askTeamInterval
+}
+
+// AskRate returns the most asks for this number of teams that a holder sends
+// beside the renewals, a second.
+func AskRate(teams int) float64 {
+	return float64(time.Second) / float64(askCost(teams))
+}
+
 // sleep waits for d; it returns false where ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
@@ -158,13 +172,13 @@
 	}
 }
 
-// askOnce asks for every team that is low; it returns false where none is.
-func (h *Holder) askOnce(ctx context.Context) bool {
+// askOnce asks for every team that is low, and returns how many those are.
+func (h *Holder) askOnce(ctx context.Context) int {
 	asks := h.collect(h.now(), func(p *purse, now time.Time) bool {
 		return p.low(now) && !p.paused(now)
 	})
 	if len(asks) == 0 {
-		return false
+		return 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -178,7 +192,7 @@
 		p.fail(a.Sequence)
 		p.mu.Unlock()
 	}
-	return true
+	return len(asks)
 }
 
 // Wants returns the asks that the next renewal carries: what is missing, and
