--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -81,6 +81,8 @@
 	// Want is the number of tokens the holder expects to need until the next
 	// renewal.
 	Want int `json:"w"`
+	// Waiting is the number of requests that wait for one of them now.
+	Waiting int `json:"n,omitempty"`
 	// Sequence rises with each ask of one holder, so that a repeated or delayed
 	// ask is granted once.
 	Sequence uint64 `json:"q"`
--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -15,6 +15,9 @@
 
 const (
 	oneToken amount = 1e12
+	// reservePart is the part of the burst that only waiting requests get: one
+	// part in this many.
+	reservePart = 8
 	// rateUnits is the number of rate units in one request a second.
 	rateUnits = 1000
 )
@@ -176,11 +179,22 @@
 	return closed
 }
 
-// grant hands out up to want tokens until expires.
-func (b *bucket) grant(holder string, want int, expires time.Time) int {
-	n := min(want, int(b.level/oneToken))
-	if n <= 0 {
-		return 0
+// grant hands out tokens until expires: for waiting requests as long as there
+// are any, for those to come only above the reserve. full is false where
+// requests go without.
+func (b *bucket) grant(holder string, ask protocol.QuotaAsk, expires time.Time) (n int, full bool) {
+	free := int(b.level / oneToken)
+	waiting := min(ask.Waiting, ask.Want)
+	n = min(waiting, free)
+	spare := free - n - int(b.burst/oneToken)/reservePart
+	n += max(0, min(ask.Want-waiting, spare))
+	b.hand(holder, n, expires)
+	return n, n >= waiting
+}
+
+func (b *bucket) hand(holder string, n int, expires time.Time) {
+	if n == 0 {
+		return
 	}
 	b.level -= amount(n) * oneToken
 	b.out += amount(n) * oneToken
@@ -188,5 +202,4 @@
 	h := b.holders[holder]
 	h.grants = append(h.grants, g)
 	b.issued = append(b.issued, g)
-	return n
 }
--- a/internal/process/quota/holder.go
+++ b/internal/process/quota/holder.go
@@ -18,8 +18,10 @@
 	askInterval     = 160 * time.Millisecond
 	askTeamInterval = 40 * time.Millisecond
 	// askAhead is how much of that time asks may use in advance, so that a few
-	// can follow each other at once.
+	// can follow each other at once, and askKept the part of it that is kept
+	// for requests that wait.
 	askAhead = 1 * time.Second
+	askKept  = 400 * time.Millisecond
 	// maxWait is how long a request waits for tokens before it is refused.
 	maxWait = 500 * time.Millisecond
 	// recheck is how often a waiting request looks whether an ask is due.
@@ -36,7 +38,8 @@
 type Holder struct {
 	now    func() time.Time
 	ask    AskFunc
-	due    chan struct{}
+	urgent chan struct{}
+	low    chan struct{}
 	shards [holderShards]holderShard
 }
 
@@ -48,7 +51,7 @@
 // NewHolder returns a holder without tokens. now must be monotonic, such as
 // time.Now.
 func NewHolder(now func() time.Time, ask AskFunc) *Holder {
-	h := &Holder{now: now, ask: ask, due: make(chan struct{}, 1)}
+	h := &Holder{now: now, ask: ask, urgent: make(chan struct{}, 1), low: make(chan struct{}, 1)}
 	for i := range h.shards {
 		h.shards[i].purses = make(map[string]*purse)
 	}
@@ -69,7 +72,7 @@
 	p.mu.Unlock()
 	if ok {
 		if low {
-			h.kick()
+			signal(h.low)
 		}
 		return nil
 	}
@@ -81,27 +84,30 @@
 func (h *Holder) wait(ctx context.Context, p *purse) error {
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
+	began := h.now()
 	p.addWaiting(1)
 	defer p.addWaiting(-1)
 	for ctx.Err() == nil {
-		changed, done, err := h.attempt(p)
+		changed, done, err := h.attempt(p, began)
 		if done {
 			return err
 		}
-		h.kick()
+		signal(h.urgent)
 		pause(ctx, changed)
 	}
 	return fault.New(fault.QuotaUnavailable, "no token of team %s could be had in time", p.team)
 }
 
-func (h *Holder) attempt(p *purse) (changed <-chan struct{}, done bool, err error) {
+// attempt spends a token, or refuses where the team is at its limit and the
+// request has waited long enough or too many wait.
+func (h *Holder) attempt(p *purse, began time.Time) (changed <-chan struct{}, done bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := h.now()
 	if p.spend(now) {
 		return nil, true, nil
 	}
-	if p.paused(now) {
+	if p.paused(now) && (now.Sub(began) >= patience || p.waiting > patient) {
 		return nil, true, fault.New(fault.QuotaExceeded, "team %s is at its limit", p.team)
 	}
 	return p.changed, false, nil
@@ -117,27 +123,27 @@
 	}
 }
 
-func (h *Holder) kick() {
+func signal(c chan<- struct{}) {
 	select {
-	case h.due <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
-// Run sends asks between renewals until ctx ends.
+// Run sends asks between renewals until ctx ends. Asks for requests that wait
+// go first: those for requests to come leave them some of the allowance.
 func (h *Holder) Run(ctx context.Context) error {
 	next := h.now().Add(-askAhead)
 	for {
-		select {
-		case <-ctx.Done():
+		urgent, ok := h.awaitDue(ctx, next)
+		if !ok {
 			return nil
-		case <-h.due:
 		}
 		now := h.now()
 		if earliest := now.Add(-askAhead); next.Before(earliest) {
 			next = earliest
 		}
-		if !sleep(ctx, next.Sub(now)) {
+		if urgent && !sleep(ctx, next.Sub(now)) {
 			return nil
 		}
 		if teams := h.askOnce(ctx); teams > 0 {
@@ -146,6 +152,29 @@
 	}
 }
 
+// awaitDue returns when an ask is due: at once where a request waits, else as
+// soon as the allowance has more than its kept part. It returns false where ctx
+// ended.
+func (h *Holder) awaitDue(ctx context.Context, next time.Time) (urgent, ok bool) {
+	select {
+	case <-ctx.Done():
+		return false, false
+	case <-h.urgent:
+		return true, true
+	case <-h.low:
+	}
+	t := time.NewTimer(next.Add(askKept).Sub(h.now()))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false, false
+	case <-h.urgent:
+		return true, true
+	case <-t.C:
+		return false, true
+	}
+}
+
 // askCost returns the time that an ask for this number of teams takes up.
 func askCost(teams int) time.Duration {
 	return askInterval + time.Duration(teams)*askTeamInterval
--- a/internal/process/quota/issuer.go
+++ b/internal/process/quota/issuer.go
@@ -123,6 +123,6 @@
 	// A caller that was held up may pass a time before b.last; the tokens then
 	// live from the later one.
 	expires := b.last.Add(life)
-	tokens = b.grant(holder, ask.Want, expires)
-	return tokens, tokens < ask.Want
+	tokens, full := b.grant(holder, ask, expires)
+	return tokens, !full
 }
--- a/internal/process/quota/purse.go
+++ b/internal/process/quota/purse.go
@@ -9,15 +9,25 @@
 )
 
 const (
-	// demandWindow is the time over which the demand for tokens is averaged.
+	// demandWindow and surgeWindow are the times over which the demand for
+	// tokens is averaged; the higher average counts.
 	demandWindow = time.Second
+	surgeWindow  = 100 * time.Millisecond
 	// horizon is the time for which a holder wants to hold tokens.
-	horizon = 500 * time.Millisecond
+	horizon = 400 * time.Millisecond
 	// askTimeout is how long an ask may take before another one replaces it.
 	askTimeout = 500 * time.Millisecond
-	// finalPause is how long a holder refuses without asking after the issuer
-	// said that the team is at its limit.
+	// leanPause is how long a holder asks only for waiting requests after the
+	// issuer had no tokens to spare.
+	leanPause = time.Second
+	// finalPause is the time without an ask after the issuer said that the team
+	// is at its limit.
 	finalPause = 50 * time.Millisecond
+	// patience is how long a request waits although the team is at its limit,
+	// and patient how many requests of a team do so on one daemon: tokens that
+	// others give back, or the refill, may still serve a few.
+	patience = 150 * time.Millisecond
+	patient  = 4
 )
 
 // purse holds the tokens of one team on one daemon.
@@ -33,13 +43,17 @@
 	asked time.Time
 	// refused is when the issuer last said that the team is at its limit.
 	refused time.Time
+	// wanted is what the last ask wanted, lean when an answer last gave less.
+	wanted  int
+	lean    time.Time
 	waiting int
 	// changed is closed and replaced when an ask is settled.
 	changed chan struct{}
 
-	// demand is the averaged number of takes a second, brought up to date at
+	// demand and surge are averages of takes a second, brought up to date at
 	// counted.
 	demand  float64
+	surge   float64
 	counted time.Time
 }
 
@@ -57,6 +71,7 @@
 func (p *purse) count(now time.Time) {
 	p.decay(now)
 	p.demand += 1 / demandWindow.Seconds()
+	p.surge += 1 / surgeWindow.Seconds()
 }
 
 func (p *purse) decay(now time.Time) {
@@ -65,6 +80,7 @@
 		return
 	}
 	p.demand *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+	p.surge *= math.Exp(-elapsed.Seconds() / surgeWindow.Seconds())
 	p.counted = now
 }
 
@@ -101,16 +117,24 @@
 	return n
 }
 
-// target is the number of tokens that fit the demand.
+// target is the number of tokens that fit the demand. One take alone is no
+// surge.
 func (p *purse) target(now time.Time) int {
 	p.decay(now)
-	return p.waiting + int(math.Round(p.demand*horizon.Seconds()))
+	rate := max(p.demand, p.surge-1/surgeWindow.Seconds())
+	return p.waiting + int(math.Ceil(rate*horizon.Seconds()-0.1))
 }
 
-// low reports whether tokens should be asked for before the next renewal.
+// low reports whether tokens should be asked for before the next renewal: for
+// requests that wait, and for those to come unless the issuer has just said
+// that it has none to spare.
 func (p *purse) low(now time.Time) bool {
 	p.drop(now)
-	return p.left() < (p.target(now)+1)/2
+	target := p.target(now)
+	if target <= 4 || !p.lean.IsZero() && now.Sub(p.lean) < leanPause {
+		return p.left() < p.waiting
+	}
+	return p.left() < (target+1)/2
 }
 
 // paused reports whether the issuer said a moment ago that the team is at its
@@ -125,14 +149,14 @@
 }
 
 // begin makes the next ask where there is something to ask for or to report.
-// It gives back tokens above twice the target.
+// It gives back tokens that exceed the target by more than a quarter.
 func (p *purse) begin(now time.Time) (protocol.QuotaAsk, bool) {
 	if p.inFlight(now) {
 		return protocol.QuotaAsk{}, false
 	}
 	p.drop(now)
 	target := p.target(now)
-	surplus := p.trim(2*target + 1)
+	surplus := p.trim(target + target/4 + 1)
 	want := max(target-p.left(), 0)
 	if want == 0 && !surplus && p.spent == p.reported {
 		return protocol.QuotaAsk{}, false
@@ -140,9 +164,11 @@
 	p.sequence++
 	p.asked = now
 	p.reported = p.spent
+	p.wanted = want
 	ask := protocol.QuotaAsk{
 		Team:     p.team,
 		Want:     want,
+		Waiting:  p.waiting,
 		Sequence: p.sequence,
 		Spent:    p.spent,
 		Left:     p.left(),
@@ -180,6 +206,10 @@
 	if grant.Tokens > 0 {
 		p.batches = append(p.batches, batch{tokens: grant.Tokens, expires: from.Add(grant.Life)})
 	}
+	p.lean = time.Time{}
+	if grant.Tokens < p.wanted {
+		p.lean = now
+	}
 	p.refused = time.Time{}
 	if grant.Final {
 		p.refused = now
