Capacity: slopes of state, renewals and ledger commands

Cause: the size to design for (1,500 daemons, 140,000 calls a second) has limits for CPU, memory and bytes, and no figure yet says what a role takes.

Change: `make capacity` measures heap at three sizes and fits a line, CPU of renewals over TLS against 3 replicas, and ledger commands with synced writes.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -s -d '|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
-.PHONY: build test test-race test-e2e demo up down lint fmt clean
+.PHONY: build test test-race test-e2e demo up down capacity lint fmt clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/... ./e2e/cmd/...
@@ -35,6 +35,10 @@
 down:
 	@e2e/demo/down.sh
 
+# capacity measures how each role grows, for docs/CAPACITY.md.
+capacity:
+	$(GO) run github.com/teaselrack/teaselrack/bench/cmd/capacity
+
 fmt:
 	@bad="$$(gofmt -l $$(git ls-files '*.go'))"; if [ -n "$$bad" ]; then echo "not formatted:"; echo "$$bad"; exit 1; fi
 
--- /dev/null
+++ b/bench/cmd/capacity/links.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/connection/rpc"
+	"github.com/teaselrack/teaselrack/internal/process/control"
+)
+
+type nothing struct{}
+
+func (nothing) Record(protocol.Event) {}
+
+// group is a group of control replicas on loopback, with a mesh of its own.
+type group struct {
+	folder    string
+	ca        mesh.Pair
+	addresses []string
+	roles     []*control.Role
+	stop      []func()
+}
+
+func newGroup(size int) (*group, error) {
+	folder, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return nil, err
+	}
+	ca, err := mesh.NewAuthority("capacity", time.Now())
+	if err != nil {
+		return nil, err
+	}
+	g := &group{folder: folder, ca: ca}
+	listeners := make([]net.Listener, size)
+	for i := range listeners {
+		if listeners[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return nil, err
+		}
+		g.addresses = append(g.addresses, listeners[i].Addr().String())
+	}
+	for i, ln := range listeners {
+		if err := g.start(i, ln); err != nil {
+			return nil, err
+		}
+	}
+	return g, g.found()
+}
+
+func (g *group) start(i int, ln net.Listener) error {
+	id, err := g.identity(fmt.Sprintf("replica-%d", i), mesh.Replica)
+	if err != nil {
+		return err
+	}
+	pool := rpc.NewPool(id)
+	role, err := control.NewRole(control.RoleOptions{
+		Folder: filepath.Join(g.folder, fmt.Sprint(i)), Address: g.addresses[i], Replicas: g.addresses,
+		LedgerShards: 1, Caller: pool, Recorder: nothing{}, Log: zap.NewNop(),
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server := rpc.NewServer(id, role.Handlers(), zap.NewNop())
+	ended := make(chan struct{}, 2)
+	go func() { _ = role.Run(ctx); ended <- struct{}{} }()
+	go func() { _ = server.Run(ln); ended <- struct{}{} }()
+	g.roles = append(g.roles, role)
+	g.stop = append(g.stop, func() {
+		_ = server.Close()
+		cancel()
+		<-ended
+		<-ended
+		_ = role.Close()
+		_ = pool.Close()
+	})
+	return nil
+}
+
+func (g *group) found() error {
+	pool, err := g.pool("operator", mesh.Operator)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = pool.Close() }()
+	ctx := context.Background()
+	if err := pool.Call(ctx, g.addresses[0], protocol.MethodFound, protocol.FoundRequest{}, &protocol.FoundReply{}); err != nil {
+		return err
+	}
+	for _, address := range g.addresses[1:] {
+		if err := pool.Call(ctx, g.addresses[0], protocol.MethodAdmit, protocol.AdmitRequest{Address: address}, &protocol.Empty{}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *group) identity(name string, role mesh.Role) (*mesh.Identity, error) {
+	pair, err := g.ca.Issue(name, role, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	return mesh.NewIdentity(g.ca.Certificate, pair)
+}
+
+func (g *group) pool(name string, role mesh.Role) (*rpc.Pool, error) {
+	id, err := g.identity(name, role)
+	if err != nil {
+		return nil, err
+	}
+	return rpc.NewPool(id), nil
+}
+
+func (g *group) close() {
+	for _, stop := range g.stop {
+		stop()
+	}
+	_ = os.RemoveAll(g.folder)
+}
+
+// renewals is what renewals of many daemons cost, both ends together.
+type renewals struct {
+	cpuEach time.Duration
+	heap    slope
+}
+
+// measureRenewals lets daemons renew over links of their own, one call after
+// the other.
+func measureRenewals(g *group, rounds int) (renewals, error) {
+	var pools []*rpc.Pool
+	defer func() {
+		for _, p := range pools {
+			_ = p.Close()
+		}
+	}()
+	var samples []sample
+	base := heap()
+	for _, size := range []int{50, 100, 200} {
+		for len(pools) < size {
+			p, err := g.pool(record(len(pools)).Instance, mesh.Daemon)
+			if err != nil {
+				return renewals{}, err
+			}
+			pools = append(pools, p)
+			if err := renewOn(g, p, len(pools)-1); err != nil {
+				return renewals{}, err
+			}
+		}
+		samples = append(samples, sample{size, heap() - base})
+	}
+	idle := idleCPU()
+	before, began := cpu(), time.Now()
+	for range rounds {
+		for i, p := range pools {
+			if err := renewOn(g, p, i); err != nil {
+				return renewals{}, err
+			}
+		}
+	}
+	used := cpu() - before - time.Duration(idle*float64(time.Since(began)))
+	return renewals{cpuEach: used / time.Duration(rounds*len(pools)), heap: fit(samples)}, nil
+}
+
+func renewOn(g *group, p *rpc.Pool, i int) error {
+	request := renewal(i)
+	for s := range subscribedServices {
+		request.Subscriptions = append(request.Subscriptions, fmt.Sprintf("service-%03d", s))
+	}
+	var reply protocol.RenewReply
+	return p.Call(context.Background(), g.addresses[i%len(g.addresses)], protocol.MethodRenew, request, &reply)
+}
+
+const (
+	subscribedServices = 12
+	idleTime           = 2 * time.Second
+)
+
+// idleCPU returns the processor time that this process uses while nothing is
+// asked of it, in parts of a core.
+func idleCPU() float64 {
+	before := cpu()
+	time.Sleep(idleTime)
+	return float64(cpu()-before) / float64(idleTime)
+}
+
+// commands is what ledger commands cost, all replicas together.
+type commands struct {
+	cpuEach   time.Duration
+	perSecond float64
+}
+
+// measureCommands sends ledger commands from several callers at once, so that
+// they share syncs.
+func measureCommands(g *group, callers, each int) (commands, error) {
+	p, err := g.pool("daemon-0000", mesh.Daemon)
+	if err != nil {
+		return commands{}, err
+	}
+	defer func() { _ = p.Close() }()
+	idle := idleCPU()
+	before, began := cpu(), time.Now()
+	errs := make(chan error, callers)
+	for c := range callers {
+		go func() {
+			for i := range each {
+				call := protocol.OnceCall{Request: onceClaim(c*each + i)}
+				if err := p.Call(context.Background(), g.addresses[0], protocol.MethodOnce, call, &protocol.OnceReply{}); err != nil {
+					errs <- err
+					return
+				}
+			}
+			errs <- nil
+		}()
+	}
+	for range callers {
+		if err := <-errs; err != nil {
+			return commands{}, err
+		}
+	}
+	took := time.Since(began)
+	used := cpu() - before - time.Duration(idle*float64(took))
+	total := callers * each
+	return commands{cpuEach: used / time.Duration(total), perSecond: float64(total) / took.Seconds()}, nil
+}
--- /dev/null
+++ b/bench/cmd/capacity/state.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/process/ledger"
+	"github.com/teaselrack/teaselrack/internal/process/quota"
+	"github.com/teaselrack/teaselrack/internal/process/registry"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// configuration returns the heap of a State with this many teams, each with a
+// key and a route.
+func configuration() slope {
+	return heapSlope([]int{200, 800, 3200}, func(size int) any {
+		var e version.Entries
+		for i := range size {
+			name := fmt.Sprintf("team-%05d", i)
+			e.Teams = append(e.Teams, version.Team{Name: name, Rate: 10, Burst: 20, Weight: 1})
+			e.Keys = append(e.Keys, version.Key{Team: name, Hash: version.HashKey(name)})
+			e.Routes = append(e.Routes, version.Route{Name: name, Path: "/" + name, Service: name, Importance: version.Normal, Mode: version.Idempotent, Access: version.Keyed, Timeout: time.Second})
+		}
+		state, err := version.Initial().Apply(&version.Note{Number: 1, Added: e})
+		if err != nil {
+			panic(err)
+		}
+		return state
+	})
+}
+
+func record(i int) protocol.TargetRecord {
+	return protocol.TargetRecord{
+		Service:       fmt.Sprintf("service-%03d", i%services),
+		Instance:      fmt.Sprintf("daemon-%04d", i),
+		PeerAddress:   fmt.Sprintf("10.1.%d.%d:8101", i/250, i%250),
+		FailureDomain: fmt.Sprintf("domain-%d", i%4),
+		State:         protocol.Warm,
+		Slots:         100,
+	}
+}
+
+// table returns the heap of a daemon's table of targets.
+func table() slope {
+	return heapSlope([]int{100, 400, 1600}, func(size int) any {
+		t := registry.NewTable(time.Now)
+		delta := &protocol.RegistryDelta{Epoch: "e", Version: 1, Full: true}
+		for i := range size {
+			delta.Upserts = append(delta.Upserts, record(i))
+		}
+		t.Apply(delta)
+		return t
+	})
+}
+
+func renewal(i int) protocol.RenewRequest {
+	r := record(i)
+	return protocol.RenewRequest{
+		Instance: r.Instance, Session: fmt.Sprintf("%032d", i), PeerAddress: r.PeerAddress, FailureDomain: r.FailureDomain,
+		Targets: []protocol.Announcement{{Service: r.Service, Address: "127.0.0.1:9000", Incarnation: fmt.Sprintf("%032d", i), Slots: 100, Connections: 900, State: protocol.Warm}},
+	}
+}
+
+// registryHeap returns the heap of a replica's registry by daemons.
+func registryHeap() slope {
+	return heapSlope([]int{250, 1000, 4000}, func(size int) any {
+		r := registry.New("e")
+		for i := range size {
+			r.Renew(time.Now(), renewal(i))
+		}
+		return r
+	})
+}
+
+func onceClaim(i int) protocol.OnceRequest {
+	return protocol.OnceRequest{
+		Operation: protocol.OnceClaim,
+		Key:       protocol.OnceKey{Team: "team-00001", Service: "service-001", Key: fmt.Sprintf("%036d", i)},
+		Attempt:   fmt.Sprintf("%032d", i),
+		Digest:    fmt.Sprintf("%064d", i),
+	}
+}
+
+func apply(m *ledger.Machine, now time.Duration, request protocol.OnceRequest) {
+	command, err := ledger.EncodeCommand(now, request)
+	if err != nil {
+		panic(err)
+	}
+	m.Apply(0, command)
+}
+
+// fillLedger claims and completes size keys, each with a small answer.
+func fillLedger(size int) *ledger.Machine {
+	m := ledger.NewMachine(ledger.DefaultLimits())
+	for i := range size {
+		request := onceClaim(i)
+		apply(m, time.Duration(i), request)
+		request.Operation = protocol.OnceComplete
+		request.Answer = &protocol.StoredAnswer{Status: 200, Header: map[string][]string{"Content-Type": {"application/json"}}, Body: make([]byte, answerBytes)}
+		apply(m, time.Duration(i), request)
+	}
+	return m
+}
+
+// answerBytes is the body of a stored answer in these measurements.
+const answerBytes = 200
+
+// ledgerHeap returns the heap of a ledger shard by records.
+func ledgerHeap() slope {
+	return heapSlope([]int{5000, 20000, 80000}, func(size int) any { return fillLedger(size) })
+}
+
+// ledgerSnapshot returns the size of a shard's snapshot by records.
+func ledgerSnapshot() slope {
+	var samples []sample
+	for _, size := range []int{5000, 20000} {
+		b, err := fillLedger(size).Snapshot()
+		if err != nil {
+			panic(err)
+		}
+		samples = append(samples, sample{size, float64(len(b))})
+	}
+	return fit(samples)
+}
+
+// issuerHeap returns the heap of the quota issuer by pairs of team and holder.
+func issuerHeap() slope {
+	return heapSlope([]int{1000, 4000, 16000}, func(size int) any {
+		issuer := quota.NewIssuer()
+		grants(issuer, size)
+		return issuer
+	})
+}
+
+const teamsOfIssuer = 100
+
+func grants(issuer *quota.Issuer, size int) {
+	start := time.Unix(0, 0)
+	issuer.Reset(start)
+	now := start.Add(time.Minute)
+	for i := range size {
+		team := version.Team{Name: fmt.Sprintf("team-%05d", i%teamsOfIssuer), Rate: 1e5, Burst: 1e5}
+		issuer.Grant(now, fmt.Sprintf("daemon-%04d", i/teamsOfIssuer), protocol.QuotaAsk{Team: team.Name, Want: 10, Sequence: 1}, team)
+	}
+}
