--- a/internal/process/replica/engine.go
+++ b/internal/process/replica/engine.go
@@ -33,13 +33,13 @@
 // openEngine opens the store on disk. A store that finds damage gives up its
 // identity: the data are set aside and the replica starts as a new one.
 func openEngine(o Options, disk storage.Disk, rng *rand.Rand, now time.Duration) (*engine, error) {
-	store, err := storage.Open(disk, newID(rng))
+	store, err := storage.Open(disk, o.storage(rng))
 	if fault.Is(err, fault.Damaged) {
 		o.Logger.Error("stored data are damaged; this replica starts again as a new one", zap.String("group", o.Group), zap.Error(err))
 		if err := storage.SetAside(disk); err != nil {
 			return nil, err
 		}
-		store, err = storage.Open(disk, newID(rng))
+		store, err = storage.Open(disk, o.storage(rng))
 	}
 	if err != nil {
 		return nil, err
@@ -51,8 +51,8 @@
 	return e, nil
 }
 
-func newID(rng *rand.Rand) string {
-	return fmt.Sprintf("%016x", rng.Uint64())
+func (o Options) storage(rng *rand.Rand) storage.Options {
+	return storage.Options{NewID: fmt.Sprintf("%016x", rng.Uint64()), SegmentSize: o.SegmentSize}
 }
 
 func (e *engine) load(rng *rand.Rand, now time.Duration) error {
--- a/internal/process/replica/options.go
+++ b/internal/process/replica/options.go
@@ -48,6 +48,8 @@
 	// SnapshotEvery is the least number of entries between two snapshots.
 	// Default 1024.
 	SnapshotEvery uint64
+	// SegmentSize is the size of a file of the log, in bytes. Default 4 MiB.
+	SegmentSize int64
 }
 
 func (o *Options) setDefaults() {
--- a/internal/process/storage/replay.go
+++ b/internal/process/storage/replay.go
@@ -17,12 +17,13 @@
 }
 
 // add applies one frame: it extends the log, replaces a suffix, or restarts it.
+// A frame may also replace all that is left of a compacted log.
 func (r *replay) add(f frame) bool {
-	if len(f.entries) == 0 || !r.known {
+	if len(f.entries) == 0 || !r.known || f.before < r.base {
 		*r = replay{base: f.before, known: true, entries: f.entries}
 		return true
 	}
-	if f.before > r.last() || f.before < r.base {
+	if f.before > r.last() {
 		return false
 	}
 	r.entries = append(r.entries[:f.before-r.base], f.entries...)
--- a/internal/process/storage/store.go
+++ b/internal/process/storage/store.go
@@ -34,12 +34,23 @@
 	failed error
 }
 
-// Open reads the store on d. A folder without an identity gets the random id
-// newID. A torn end of the log is cut. Errors: Damaged where stored data fail
+// Options are the parameters of a Store.
+type Options struct {
+	// NewID is the random id that a folder without an identity gets.
+	NewID string
+	// SegmentSize is the size after which a new segment of the log is begun, in
+	// bytes. Default DefaultSegmentSize.
+	SegmentSize int64
+}
+
+// Open reads the store on d. A torn end of the log is cut. Errors: Damaged where stored data fail
 // their checksum before the end or are missing, StorageFailed.
-func Open(d Disk, newID string) (*Store, error) {
-	s := &Store{disk: d, segmentSize: DefaultSegmentSize}
-	if err := s.load(newID); err != nil {
+func Open(d Disk, o Options) (*Store, error) {
+	if o.SegmentSize == 0 {
+		o.SegmentSize = DefaultSegmentSize
+	}
+	s := &Store{disk: d, segmentSize: o.SegmentSize}
+	if err := s.load(o.NewID); err != nil {
 		return nil, err
 	}
 	return s, nil
