Hops: chain, key, refusal and cancellation tests over a network in memory

Cause: the hops had no tests of their own. Change: a small system of processes with fakes at the ports, all in virtual time. Covers a chain of three hops, the key in 14 places, 18 refusals with status, outcome and advice, and cancellation through three hops.

--- a/internal/connection/memnet/conn.go
+++ b/internal/connection/memnet/conn.go
@@ -22,7 +22,10 @@
 	return &Conn{in: a, out: b, address: address}, &Conn{in: b, out: a, address: address}
 }
 
-func (c *Conn) Read(b []byte) (int, error)  { return c.in.read(b) }
+// Read waits for data until the read deadline.
+func (c *Conn) Read(b []byte) (int, error) { return c.in.read(b) }
+
+// Write never waits.
 func (c *Conn) Write(b []byte) (int, error) { return c.out.write(b) }
 
 // Close ends the connection: the other end reads what was written, then EOF.
@@ -40,11 +43,23 @@
 	c.out.closeWrite(errReset)
 }
 
-func (c *Conn) LocalAddr() net.Addr                { return c.address }
-func (c *Conn) RemoteAddr() net.Addr               { return c.address }
-func (c *Conn) SetReadDeadline(t time.Time) error  { c.in.setDeadline(t); return nil }
-func (c *Conn) SetWriteDeadline(_ time.Time) error { return nil }
-func (c *Conn) SetDeadline(t time.Time) error      { return c.SetReadDeadline(t) }
+// LocalAddr returns the address that was dialed.
+func (c *Conn) LocalAddr() net.Addr { return c.address }
+
+// RemoteAddr returns the address that was dialed.
+func (c *Conn) RemoteAddr() net.Addr { return c.address }
+
+// SetDeadline sets the read deadline; writes never wait.
+func (c *Conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// SetWriteDeadline does nothing; writes never wait.
+func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
+
+// SetReadDeadline ends reads at t.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.in.setDeadline(t)
+	return nil
+}
 
 // stream carries data in one direction. Writes never block.
 type stream struct {
--- /dev/null
+++ b/internal/request/hop/fakes_test.go
@@ -0,0 +1,228 @@
+package hop
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// fakeConfiguration is shared by all processes of a test.
+type fakeConfiguration struct {
+	mu    sync.Mutex
+	state *version.State
+	stale bool
+}
+
+func (f *fakeConfiguration) Current() *version.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state
+}
+
+func (f *fakeConfiguration) Fresh() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stale {
+		return fault.New(fault.LeaseExpired, "the lease has expired")
+	}
+	return nil
+}
+
+func (f *fakeConfiguration) expire() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stale = true
+}
+
+// apply puts the next note in force.
+func (f *fakeConfiguration) apply(edit func(n *version.Note)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := &version.Note{Number: f.state.Number() + 1}
+	edit(n)
+	next, err := f.state.Apply(n)
+	if err != nil {
+		panic(err)
+	}
+	f.state = next
+}
+
+type fakeQuota struct{ err error }
+
+func (f *fakeQuota) Take(context.Context, string) error { return f.err }
+
+// fakePermits counts like the one of the root, for all processes of a test.
+type fakePermits struct {
+	mu   sync.Mutex
+	left map[string]int
+	took int
+}
+
+func (f *fakePermits) Open(id string, retries int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.left[id] = retries
+}
+
+func (f *fakePermits) Close(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.left, id)
+}
+
+func (f *fakePermits) Take(_ context.Context, e *envelope.Envelope) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.left[e.RequestID] == 0 {
+		return false
+	}
+	f.left[e.RequestID]--
+	f.took++
+	return true
+}
+
+// fakeRouter tries the targets of a service in turn.
+type fakeRouter struct {
+	mu      sync.Mutex
+	targets []protocol.TargetRecord
+	next    int
+}
+
+func (f *fakeRouter) Pick(e *envelope.Envelope, exclude []string) (Choice, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for range f.targets {
+		t := f.targets[f.next%len(f.targets)]
+		f.next++
+		if t.Service == e.Service && !slices.Contains(exclude, t.Instance) {
+			return Choice{Target: t, Done: func(time.Duration, error, *Level) {}}, nil
+		}
+	}
+	return Choice{}, fault.New(fault.NoTarget, "no target")
+}
+
+// fakeAdmission admits everything, after during has run.
+type fakeAdmission struct {
+	address string
+	during  func(e *envelope.Envelope) error
+	mu      sync.Mutex
+	open    int
+}
+
+func (f *fakeAdmission) Admit(_ context.Context, e *envelope.Envelope) (Slot, error) {
+	if f.during != nil {
+		if err := f.during(e); err != nil {
+			return Slot{}, err
+		}
+	}
+	f.add(1)
+	return Slot{Address: f.address, Done: func(time.Duration, error, bool) { f.add(-1) }}, nil
+}
+
+func (f *fakeAdmission) add(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open += n
+}
+
+func (f *fakeAdmission) Level(string) Level { return Level{version.Low, envelope.CohortCount - 1} }
+
+type fakeAnnounced struct{ err error }
+
+func (f *fakeAnnounced) Check(string, string) error { return f.err }
+
+type fakeRecorder struct {
+	mu     sync.Mutex
+	events []protocol.Event
+}
+
+func (f *fakeRecorder) Record(e protocol.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, e)
+}
+
+func (f *fakeRecorder) count(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.events {
+		if e.Name == name {
+			n++
+		}
+	}
+	return n
+}
+
+// fakeLedger holds the claims of all processes of a test.
+type fakeLedger struct {
+	mu     sync.Mutex
+	claims map[protocol.OnceKey]*fakeClaim
+	fenced map[string]bool
+	err    error
+	// before is called with each command.
+	before func(r protocol.OnceRequest)
+}
+
+type fakeClaim struct {
+	holder, digest string
+	answer         *protocol.StoredAnswer
+}
+
+func (f *fakeLedger) Do(_ context.Context, r protocol.OnceRequest) (protocol.OnceReply, error) {
+	if f.before != nil {
+		f.before(r)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err != nil {
+		return protocol.OnceReply{}, f.err
+	}
+	claim := f.claims[r.Key]
+	switch {
+	case claim != nil && r.Digest != claim.digest:
+		return protocol.OnceReply{State: protocol.OnceMismatch}, nil
+	case claim != nil && claim.answer != nil:
+		return protocol.OnceReply{State: protocol.OnceDone, Holder: claim.holder, Answer: claim.answer}, nil
+	case claim == nil:
+		return protocol.OnceReply{State: f.take(r)}, nil
+	case claim.holder != r.Attempt:
+		return protocol.OnceReply{State: protocol.OnceHeld, Holder: claim.holder}, nil
+	}
+	return f.own(r, claim), nil
+}
+
+// take is a command on a free key.
+func (f *fakeLedger) take(r protocol.OnceRequest) protocol.OnceState {
+	switch {
+	case f.fenced[r.Attempt]:
+		return protocol.OnceFenced
+	case r.Operation == protocol.OnceClaim:
+		f.claims[r.Key] = &fakeClaim{holder: r.Attempt, digest: r.Digest}
+		return protocol.OnceGranted
+	case r.Operation == protocol.OnceCancel:
+		f.fenced[r.Attempt] = true
+		return protocol.OnceFenced
+	}
+	return protocol.OnceFree
+}
+
+// own is a command of the attempt that holds the key.
+func (f *fakeLedger) own(r protocol.OnceRequest, claim *fakeClaim) protocol.OnceReply {
+	switch r.Operation {
+	case protocol.OnceRelease:
+		delete(f.claims, r.Key)
+		f.fenced[r.Attempt] = true
+		return protocol.OnceReply{State: protocol.OnceFree}
+	case protocol.OnceComplete:
+		claim.answer = r.Answer
+		return protocol.OnceReply{State: protocol.OnceDone, Holder: claim.holder}
+	}
+	return protocol.OnceReply{State: protocol.OnceHeld, Holder: claim.holder}
+}
--- /dev/null
+++ b/internal/request/hop/hop_test.go
@@ -0,0 +1,203 @@
+package hop
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+)
+
+var chain = []string{"tides", "oprema", "raspored"}
+
+func TestChainOfThreeHops(t *testing.T) {
+	run(t, chain, func(t *testing.T, s *system) {
+		var handles []string
+		s.handle(0, func(w http.ResponseWriter, r *http.Request) {
+			handles = append(handles, r.Header.Get(HeaderHandle))
+			seen := fmt.Sprintf("%s %s %s %s;", r.URL.RequestURI(), r.Header.Get(HeaderTeam),
+				r.Header.Get(HeaderImportance), r.Header.Get(HeaderRequest))
+			switch r.URL.Path {
+			case "/look/slots":
+				seen += s.next(r.Context(), r, http.MethodGet, "/deep/a").body
+			case "/deep/a":
+				seen += s.next(r.Context(), r, http.MethodPost, "/hold/b", onceKeyed("k")).body
+			}
+			_, _ = w.Write([]byte(seen))
+		})
+		res := s.call(http.MethodGet, "/look/slots?day=1", "")
+		must.NoError(t, res.err)
+		id := res.header.Get(HeaderRequest)
+		must.True(t, envelope.ValidID(id))
+		must.Eq(t, fmt.Sprintf("/look/slots?day=1 obala high %[1]s;/deep/a obala high %[1]s;/hold/b obala high %[1]s;", id), res.body)
+		must.Eq(t, "ran", res.header.Get(HeaderOutcome))
+
+		for i, handle := range handles {
+			late := &http.Request{Host: s.nodes[i].target(), Header: http.Header{HeaderHandle: {handle}}}
+			res := s.next(t.Context(), late, http.MethodGet, "/look")
+			must.Eq(t, fault.HandleUnknown, res.refusal.Kind, must.Sprint("a handle after its request"))
+		}
+	})
+}
+
+// TestKeyIsSeenNowhere puts the key in each place where one can stand.
+func TestKeyIsSeenNowhere(t *testing.T) {
+	places := map[string]func(r *http.Request){
+		"authorization only": func(*http.Request) {},
+		"two authorizations": func(r *http.Request) { r.Header.Add("Authorization", "Bearer "+secret) },
+		"proxy":              func(r *http.Request) { r.Header.Set("Proxy-Authorization", secret) },
+		"other header":       func(r *http.Request) { r.Header.Set("X-Api-Key", "v1:"+strings.ToUpper(secret)) },
+		"header name":        func(r *http.Request) { r.Header.Set("X-"+secret, "1") },
+		"referer":            func(r *http.Request) { r.Header.Set("Referer", "http://a/?k="+secret) },
+		"encoded header":     func(r *http.Request) { r.Header.Set("X-A", strings.ReplaceAll(secret, "-", "%2D")) },
+		"cookie":             func(r *http.Request) { r.AddCookie(&http.Cookie{Name: "k", Value: secret}) },
+		"query":              func(r *http.Request) { r.URL.RawQuery = "a=1&key=" + secret + "&b=2" },
+		"encoded query":      func(r *http.Request) { r.URL.RawQuery = "a=1&k=%53" + secret[1:] },
+		"query name":         func(r *http.Request) { r.URL.RawQuery = secret },
+		"trailer":            func(r *http.Request) { r.Trailer = http.Header{"X-Trail": {secret}} },
+		"host":               func(r *http.Request) { r.Host = secret + ".example" },
+		"user info":          func(r *http.Request) { r.Header.Set("From", secret+"@example") },
+	}
+	for name, place := range places {
+		t.Run(name, func(t *testing.T) {
+			run(t, []string{"tides"}, func(t *testing.T, s *system) {
+				var seen atomic.Value
+				s.handle(0, func(_ http.ResponseWriter, r *http.Request) {
+					body := make([]byte, 100)
+					_, _ = r.Body.Read(body)
+					seen.Store(fmt.Sprint(r.Method, r.URL, r.Host, r.Header, r.Trailer, r.RemoteAddr))
+				})
+				res := s.call(http.MethodPost, "/look", "content", func(r *http.Request) {
+					r.AddCookie(&http.Cookie{Name: "kept", Value: "1"})
+					place(r)
+					if r.Trailer != nil {
+						r.ContentLength = -1
+					}
+				})
+				must.NoError(t, res.err)
+				must.Eq(t, http.StatusOK, res.status, must.Sprint(res.body))
+				text := strings.ToLower(fmt.Sprint(seen.Load(), s.events.events, res.header, res.body))
+				must.StrContains(t, text, "kept=1")
+				must.StrNotContains(t, text, strings.ToLower(secret[1:]))
+				must.StrNotContains(t, text, "%2d")
+				must.StrNotContains(t, text, "authorization")
+			})
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		kind   fault.Kind
+		method string
+		path   string
+		edit   func(s *system, r *http.Request)
+	}{
+		{"no route", fault.UnknownRoute, "GET", "/other", nil},
+		{"internal route", fault.UnknownRoute, "GET", "/deep", nil},
+		{"no key", fault.Unauthenticated, "GET", "/look", func(_ *system, r *http.Request) { r.Header.Del("Authorization") }},
+		{"wrong key", fault.Unauthenticated, "GET", "/look", func(_ *system, r *http.Request) { r.Header.Set("Authorization", "Bearer x") }},
+		{"not bearer", fault.Unauthenticated, "GET", "/look", func(_ *system, r *http.Request) { r.Header.Set("Authorization", "Basic "+secret) }},
+		{"context", fault.Forbidden, "GET", "/look", func(_ *system, r *http.Request) { r.Header.Set(envelope.Header, "x") }},
+		{"key in path", fault.BadRequest, "GET", "/look/" + secret, nil},
+		{"path not clean", fault.BadRequest, "GET", "/look/../deep", nil},
+		{"path hides dots", fault.BadRequest, "GET", "/look%2f..%2fdeep", nil},
+		{"method", fault.BadRequest, "BREW", "/look", nil},
+		{"timeout", fault.BadRequest, "GET", "/look", func(_ *system, r *http.Request) { r.Header.Set(HeaderTimeout, "-1") }},
+		{"no once key", fault.OnceKeyMissing, "POST", "/pay", nil},
+		{"bad once key", fault.BadRequest, "POST", "/pay", func(_ *system, r *http.Request) { r.Header.Set(headerOnceKey, strings.Repeat("k", 300)) }},
+		{"lease", fault.LeaseExpired, "GET", "/look", func(s *system, _ *http.Request) { s.config.expire() }},
+		{"quota", fault.QuotaExceeded, "GET", "/look", func(s *system, _ *http.Request) { s.quota.err = fault.New(fault.QuotaExceeded, "over") }},
+		{"no target", fault.NoTarget, "POST", "/pay", func(_ *system, r *http.Request) { r.Header.Set(headerOnceKey, "k") }},
+		{"said to be large", fault.TooLarge, "POST", "/look", func(_ *system, r *http.Request) {
+			r.Body = tooMuch()
+			r.ContentLength = DefaultBodyLimit + 1
+		}},
+		{"large", fault.TooLarge, "POST", "/look", func(_ *system, r *http.Request) {
+			r.Body = tooMuch()
+			r.ContentLength = -1
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, []string{"tides"}, func(t *testing.T, s *system) {
+				var ran atomic.Int64
+				s.handle(0, func(http.ResponseWriter, *http.Request) { ran.Add(1) })
+				res := s.call(c.method, c.path, "", func(r *http.Request) {
+					if c.edit != nil {
+						c.edit(s, r)
+					}
+				})
+				must.NoError(t, res.err)
+				must.Eq(t, c.kind, res.refusal.Kind, must.Sprint(res.body))
+				row := fault.AnswerFor(c.kind)
+				must.Eq(t, row.Status, res.status)
+				must.Eq(t, "not-run", res.header.Get(HeaderOutcome))
+				must.Eq(t, row.RetryAfter > 0, res.header.Get("Retry-After") != "")
+				must.Eq(t, res.header.Get(HeaderRequest), res.refusal.RequestID)
+				must.Eq(t, 0, ran.Load())
+			})
+		})
+	}
+}
+
+// tooMuch is a body of one byte more than the limit.
+func tooMuch() io.ReadCloser {
+	return io.NopCloser(strings.NewReader(strings.Repeat("x", DefaultBodyLimit+1)))
+}
+
+func TestOpenRouteNeedsNoKey(t *testing.T) {
+	run(t, []string{"tides"}, func(t *testing.T, s *system) {
+		s.handle(0, func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte(r.Header.Get(HeaderTeam))) })
+		res := s.call(http.MethodGet, "/open", "", func(r *http.Request) { r.Header.Del("Authorization") })
+		must.Eq(t, "open", res.body)
+	})
+}
+
+// TestCancellationFollowsTheTree has the caller leave, or its time run out,
+// while the third hop runs.
+func TestCancellationFollowsTheTree(t *testing.T) {
+	for _, way := range []string{"caller leaves", "deadline"} {
+		t.Run(way, func(t *testing.T) {
+			run(t, []string{"tides", "oprema"}, func(t *testing.T, s *system) {
+				var canceled atomic.Int64
+				s.handle(0, func(_ http.ResponseWriter, r *http.Request) {
+					if r.URL.Path != "/deep/3" {
+						path := map[string]string{"/look": "/deep/2", "/deep/2": "/deep/3"}[r.URL.Path]
+						s.next(context.WithoutCancel(r.Context()), r, http.MethodGet, path)
+						return
+					}
+					<-r.Context().Done()
+					canceled.Add(1)
+				})
+				ctx, leave := context.WithCancel(t.Context())
+				start := time.Now()
+				if way == "caller leaves" {
+					time.AfterFunc(100*time.Millisecond, leave)
+				}
+				res := s.call(http.MethodGet, "/look", "", func(r *http.Request) {
+					*r = *r.WithContext(ctx)
+					if way == "deadline" {
+						r.Header.Set(HeaderTimeout, "100")
+					}
+				})
+				if way == "deadline" {
+					must.Eq(t, fault.DeadlineUnknown, res.refusal.Kind)
+				}
+				leave()
+				time.Sleep(20 * time.Millisecond)
+				must.Eq(t, 1, canceled.Load(), must.Sprint("the third hop still runs"))
+				must.Less(t, 130*time.Millisecond, time.Since(start))
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/request/hop/system_test.go
@@ -0,0 +1,236 @@
+package hop
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
+	"github.com/teaselrack/teaselrack/internal/connection/memnet"
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/connection/peer"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/connection/target"
+	"github.com/teaselrack/teaselrack/internal/request/running"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+const (
+	secret  = "Sesame-Opens-The-Door-0123456789"
+	latency = time.Millisecond
+)
+
+var note = `
+number: 1
+added:
+  teams:
+    - {name: obala, rate: 50, burst: 100}
+  keys:
+    - {team: obala, hash: "` + version.HashKey(secret) + `"}
+  routes:
+    - {name: look, path: /look, service: tides, importance: high, retries: 2}
+    - {name: open, path: /open, service: tides, access: open, retries: 2}
+    - {name: pay, path: /pay, service: blagajna, importance: critical, mode: once, retries: 2}
+    - {name: deep, path: /deep, service: oprema, access: internal, timeout: 30s, retries: 2}
+    - {name: hold, path: /hold, service: raspored, access: internal, mode: once, retries: 2}
+`
+
+// system is a mesh of processes over a network in memory. The process n has a
+// target of one service beside it, and answers callers too.
+type system struct {
+	t       *testing.T
+	network *memnet.Network
+	ca      mesh.Pair
+	config  *fakeConfiguration
+	quota   *fakeQuota
+	router  *fakeRouter
+	permits *fakePermits
+	ledger  *fakeLedger
+	events  *fakeRecorder
+	nodes   []*node
+	servers []*http.Server
+	caller  *http.Client
+}
+
+type node struct {
+	system    *system
+	ip        string
+	admission *fakeAdmission
+	announced *fakeAnnounced
+	running   *running.Table
+	peers     *peer.Client
+	targets   *target.Client
+}
+
+// run calls body with a system whose processes stand beside targets of the
+// services, in a bubble of virtual time.
+func run(t *testing.T, services []string, body func(t *testing.T, s *system)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		for _, service := range services {
+			s.add(service)
+		}
+		body(t, s)
+		s.close()
+	})
+}
+
+func newSystem(t *testing.T) *system {
+	n, err := version.ParseNote([]byte(note))
+	must.NoError(t, err)
+	state, err := version.Initial().Apply(n)
+	must.NoError(t, err)
+	ca, err := mesh.NewAuthority("mesh", time.Now())
+	must.NoError(t, err)
+	s := &system{
+		t:       t,
+		network: memnet.New(latency),
+		ca:      ca,
+		config:  &fakeConfiguration{state: state},
+		quota:   &fakeQuota{},
+		router:  &fakeRouter{},
+		permits: &fakePermits{left: make(map[string]int)},
+		ledger:  &fakeLedger{claims: make(map[protocol.OnceKey]*fakeClaim), fenced: make(map[string]bool)},
+		events:  &fakeRecorder{},
+	}
+	s.caller = &http.Client{Transport: &http.Transport{DialContext: s.network.Dial, DisableKeepAlives: true}}
+	return s
+}
+
+func (s *system) identity(name string, role mesh.Role, ip string) *mesh.Identity {
+	pair, err := s.ca.Issue(name, role, []net.IP{net.ParseIP(ip)}, time.Now())
+	must.NoError(s.t, err)
+	id, err := mesh.NewIdentity(s.ca.Certificate, pair)
+	must.NoError(s.t, err)
+	return id
+}
+
+func (s *system) add(service string) {
+	name := fmt.Sprintf("i%d", len(s.nodes)+1)
+	n := &node{
+		system:    s,
+		ip:        fmt.Sprintf("127.0.0.%d", len(s.nodes)+1),
+		announced: &fakeAnnounced{},
+		running:   running.NewTable(),
+		targets:   target.NewClient(target.Options{Dial: s.network.Dial}),
+	}
+	n.admission = &fakeAdmission{address: n.target()}
+	id := s.identity(name, mesh.Daemon, n.ip)
+	n.peers = peer.NewClient(id, peer.Options{Dial: s.network.Dial})
+	d := Deps{
+		Instance: name, FailureDomain: "split-a", PeerAddress: n.peer(),
+		Configuration: s.config, Quota: s.quota, Ledger: s.ledger, Router: s.router,
+		Admission: n.admission, Permits: s.permits, Recorder: s.events, Running: n.running,
+		Peers: n.peers, Targets: n.targets, Announced: n.announced,
+	}
+	s.nodes = append(s.nodes, n)
+	s.router.targets = append(s.router.targets, protocol.TargetRecord{Service: service, Instance: name, PeerAddress: n.peer()})
+	s.serve(n.root(), listener.NewServer(NewRoot(d), listener.Options{}))
+	s.serve(n.egress(), listener.NewServer(NewEgress(d), listener.Options{}))
+	beside := peer.NewServer(id, NewBeside(d), peer.ServerOptions{})
+	s.servers = append(s.servers, beside)
+	l := s.network.Listen(n.peer())
+	go func() { _ = beside.ServeTLS(l, "", "") }()
+}
+
+func (s *system) serve(address string, server *http.Server) {
+	s.servers = append(s.servers, server)
+	l := s.network.Listen(address)
+	go func() { _ = server.Serve(l) }()
+}
+
+// handle makes handler the target beside each process from the index-th on.
+func (s *system) handle(index int, handler http.HandlerFunc) {
+	for _, n := range s.nodes[index:] {
+		s.serve(n.target(), &http.Server{Handler: handler})
+	}
+}
+
+func (s *system) close() {
+	time.Sleep(time.Minute) // whatever still runs ends
+	for _, n := range s.nodes {
+		must.Eq(s.t, 0, n.admission.open, must.Sprint("slots not given back"))
+		must.Eq(s.t, 0, n.running.Len(), must.Sprint("handles not removed"))
+		n.peers.Close()
+		n.targets.Close()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	s.network.Close()
+	time.Sleep(time.Minute)
+}
+
+func (n *node) root() string   { return n.ip + ":7200" }
+func (n *node) egress() string { return n.ip + ":7100" }
+func (n *node) peer() string   { return n.ip + ":7000" }
+func (n *node) target() string { return n.ip + ":9000" }
+
+// result is what a caller saw.
+type result struct {
+	status  int
+	header  http.Header
+	body    string
+	err     error
+	refusal Refusal
+}
+
+// call sends a request of a caller with the key to the first process.
+func (s *system) call(method, path, body string, edit ...func(r *http.Request)) result {
+	s.t.Helper()
+	var content io.Reader
+	if body != "" {
+		content = strings.NewReader(body)
+	}
+	r, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+s.nodes[0].root()+path, content)
+	must.NoError(s.t, err)
+	r.Header.Set("Authorization", "Bearer "+secret)
+	for _, f := range edit {
+		f(r)
+	}
+	return s.do(r)
+}
+
+func (s *system) do(r *http.Request) result {
+	resp, err := s.caller.Do(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	res := result{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+	if resp.Header.Get(HeaderKind) != "" {
+		must.NoError(s.t, json.Unmarshal(body, &res.refusal))
+	}
+	return res
+}
+
+// onceKeyed sets the Idempotency-Key.
+func onceKeyed(key string) func(r *http.Request) {
+	return func(r *http.Request) { r.Header.Set(headerOnceKey, key) }
+}
+
+// next calls path on the egress listener of the process beside the target that
+// serves r.
+func (s *system) next(ctx context.Context, r *http.Request, method, path string, edit ...func(r *http.Request)) result {
+	host, _, _ := net.SplitHostPort(r.Host)
+	out, err := http.NewRequestWithContext(ctx, method, "http://"+host+":7100"+path, nil)
+	if err != nil {
+		return result{err: err}
+	}
+	out.Header.Set(HeaderHandle, r.Header.Get(HeaderHandle))
+	for _, f := range edit {
+		f(out)
+	}
+	return s.do(out)
+}
