--- a/internal/connection/memnet/network.go
+++ b/internal/connection/memnet/network.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -70,12 +71,16 @@
 	return n.dials
 }
 
-// Silence makes every connection opened so far swallow what is written to it,
-// in both directions, without an error. New connections work.
-func (n *Network) Silence() {
+// Silence makes every connection opened so far, or only those to the listeners
+// at addresses, swallow what is written to it, in both directions, without an
+// error. New connections work.
+func (n *Network) Silence(addresses ...string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, c := range n.conns {
+		if len(addresses) > 0 && !slices.Contains(addresses, string(c.address)) {
+			continue
+		}
 		c.in.silence()
 		c.out.silence()
 	}
--- /dev/null
+++ b/internal/request/hop/failure_test.go
@@ -0,0 +1,217 @@
+package hop
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/connection/peer"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// TestRetriesAreBoundedOverTheChain lets every attempt of the last hop fail,
+// in chains of several depths.
+func TestRetriesAreBoundedOverTheChain(t *testing.T) {
+	for _, hops := range []int{1, 3, 27} {
+		t.Run(strconv.Itoa(hops), func(t *testing.T) {
+			run(t, []string{"tides", "tides", "oprema", "oprema", "oprema"}, func(t *testing.T, s *system) {
+				var attempts atomic.Int64
+				s.handle(0, func(w http.ResponseWriter, r *http.Request) {
+					attempts.Add(1)
+					depth, _ := strconv.Atoi(r.URL.Query().Get("depth"))
+					if depth == hops {
+						panic(http.ErrAbortHandler)
+					}
+					if res := s.next(r.Context(), r, http.MethodGet, fmt.Sprintf("/deep?depth=%d", depth+1)); res.status != http.StatusOK {
+						panic(http.ErrAbortHandler) // so every hop fails
+					}
+				})
+				s.call(http.MethodGet, "/look?depth=1", "")
+				must.Eq(t, 2, s.permits.took)
+				must.Eq(t, int64(hops+2), attempts.Load(), must.Sprint("attempts over the whole chain"))
+			})
+		})
+	}
+}
+
+// TestDepthIsBounded lets a target call itself without an end.
+func TestDepthIsBounded(t *testing.T) {
+	run(t, []string{"tides", "oprema"}, func(t *testing.T, s *system) {
+		var attempts atomic.Int64
+		s.handle(0, func(w http.ResponseWriter, r *http.Request) {
+			attempts.Add(1)
+			res := s.next(r.Context(), r, http.MethodGet, "/deep")
+			_, _ = w.Write([]byte(res.body))
+		})
+		res := s.call(http.MethodGet, "/look", "")
+		must.StrContains(t, res.body, string(fault.DepthExceeded))
+		must.Eq(t, envelope.MaxDepth, attempts.Load())
+	})
+}
+
+// TestBrokenAnswers has the target break off its first answers.
+func TestBrokenAnswers(t *testing.T) {
+	cases := map[string]struct {
+		size    int
+		breaks  int64
+		status  int
+		broken  bool
+		permits int
+	}{
+		"small, once":   {1000, 1, http.StatusOK, false, 1},
+		"small, always": {1000, 100, http.StatusBadGateway, false, 2},
+		"large":         {3 * bufferLimit, 1, http.StatusOK, true, 0},
+		"large, whole":  {3 * bufferLimit, 0, http.StatusOK, false, 0},
+	}
+	for name, c := range cases {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %v", name, chunked), func(t *testing.T) {
+				run(t, []string{"tides", "tides"}, func(t *testing.T, s *system) {
+					whole := strings.Repeat("0123456789abcdef", c.size/16)
+					var attempts atomic.Int64
+					s.handle(0, func(w http.ResponseWriter, _ *http.Request) {
+						n := attempts.Add(1)
+						if !chunked {
+							w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
+						}
+						_, _ = io.WriteString(w, whole[:len(whole)-16])
+						_ = http.NewResponseController(w).Flush()
+						if n <= c.breaks {
+							panic(http.ErrAbortHandler)
+						}
+						_, _ = io.WriteString(w, whole[len(whole)-16:])
+					})
+					res := s.call(http.MethodGet, "/look", "")
+					must.Eq(t, c.permits, s.permits.took)
+					must.Eq(t, c.broken, res.err != nil, must.Sprint(res.err))
+					must.Eq(t, c.status, res.status)
+					if c.status == http.StatusOK && !c.broken {
+						must.Eq(t, whole, res.body)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestAnswersReachTheirOwnRequest sends many requests at once over one link.
+// The targets answer after random times, out of order, and break some answers
+// off. Each answer carries the token of its request, many times.
+func TestAnswersReachTheirOwnRequest(t *testing.T) {
+	const requests, seed = 400, 7
+	t.Logf("seed %d", seed)
+	run(t, []string{"oprema", "tides"}, func(t *testing.T, s *system) {
+		var broken atomic.Int64
+		s.handle(0, func(w http.ResponseWriter, r *http.Request) {
+			token := r.URL.Query().Get("token")
+			h := fnv.New64a()
+			_, _ = io.WriteString(h, token)
+			rng := rand.New(rand.NewPCG(seed, h.Sum64()))
+			time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
+			for range 1 + rng.IntN(100) {
+				_, _ = io.WriteString(w, strings.Repeat(token, 50))
+				_ = http.NewResponseController(w).Flush()
+			}
+			if rng.IntN(4) == 0 {
+				broken.Add(1)
+				panic(http.ErrAbortHandler)
+			}
+		})
+		var wg sync.WaitGroup
+		var whole, foreign, failed atomic.Int64
+		for n := range requests {
+			wg.Go(func() {
+				token := fmt.Sprintf("<%08d>", n)
+				res := s.call(http.MethodGet, "/look?token="+token, "")
+				rest := strings.ReplaceAll(res.body, token, "")
+				switch {
+				case res.err == nil && res.status == http.StatusOK && rest == "":
+					whole.Add(1)
+				case res.status == http.StatusOK && strings.Contains(rest, ">") && strings.Contains(rest, "<"):
+					foreign.Add(1)
+				default:
+					failed.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		t.Logf("whole %d, failed %d, broken answers %d", whole.Load(), failed.Load(), broken.Load())
+		must.Eq(t, 0, foreign.Load(), must.Sprint("answers with the token of another request"))
+		must.Positive(t, broken.Load())
+		must.Positive(t, failed.Load(), must.Sprint("a broken answer never looks whole"))
+		must.Eq(t, requests, whole.Load()+failed.Load())
+		must.Greater(t, requests/2, whole.Load())
+	})
+}
+
+// TestSilentConnections silences the links, or the connections to targets,
+// while no request is on them.
+func TestSilentConnections(t *testing.T) {
+	for _, part := range []string{"links", "targets"} {
+		for _, gap := range []time.Duration{0, 100 * time.Millisecond, 600 * time.Millisecond} {
+			t.Run(fmt.Sprint(part, " ", gap), func(t *testing.T) {
+				run(t, []string{"tides"}, func(t *testing.T, s *system) {
+					s.handle(0, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })
+					must.Eq(t, "ok", s.call(http.MethodGet, "/look", "").body)
+					time.Sleep(10 * time.Millisecond)
+					if part == "links" {
+						s.network.Silence(s.nodes[0].peer())
+					} else {
+						s.network.Silence(s.nodes[0].target())
+					}
+					time.Sleep(gap)
+					start := time.Now()
+					must.Eq(t, "ok", s.call(http.MethodGet, "/look", "").body)
+					must.Less(t, time.Second, time.Since(start))
+					start = time.Now()
+					must.Eq(t, "ok", s.call(http.MethodGet, "/look", "").body)
+					must.Less(t, 50*time.Millisecond, time.Since(start), must.Sprint("new work uses a new connection"))
+				})
+			})
+		}
+	}
+}
+
+// TestOnlyDaemonsSendRequestContexts calls the peer listener as others would.
+func TestOnlyDaemonsSendRequestContexts(t *testing.T) {
+	run(t, []string{"tides"}, func(t *testing.T, s *system) {
+		var ran atomic.Int64
+		s.handle(0, func(http.ResponseWriter, *http.Request) { ran.Add(1) })
+		value, err := envelope.Encode(&envelope.Envelope{
+			RequestID: envelope.NewID(), AttemptID: envelope.NewID(), Team: "obala", Importance: version.Critical,
+			Depth: 2, Remaining: time.Second, Root: "127.0.0.1:7000", Service: "tides", Mode: version.Idempotent,
+		})
+		must.NoError(t, err)
+		for role, kind := range map[mesh.Role]fault.Kind{mesh.Operator: fault.Forbidden, mesh.Daemon: "", mesh.Replica: ""} {
+			client := peer.NewClient(s.identity("x", role, "127.0.0.9"), peer.Options{Dial: s.network.Dial})
+			for _, text := range []string{value, "junk"} {
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "https://x/look", nil)
+				must.NoError(t, err)
+				r.Header.Set(envelope.Header, text)
+				resp, err := client.RoundTrip(s.nodes[0].peer(), r)
+				must.NoError(t, err)
+				want := kind
+				if kind == "" && text == "junk" {
+					want = fault.BadRequest
+				}
+				must.Eq(t, string(want), resp.Header.Get(HeaderKind))
+				must.NoError(t, resp.Body.Close())
+			}
+			client.Close()
+		}
+		must.Eq(t, 2, ran.Load())
+	})
+}
--- a/internal/request/hop/fakes_test.go
+++ b/internal/request/hop/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
@@ -111,8 +112,7 @@
 type fakeAdmission struct {
 	address string
 	during  func(e *envelope.Envelope) error
-	mu      sync.Mutex
-	open    int
+	open    atomic.Int64 // slots not given back
 }
 
 func (f *fakeAdmission) Admit(_ context.Context, e *envelope.Envelope) (Slot, error) {
@@ -121,14 +121,8 @@
 			return Slot{}, err
 		}
 	}
-	f.add(1)
-	return Slot{Address: f.address, Done: func(time.Duration, error, bool) { f.add(-1) }}, nil
-}
-
-func (f *fakeAdmission) add(n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.open += n
+	f.open.Add(1)
+	return Slot{Address: f.address, Done: func(time.Duration, error, bool) { f.open.Add(-1) }}, nil
 }
 
 func (f *fakeAdmission) Level(string) Level { return Level{version.Low, envelope.CohortCount - 1} }
--- /dev/null
+++ b/internal/request/hop/once_test.go
@@ -0,0 +1,205 @@
+package hop
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// TestChecksAgainBeforeDispatch changes the state while an attempt waits for
+// its slot, or for its claim.
+func TestChecksAgainBeforeDispatch(t *testing.T) {
+	changes := map[fault.Kind]func(s *system){
+		fault.Unauthenticated: func(s *system) {
+			s.config.apply(func(n *version.Note) { n.Withdrawn.Keys = []string{version.HashKey(secret)} })
+		},
+		fault.OutOfService: func(s *system) {
+			s.config.apply(func(n *version.Note) { n.Added.FailureDomains = []version.FailureDomain{{Name: "split-a"}} })
+		},
+		fault.LeaseExpired:  func(s *system) { s.config.expire() },
+		fault.TargetLeaving: func(s *system) { s.nodes[0].announced.err = fault.New(fault.TargetLeaving, "leaving") },
+		fault.DeadlineNotRun: func(*system) {
+			time.Sleep(time.Minute)
+		},
+	}
+	for kind, change := range changes {
+		for _, moment := range []string{"slot", "claim"} {
+			t.Run(string(kind)+"/"+moment, func(t *testing.T) {
+				run(t, []string{"blagajna"}, func(t *testing.T, s *system) {
+					var ran atomic.Int64
+					s.handle(0, func(http.ResponseWriter, *http.Request) { ran.Add(1) })
+					if moment == "slot" {
+						s.nodes[0].admission.during = func(*envelope.Envelope) error { change(s); return nil }
+					} else {
+						s.ledger.before = func(r protocol.OnceRequest) {
+							if r.Operation == protocol.OnceClaim {
+								change(s)
+							}
+						}
+					}
+					s.config.apply(func(n *version.Note) {
+						n.Changed.Routes = []version.Route{{Name: "pay", Path: "/pay", Service: "blagajna",
+							Importance: version.Critical, Mode: version.Once, Access: version.Keyed, Timeout: time.Second}}
+					})
+					res := s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed("k"))
+					time.Sleep(2 * time.Minute)
+					must.Eq(t, 0, ran.Load(), must.Sprint("the target was given the request"))
+					if kind == fault.DeadlineNotRun {
+						return // the caller's own deadline has passed as well
+					}
+					must.Eq(t, kind, res.refusal.Kind, must.Sprint(res.body))
+					must.MapLen(t, 0, s.ledger.claims, must.Sprint("the key is free again"))
+				})
+			})
+		}
+	}
+}
+
+func TestOnceIsReplayed(t *testing.T) {
+	run(t, []string{"blagajna"}, func(t *testing.T, s *system) {
+		var ran atomic.Int64
+		s.handle(0, func(w http.ResponseWriter, _ *http.Request) {
+			ran.Add(1)
+			w.Header().Set("X-Receipt", "7")
+			w.WriteHeader(http.StatusCreated)
+			_, _ = w.Write([]byte("paid"))
+		})
+		first := s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed("k"))
+		must.Eq(t, "", first.header.Get(HeaderReplayed))
+		for _, res := range []result{first, s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed("k"))} {
+			must.Eq(t, http.StatusCreated, res.status)
+			must.Eq(t, "paid", res.body)
+			must.Eq(t, "7", res.header.Get("X-Receipt"))
+			must.Eq(t, "ran", res.header.Get(HeaderOutcome))
+		}
+		other := s.call(http.MethodPost, "/pay", "9 EUR", onceKeyed("k"))
+		must.Eq(t, fault.OnceConflict, other.refusal.Kind)
+		must.Eq(t, 1, ran.Load())
+	})
+}
+
+// TestOnceWithLostLink silences the links between the root and the processes
+// beside the targets, at several moments.
+func TestOnceWithLostLink(t *testing.T) {
+	cases := map[string]struct {
+		moment  protocol.OnceOperation // the command under which the link is lost
+		takes   time.Duration          // the time that the target takes
+		kind    fault.Kind
+		permits int
+	}{
+		"before the claim":   {"", 100 * time.Millisecond, "", 1},
+		"while it runs":      {protocol.OnceClaim, 100 * time.Millisecond, "", 0},
+		"while it runs long": {protocol.OnceClaim, 1500 * time.Millisecond, "", 0},
+		"while it runs on":   {protocol.OnceClaim, time.Minute, fault.OnceUnknown, 0},
+		"before the answer":  {protocol.OnceComplete, 100 * time.Millisecond, "", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			run(t, []string{"tides", "blagajna", "blagajna"}, func(t *testing.T, s *system) {
+				var ran atomic.Int64
+				s.handle(0, func(w http.ResponseWriter, _ *http.Request) {
+					ran.Add(1)
+					time.Sleep(c.takes)
+					_, _ = w.Write([]byte("paid"))
+				})
+				var once sync.Once
+				lose := func() { s.network.Silence(s.nodes[1].peer(), s.nodes[2].peer()) }
+				s.nodes[1].admission.during = func(*envelope.Envelope) error {
+					if c.moment == "" {
+						once.Do(lose)
+						time.Sleep(time.Second)
+					}
+					return nil
+				}
+				s.ledger.before = func(r protocol.OnceRequest) {
+					if r.Operation == c.moment {
+						once.Do(lose)
+					}
+				}
+				start := time.Now()
+				res := s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed("k"))
+				must.Less(t, 2*time.Second+ledgerGrace, time.Since(start))
+				must.NoError(t, res.err)
+				must.Eq(t, c.kind, res.refusal.Kind, must.Sprint(res.body))
+				must.Eq(t, c.permits, s.permits.took)
+				must.Eq(t, 1, ran.Load())
+				if c.kind == "" {
+					must.Eq(t, "paid", res.body)
+					return
+				}
+				must.Eq(t, "unknown", res.header.Get(HeaderOutcome))
+				again := s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed("k"))
+				must.Eq(t, fault.OnceUnknown, again.refusal.Kind)
+				must.Eq(t, 1, ran.Load())
+			})
+		})
+	}
+}
+
+// TestOnceAtAFailingTarget has the target end its connection after it began to
+// run the request.
+func TestOnceAtAFailingTarget(t *testing.T) {
+	run(t, []string{"blagajna", "blagajna"}, func(t *testing.T, s *system) {
+		var ran atomic.Int64
+		s.handle(0, func(http.ResponseWriter, *http.Request) {
+			ran.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		first := s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed("k"))
+		must.Eq(t, "unknown", first.header.Get(HeaderOutcome), must.Sprint(first.body))
+		again := s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed("k"))
+		must.Eq(t, fault.OnceUnknown, again.refusal.Kind)
+		must.Eq(t, 1, ran.Load())
+	})
+}
+
+func TestOnceWithoutATarget(t *testing.T) {
+	run(t, []string{"blagajna", "blagajna"}, func(t *testing.T, s *system) {
+		// Nothing listens beside the first process.
+		s.handle(1, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("paid")) })
+		for range 2 {
+			res := s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed(envelope.NewID()))
+			must.Eq(t, "paid", res.body)
+		}
+		must.Positive(t, s.permits.took)
+	})
+}
+
+func TestOnceWithoutALedger(t *testing.T) {
+	for _, kind := range []fault.Kind{fault.LedgerUnavailable, fault.LedgerUnknown} {
+		run(t, []string{"blagajna"}, func(t *testing.T, s *system) {
+			var ran atomic.Int64
+			s.handle(0, func(http.ResponseWriter, *http.Request) { ran.Add(1) })
+			s.ledger.err = fault.New(kind, "down")
+			res := s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed("k"))
+			must.Eq(t, kind, res.refusal.Kind)
+			must.Eq(t, 0, ran.Load())
+		})
+	}
+}
+
+func TestOnceWithALargeAnswer(t *testing.T) {
+	run(t, []string{"blagajna"}, func(t *testing.T, s *system) {
+		var ran atomic.Int64
+		s.handle(0, func(w http.ResponseWriter, _ *http.Request) {
+			ran.Add(1)
+			_, _ = w.Write(make([]byte, protocol.MaxStoredAnswer+1))
+		})
+		for range 2 {
+			res := s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed("k"))
+			must.Eq(t, http.StatusBadGateway, res.status)
+			must.StrContains(t, res.body, string(fault.AnswerTooLarge))
+			must.Eq(t, "ran", res.header.Get(HeaderOutcome))
+		}
+		must.Eq(t, 1, ran.Load())
+	})
+}
