--- a/e2e/system/caller.go
+++ b/e2e/system/caller.go
@@ -28,6 +28,8 @@
 	Key     string
 	OnceKey string
 	Body    string
+	// Single keeps the client from sending the request again by itself.
+	Single bool
 }
 
 // Answer is what a caller saw.
@@ -66,7 +68,9 @@
 	}
 	if call.OnceKey != "" {
 		req.Header.Set(headerOnceKey, call.OnceKey)
-		req.GetBody = nil // the client must not send it again by itself
+	}
+	if call.Single {
+		req.GetBody = nil
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
