--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"path/filepath"
 	"sync"
@@ -21,7 +22,11 @@
 	"github.com/teaselrack/teaselrack/internal/process/renewal"
 )
 
-const operatorName = "operator"
+const (
+	operatorName = "operator"
+	replicaCount = 3
+	daemonCount  = 4
+)
 
 type nothing struct{}
 
@@ -54,17 +59,17 @@
 	return append(all, operatorName)
 }
 
-func newCluster(t *testing.T, seed uint64, replicas, daemons int) *cluster {
+func newCluster(t *testing.T, seed uint64) *cluster {
 	c := &cluster{t: t, net: newNetwork(seed), dir: t.TempDir()}
 	c.operator = &port{c.net, operatorName, mesh.Peer{Name: operatorName, Role: mesh.Operator}}
-	for i := range replicas {
+	for i := range replicaCount {
 		c.replicas = append(c.replicas, &replicaProcess{cluster: c, address: fmt.Sprintf("10.0.0.%d:1", i+1)})
 	}
 	for _, r := range c.replicas {
 		r.start()
 	}
 	c.found()
-	for i := range daemons {
+	for i := range daemonCount {
 		d := &daemonProcess{cluster: c, name: fmt.Sprintf("d%d", i)}
 		c.daemons = append(c.daemons, d)
 		d.start()
@@ -234,3 +239,18 @@
 	d.mu.Unlock()
 	d.loop.Kick()
 }
+
+// callRole calls a method of a role as an operator, without a network.
+func callRole(role *control.Role, method string, params any) error {
+	encoded, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	_, err = role.Handlers()[method](context.Background(), mesh.Peer{Name: operatorName, Role: mesh.Operator}, encoded)
+	return err
+}
+
+func applyAt(t *testing.T, role *control.Role, text string) {
+	t.Helper()
+	must.NoError(t, callRole(role, protocol.MethodApply, protocol.ApplyRequest{Note: []byte(text)}))
+}
