A cancelled once attempt learns of the attempt that holds its key

Cause: the ledger answered "fenced" to the cancel of an attempt whose key another attempt held. The sender then told its caller not-run, though the request may have run through the other attempt. TestDaemonKilledWithOnceRequest found it: some repeats got 503 not-run instead of 409 unknown. Giving up a claim whose answer was lost had the same fault.

Ruled out: treating every fenced attempt as unknown; then a plain lost peer could never be answered not-run.

Change: the fence is set all the same, and the reply describes the holder.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 TOOLS := build/tools
 LINT_VERSION := v2.15.0
 MODULES := . ./e2e
+VERDICT := $(GO) run github.com/teaselrack/teaselrack/e2e/cmd/verdict
 # RED lists the tests that KNOWN-RED.txt names, as a pattern.
 RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -s -d '|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$')
--- a/internal/process/ledger/machine.go
+++ b/internal/process/ledger/machine.go
@@ -167,7 +167,8 @@
 }
 
 // cancel bars an attempt that holds no claim. An attempt that holds one may
-// have been dispatched: it is only described.
+// have been dispatched: it is only described. Where another attempt holds the
+// key, that one is described: the request itself may have run.
 func (m *Machine) cancel(r protocol.OnceRequest) reply {
 	rec := m.lookup(r.Key)
 	if rec != nil && rec.Holder == r.Attempt {
@@ -176,7 +177,14 @@
 	if !m.setFence(r) {
 		return reply{State: protocol.OnceFull}
 	}
-	return reply{State: protocol.OnceFenced}
+	switch {
+	case rec == nil:
+		return reply{State: protocol.OnceFenced}
+	case rec.Digest != r.Digest:
+		return reply{State: protocol.OnceMismatch, Holder: rec.Holder}
+	default:
+		return m.describe(rec)
+	}
 }
 
 func (m *Machine) describe(rec *record) reply {
--- a/internal/request/hop/claim.go
+++ b/internal/request/hop/claim.go
@@ -26,7 +26,7 @@
 	}
 	if err := h.mayDispatch(ctx, work.envelope, slot.Address); err != nil {
 		slot.Done(0, err, false)
-		h.release(ctx, work, digest)
+		_, _ = h.release(ctx, work, digest)
 		return nil, err
 	}
 	a, err := h.runClaimed(ctx, work, slot)
@@ -34,7 +34,7 @@
 	case err == nil:
 		h.complete(ctx, work, digest, a)
 	case fault.OutcomeOf(err) == fault.NotRun:
-		h.release(ctx, work, digest)
+		_, _ = h.release(ctx, work, digest)
 	case fault.Is(err, fault.AnswerTooLarge):
 		h.complete(ctx, work, digest, refusalAnswer(work.envelope.RequestID, err))
 	}
@@ -81,18 +81,23 @@
 	if fault.Is(err, fault.LedgerUnavailable) {
 		return err
 	}
-	if h.release(ctx, work, digest) {
+	reply, released := h.release(ctx, work, digest)
+	switch {
+	case released != nil:
+		return fault.Wrap(fault.LedgerUnknown, err, "the ledger did not answer")
+	case reply.State == protocol.OnceFree:
 		return fault.Wrap(fault.LedgerUnavailable, err, "the ledger did not grant the request")
+	default:
+		return fault.Wrap(fault.OnceUnknown, err, "another attempt holds the Idempotency-Key")
 	}
-	return fault.Wrap(fault.LedgerUnknown, err, "the ledger did not answer")
 }
 
-// release gives the claim up and reports whether the ledger confirmed that.
-func (h *beside) release(ctx context.Context, work *work, digest string) bool {
+// release gives the claim up. Its reply is OnceFree unless another attempt
+// holds the key.
+func (h *beside) release(ctx context.Context, work *work, digest string) (protocol.OnceReply, error) {
 	ctx, cancel := withGrace(ctx, completeGrace)
 	defer cancel()
-	_, err := h.Ledger.Do(ctx, command(protocol.OnceRelease, work, digest))
-	return err == nil
+	return h.Ledger.Do(ctx, command(protocol.OnceRelease, work, digest))
 }
 
 // complete stores the whole answer. Where that fails the answer is passed on
