--- a/internal/connection/memnet/conn.go
+++ b/internal/connection/memnet/conn.go
@@ -65,8 +65,10 @@
 type stream struct {
 	latency time.Duration
 
+	// changed tells the reader to look again.
+	changed chan struct{}
+
 	mu       sync.Mutex
-	changed  *sync.Cond
 	chunks   []chunk
 	silent   bool
 	readErr  error // why reads fail at once
@@ -81,9 +83,7 @@
 }
 
 func newStream(latency time.Duration) *stream {
-	s := &stream{latency: latency}
-	s.changed = sync.NewCond(&s.mu)
-	return s
+	return &stream{latency: latency, changed: make(chan struct{}, 1)}
 }
 
 func (s *stream) write(b []byte) (int, error) {
@@ -104,26 +104,48 @@
 		return
 	}
 	s.chunks = append(s.chunks, chunk{data, err, time.Now().Add(s.latency)})
-	s.wakeAfter(s.latency)
+	s.signal()
 }
 
 func (s *stream) read(b []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	for {
-		now := time.Now()
-		switch {
-		case s.readErr != nil:
-			return 0, s.readErr
-		case !s.deadline.IsZero() && !now.Before(s.deadline):
-			return 0, os.ErrDeadlineExceeded
-		case len(s.chunks) > 0 && !now.Before(s.chunks[0].at):
-			return s.take(b)
+		n, wait, err := s.tryRead(b)
+		if n > 0 || err != nil {
+			return n, err
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-s.changed:
+		case <-timer.C:
 		}
-		s.changed.Wait()
+		timer.Stop()
 	}
 }
 
+// tryRead returns how long to wait where nothing can be read yet.
+func (s *stream) tryRead(b []byte) (n int, wait time.Duration, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	wait = time.Hour
+	switch {
+	case s.readErr != nil:
+		return 0, 0, s.readErr
+	case !s.deadline.IsZero() && !now.Before(s.deadline):
+		return 0, 0, os.ErrDeadlineExceeded
+	case len(s.chunks) > 0 && !now.Before(s.chunks[0].at):
+		n, err = s.take(b)
+		return n, 0, err
+	}
+	if len(s.chunks) > 0 {
+		wait = s.chunks[0].at.Sub(now)
+	}
+	if !s.deadline.IsZero() {
+		wait = min(wait, s.deadline.Sub(now))
+	}
+	return 0, wait, nil
+}
+
 func (s *stream) take(b []byte) (int, error) {
 	first := &s.chunks[0]
 	if first.err != nil {
@@ -144,7 +166,7 @@
 	defer s.mu.Unlock()
 	s.readErr = err
 	s.silent = true
-	s.changed.Broadcast()
+	s.signal()
 }
 
 // closeWrite fails further writes.
@@ -165,16 +187,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deadline = t
-	s.changed.Broadcast()
-	if !t.IsZero() {
-		s.wakeAfter(time.Until(t))
-	}
+	s.signal()
 }
 
-func (s *stream) wakeAfter(d time.Duration) {
-	time.AfterFunc(d, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.changed.Broadcast()
-	})
+func (s *stream) signal() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
 }
