End to end: bad input on every listener, restart after hundreds of notes

Cause: broken input and mass restarts were covered in parts only, not on the listeners of real processes.

Change: TestBadInput sends broken, oversized, truncated and forged requests to ingress, egress, announce, peer and control listeners; nothing may run. TestRestartAfterHundredsOfChanges applies 300 notes, ends all daemons with SIGKILL at once and compares the export. Each test searches every process's log for callers' keys.

Ruled out: 24 bytes or fewer of garbage as a case: the server waits for the HTTP/2 preface until its header timeout, which is the library's way.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -131,11 +131,23 @@
 	}
 	h.stopTogether(daemons)
 	h.stopTogether(targets)
+	h.searchLogs()
 	if h.t.Failed() {
 		h.showLogs()
 	}
 }
 
+// searchLogs fails the test where a log holds a caller's key.
+func (h *harness) searchLogs() {
+	for name := range h.processes {
+		text, err := os.ReadFile(h.File(name + ".log"))
+		must.NoError(h.t, err)
+		for _, key := range h.Keys {
+			must.False(h.t, bytes.Contains(text, []byte(key.Secret)), must.Sprintf("the log of %s holds a key", name))
+		}
+	}
+}
+
 func (h *harness) stopTogether(names []string) {
 	var stopping []string
 	for _, name := range names {
--- /dev/null
+++ b/e2e/input_test.go
@@ -0,0 +1,103 @@
+package e2e
+
+import (
+	"bufio"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/e2e/system"
+)
+
+// rawLimit bounds one exchange over a raw connection.
+const rawLimit = 5 * time.Second
+
+// TestBadInput sends what no caller, target or peer should send to every
+// listener. Each gets a clear answer, nothing runs, and the system goes on.
+func TestBadInput(t *testing.T) {
+	h := start(t, nil)
+	i := h.Instance("oprema-1")
+	key := "Authorization: Bearer " + h.Keys["A"].Secret + "\r\n"
+	cases := []struct {
+		name, address, request string
+		status                 int
+	}{
+		{"no HTTP", i.Ingress, strings.Repeat("\x00\x01", 20) + "\r\n\r\n", 400},
+		{"bad header", i.Ingress, "GET /slots?bad HTTP/1.1\r\nHost: a\r\nbad header\r\n\r\n", 400},
+		{"two lengths", i.Ingress, "POST /slots?bad HTTP/1.1\r\nHost: a\r\n" + key + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nx", 400},
+		{"oversized header", i.Ingress, "GET /slots?bad HTTP/1.1\r\nHost: a\r\n" + key + "X: " + strings.Repeat("x", 64<<10) + "\r\n\r\n", 431},
+		{"oversized body", i.Ingress, "POST /slots?bad HTTP/1.1\r\nHost: a\r\n" + key + "Content-Length: 2000000\r\n\r\n" + strings.Repeat("x", 2000000), 413},
+		{"once without key", i.Ingress, "POST /book?bad HTTP/1.1\r\nHost: a\r\n" + key + "Content-Length: 0\r\n\r\n", 400},
+		{"unknown path", i.Ingress, "GET /nothing?bad HTTP/1.1\r\nHost: a\r\n" + key + "\r\n", 404},
+		{"internal route", i.Ingress, "GET /prices?bad HTTP/1.1\r\nHost: a\r\n" + key + "\r\n", 404},
+		{"wrong method", i.Ingress, "GET /book?bad HTTP/1.1\r\nHost: a\r\n" + key + "\r\n", 404},
+		{"forged context", i.Ingress, "GET /slots?bad HTTP/1.1\r\nHost: a\r\nTeaselrack-Team: obala\r\nTeaselrack-Envelope: AAAA\r\nTeaselrack-Handle: 00\r\n\r\n", 403},
+		{"egress without handle", i.Egress, "GET /prices?bad HTTP/1.1\r\nHost: a\r\n" + key + "\r\n", 403},
+		{"egress with unknown handle", i.Egress, "GET /prices?bad HTTP/1.1\r\nHost: a\r\nTeaselrack-Handle: 00112233445566778899aabbccddeeff\r\n\r\n", 403},
+		{"announcement with unknown field", i.Announce, "PUT /v1/target HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n{\"a\": 10}", 400},
+		{"announcement elsewhere", i.Announce, "PUT /v1/target HTTP/1.1\r\nHost: a\r\nContent-Length: 115\r\n\r\n" +
+			`{"service":"tides","address":"10.0.0.1:80","incarnation":"x","slots":1,"connections":1,"state":"warm"}             `, 403},
+	}
+	for _, tc := range cases {
+		must.Eq(t, tc.status, rawStatus(t, tc.address, tc.request), must.Sprint(tc.name))
+	}
+	truncated(t, i.Ingress, "POST /slots?bad HTTP/1.1\r\nHost: a\r\n"+key+"Content-Length: 100\r\n\r\nhalf")
+	strangers(t, i.Peer)
+	strangers(t, h.Instance("tides-1").Control)
+	must.MapEmpty(t, h.runs()["bad"])
+	answer := h.do(system.Call{Ingress: i.Ingress, Method: "GET", Path: "/slots?good", Key: h.Keys["A"].Secret})
+	must.Eq(t, 200, answer.Status, must.Sprint(answer))
+}
+
+// rawStatus writes the bytes of a request and returns the status of the answer.
+func rawStatus(t *testing.T, address, request string) int {
+	t.Helper()
+	conn := dial(t, address)
+	defer func() { _ = conn.Close() }()
+	go func() { _, _ = io.WriteString(conn, request) }()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err, must.Sprintf("%.60q", request))
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// truncated writes part of a request and closes the connection.
+func truncated(t *testing.T, address, part string) {
+	t.Helper()
+	conn := dial(t, address)
+	_, err := io.WriteString(conn, part)
+	must.NoError(t, err)
+	must.NoError(t, conn.Close())
+}
+
+// strangers tries a mesh listener without TLS and without a certificate.
+func strangers(t *testing.T, address string) {
+	t.Helper()
+	conn := dial(t, address)
+	_, err := fmt.Fprintf(conn, "GET /v1/events HTTP/1.1\r\nHost: a\r\n\r\n")
+	must.NoError(t, err)
+	text, _ := io.ReadAll(conn)
+	must.StrNotContains(t, string(text), "200 OK")
+	_ = conn.Close()
+
+	plain := tls.Client(dial(t, address), &tls.Config{InsecureSkipVerify: true}) // the test has no certificate on purpose
+	defer func() { _ = plain.Close() }()
+	_, writeErr := fmt.Fprintf(plain, "GET /v1/events HTTP/1.1\r\nHost: a\r\n\r\n")
+	_, readErr := plain.Read(make([]byte, 1))
+	must.True(t, writeErr != nil || readErr != nil)
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	must.NoError(t, err)
+	must.NoError(t, conn.SetDeadline(time.Now().Add(rawLimit)))
+	return conn
+}
--- /dev/null
+++ b/e2e/restart_test.go
@@ -0,0 +1,53 @@
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/e2e/system"
+)
+
+// TestRestartAfterHundredsOfChanges applies hundreds of notes, ends every
+// daemon at once with SIGKILL, and starts them again.
+func TestRestartAfterHundredsOfChanges(t *testing.T) {
+	h := start(t, nil)
+	const changes = 300
+	file := h.File("change.yaml")
+	for number := 2; number <= changes; number++ {
+		note := fmt.Sprintf("number: %d\nadded:\n  teams: [{name: team-%d, rate: 1, burst: 1}]\n", number, number)
+		if number > 2 {
+			note += fmt.Sprintf("withdrawn:\n  teams: [team-%d]\n", number-1)
+		}
+		must.NoError(t, os.WriteFile(file, []byte(note), 0o600))
+		_, err := h.Operate("apply", "-f", file)
+		must.NoError(t, err)
+	}
+	before, err := h.Operate("export")
+	must.NoError(t, err)
+	must.Eq(t, 1, strings.Count(before, "name: team-"))
+	for _, i := range h.Instances {
+		h.kill(i.Name)
+	}
+	for _, i := range h.Instances {
+		h.launchDaemon(i.Name)
+	}
+	var after string
+	must.NoError(t, system.Await(settleLimit, func() error {
+		var err error
+		after, err = h.Operate("export")
+		return err
+	}))
+	must.Eq(t, before, after)
+	must.NoError(t, h.Apply(changes+1, "comment: after the restart\n"))
+	must.NoError(t, system.Await(settleLimit, func() error {
+		answer := h.do(system.Call{Ingress: h.Instances[0].Ingress, Method: "GET", Path: "/slots?again", Key: h.Keys["A"].Secret})
+		if answer.Status != 200 {
+			return fmt.Errorf("%s", answer)
+		}
+		return nil
+	}))
+}
