Cluster tests: no data race on a restarted daemon

Cause: the race detector saw the tests read the holder of a daemon while a restart replaced it, and a request that a canceling goroutine shared. Ruled out: a fault of the product; both are in test files. Change: what one start of a daemon holds is one value behind an atomic pointer; the canceler gets a copy of the request. Result: go test -race ./internal/process/control passes (58 s under load).

--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -179,42 +180,48 @@
 type daemonProcess struct {
 	cluster *cluster
 	name    string
-	starts  int
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	floor   configuration.Floor
+	life    atomic.Pointer[daemonLife]
+
+	mu      sync.Mutex
+	targets []protocol.Announcement
+}
+
+// daemonLife is what one start of a daemon holds.
+type daemonLife struct {
+	session string
 	holder  *configuration.Holder
 	table   *registry.Table
 	quota   *quota.Holder
 	ledger  *ledger.Client
 	loop    *renewal.Loop
-
-	mu      sync.Mutex
-	targets []protocol.Announcement
 }
 
 func (d *daemonProcess) start() {
 	c := d.cluster
-	d.starts++
-	d.holder = configuration.NewHolder(configuration.HolderOptions{Now: time.Now, Save: d.save, Floor: d.floor})
-	d.table = registry.NewTable(time.Now)
-	d.quota = quota.NewHolder(time.Now, func(ctx context.Context, asks []protocol.QuotaAsk) ([]protocol.QuotaGrant, time.Time, error) {
-		return d.loop.Ask(ctx, asks)
+	l := &daemonLife{session: fmt.Sprint(d.name, "/", time.Now().UnixNano())}
+	l.holder = configuration.NewHolder(configuration.HolderOptions{Now: time.Now, Save: d.save, Floor: d.floor})
+	l.table = registry.NewTable(time.Now)
+	l.quota = quota.NewHolder(time.Now, func(ctx context.Context, asks []protocol.QuotaAsk) ([]protocol.QuotaGrant, time.Time, error) {
+		return l.loop.Ask(ctx, asks)
 	})
-	d.loop = renewal.New(renewal.Options{
-		Instance: d.name, Session: fmt.Sprint(d.name, d.starts), PeerAddress: d.name + ":1", FailureDomain: "a",
+	l.loop = renewal.New(renewal.Options{
+		Instance: d.name, Session: l.session, PeerAddress: d.name + ":1", FailureDomain: "a",
 		Replicas:      c.addresses(),
 		Subscriptions: func() []string { return []string{"tides"} },
 		Caller:        &port{c.net, d.name, mesh.Peer{Name: d.name, Role: mesh.Daemon}},
-		Holder:        d.holder, Table: d.table, Quota: d.quota,
+		Holder:        l.holder, Table: l.table, Quota: l.quota,
 		Targets: d.announced, Leaving: func() bool { return false },
 		Clock: time.Now, Recorder: nothing{}, Log: zap.NewNop(),
 	})
-	d.ledger = ledger.NewClient(d.loop, 1)
+	l.ledger = ledger.NewClient(l.loop, 1)
+	d.life.Store(l)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.wg.Go(func() { _ = d.loop.Run(ctx) })
-	d.wg.Go(func() { _ = d.quota.Run(ctx) })
+	d.wg.Go(func() { _ = l.loop.Run(ctx) })
+	d.wg.Go(func() { _ = l.quota.Run(ctx) })
 }
 
 func (d *daemonProcess) stop() {
@@ -237,7 +244,7 @@
 	d.mu.Lock()
 	d.targets = targets
 	d.mu.Unlock()
-	d.loop.Kick()
+	d.life.Load().loop.Kick()
 }
 
 // callRole calls a method of a role as an operator, without a network.
--- a/internal/process/control/faults_test.go
+++ b/internal/process/control/faults_test.go
@@ -85,13 +85,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, d := range f.cluster.daemons {
-		number := d.holder.Current().Number()
-		key := fmt.Sprint(d.name, "/", d.starts)
+		life := d.life.Load()
+		number := life.holder.Current().Number()
+		key := life.session
 		if number < f.held[key] {
 			f.problems = append(f.problems, fmt.Sprintf("%s went back from %d to %d", key, f.held[key], number))
 		}
 		f.held[key] = number
-		if d.holder.Fresh() != nil {
+		if life.holder.Fresh() != nil {
 			continue
 		}
 		for n, at := range f.accepted {
@@ -237,8 +238,8 @@
 	time.Sleep(inForceWithin)
 	must.Positive(t, len(digests))
 	for _, d := range c.daemons {
-		must.NoError(t, d.holder.Fresh())
-		state := d.holder.Current()
+		must.NoError(t, d.life.Load().holder.Fresh())
+		state := d.life.Load().holder.Current()
 		must.Eq(t, uint64(len(digests)), state.Number())
 		must.Eq(t, digests[state.Number()], state.NoteDigest())
 	}
--- a/internal/process/control/once_test.go
+++ b/internal/process/control/once_test.go
@@ -38,9 +38,10 @@
 	}
 	if random(3) == 0 {
 		after := time.Duration(random(20)) * time.Millisecond
-		o.wg.Go(func() { o.cancel(sender, request, after) })
+		canceled := request
+		o.wg.Go(func() { o.cancel(sender, canceled, after) })
 	}
-	reply, err := d.ledger.Do(ctx, request)
+	reply, err := d.life.Load().ledger.Do(ctx, request)
 	if err != nil {
 		if fault.OutcomeOf(err) == fault.NotRun {
 			o.promise(attempt)
@@ -56,7 +57,7 @@
 	}
 	request.Operation = protocol.OnceComplete
 	request.Answer = &protocol.StoredAnswer{Status: 200, Body: []byte(attempt)}
-	_, _ = d.ledger.Do(ctx, request)
+	_, _ = d.life.Load().ledger.Do(ctx, request)
 }
 
 // cancel fences an attempt from another daemon. An answer that says fenced
@@ -66,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	request.Operation = protocol.OnceCancel
-	reply, err := sender.ledger.Do(ctx, request)
+	reply, err := sender.life.Load().ledger.Do(ctx, request)
 	if err == nil && reply.State == protocol.OnceFenced {
 		o.promise(request.Attempt)
 	}
--- a/internal/process/control/quota_test.go
+++ b/internal/process/control/quota_test.go
@@ -35,7 +35,7 @@
 // holder, so it is read anew each time.
 func (r *takes) load(ctx context.Context, d *daemonProcess) {
 	for ctx.Err() == nil {
-		if d.quota.Take(ctx, "t") == nil {
+		if d.life.Load().quota.Take(ctx, "t") == nil {
 			r.add(time.Now())
 		}
 		time.Sleep(time.Second / callsPerDaemon)
--- a/internal/process/control/registry_test.go
+++ b/internal/process/control/registry_test.go
@@ -35,7 +35,7 @@
 		}
 		c.net.isolate(c.daemons[1].name, c.names(), true)
 		time.Sleep(time.Minute)
-		must.True(t, c.daemons[1].table.Stale())
+		must.True(t, c.daemons[1].life.Load().table.Stale())
 		close(stop)
 		must.Eq(t, 0, <-missing)
 		c.net.isolate(c.daemons[1].name, c.names(), false)
@@ -53,7 +53,7 @@
 		case <-time.After(sampleEvery):
 		}
 		for _, d := range c.daemons {
-			if len(d.table.Targets("tides")) == 0 {
+			if len(d.life.Load().table.Targets("tides")) == 0 {
 				missing++
 			}
 		}
@@ -72,14 +72,14 @@
 		c.daemons[0].announce(announcement(protocol.Leaving))
 		time.Sleep(inForceWithin)
 		for _, d := range c.daemons {
-			for _, target := range d.table.Targets("tides") {
+			for _, target := range d.life.Load().table.Targets("tides") {
 				must.Eq(t, protocol.Leaving, target.State)
 			}
 		}
 		c.daemons[0].announce()
 		time.Sleep(inForceWithin)
 		for _, d := range c.daemons {
-			must.SliceEmpty(t, d.table.Targets("tides"))
+			must.SliceEmpty(t, d.life.Load().table.Targets("tides"))
 		}
 		c.close()
 	})
