--- a/internal/connection/memnet/network.go
+++ b/internal/connection/memnet/network.go
@@ -48,13 +48,13 @@
 	n.dials++
 	n.mu.Unlock()
 	if l == nil {
-		return nil, errRefused
+		return nil, ErrRefused
 	}
 	client, server := newPair(n.latency, addr(address))
 	select {
 	case l.queue <- server:
 	case <-l.done:
-		return nil, errRefused
+		return nil, ErrRefused
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -98,7 +98,8 @@
 	}
 }
 
-var errRefused = errors.New("connection refused")
+// ErrRefused is returned by Dial where nobody listens.
+var ErrRefused = errors.New("connection refused")
 
 type addr string
 
