Small answers are received whole beside the target; benchmark of one hop

Cause: the daemon beside a target flushed each piece of an answer, so a small one left in three frames, and its slot was held until the sender had read it. Change: answers up to 64 KiB are received whole before they are passed on; the slot and the handle end with the target's part. A small answer that breaks off is now refused with its kind instead of a reset stream. An answer cannot claim to be a replay unless the ledger made it one. Header blocks above 32 KiB get a refusal in the usual form. A text under 8 bytes is not taken for a key on open routes, where it would drop headers at random (seen with "Bearer o").

--- a/internal/connection/listener/server.go
+++ b/internal/connection/listener/server.go
@@ -14,8 +14,9 @@
 
 // Defaults of a listener.
 const (
-	// HeaderLimit is the largest header block of a request, in bytes.
-	HeaderLimit = 32 << 10
+	// HeaderLimit is the largest header block of a request that is read, in
+	// bytes.
+	HeaderLimit = 64 << 10
 	// HeaderTimeout is the longest time for a header block to come.
 	HeaderTimeout = 5 * time.Second
 	// IdleTimeout closes a connection without requests.
@@ -24,16 +25,15 @@
 	SilenceBeforePing = 500 * time.Millisecond
 	PingTimeout       = 450 * time.Millisecond
 
-	maxStreams     = 250
-	probeIdle      = time.Second
-	probeInterval  = time.Second
-	probeCount     = 3
-	headerOverhead = 4 << 10 // what net/http adds to MaxHeaderBytes
+	maxStreams    = 250
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 3
 )
 
 // Options change the defaults of a listener; the zero value keeps them.
 type Options struct {
-	// HeaderLimit is the largest header block of a request, in bytes.
+	// HeaderLimit is the largest header block that is read, in bytes.
 	HeaderLimit int
 	// ErrorLog receives what goes wrong on connections.
 	ErrorLog *log.Logger
@@ -51,7 +51,7 @@
 	return &http.Server{
 		Handler:           handler,
 		Protocols:         protocols,
-		MaxHeaderBytes:    max(limit-headerOverhead, headerOverhead),
+		MaxHeaderBytes:    limit,
 		ReadHeaderTimeout: HeaderTimeout,
 		IdleTimeout:       IdleTimeout,
 		ErrorLog:          o.ErrorLog,
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -232,6 +232,27 @@
 	})
 }
 
+// TestIdleLinkIsClosed shows that a link without requests costs no pings.
+func TestIdleLinkIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server, client := identities(t)
+		network := memnet.New(time.Millisecond)
+		serve(t, network, server, func(http.ResponseWriter, *http.Request) {})
+		c := NewClient(client, Options{Dial: network.Dial})
+		defer end(c)
+		for dials, gap := range []time.Duration{0, 2 * idleTimeout, 2 * idleTimeout} {
+			time.Sleep(gap)
+			for range 2 {
+				resp, err := c.RoundTrip(address, request(t.Context(), t, "empty"))
+				must.NoError(t, err)
+				must.NoError(t, resp.Body.Close())
+				time.Sleep(idleTimeout / 2)
+			}
+			must.Eq(t, dials+1, network.Dials())
+		}
+	})
+}
+
 func TestNobodyListens(t *testing.T) {
 	_, client := identities(t)
 	c := NewClient(client, Options{Dial: memnet.New(0).Dial})
--- /dev/null
+++ b/internal/request/hop/bench_test.go
@@ -0,0 +1,196 @@
+package hop
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/connection/peer"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/connection/target"
+	"github.com/teaselrack/teaselrack/internal/request/running"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// loopback is two processes over TCP and TLS on loopback: the target of
+// service tides stands beside the first, that of oprema beside the second.
+// Callers reach both through the first.
+type loopback struct {
+	direct, root string // addresses
+}
+
+const benchNote = `
+number: 1
+added:
+  routes:
+    - {name: here, path: /here, service: tides, access: open, importance: high}
+    - {name: there, path: /there, service: oprema, access: open, importance: high}
+`
+
+func newLoopback(b *testing.B) *loopback {
+	n, err := version.ParseNote([]byte(benchNote))
+	must.NoError(b, err)
+	state, err := version.Initial().Apply(n)
+	must.NoError(b, err)
+	ca, err := mesh.NewAuthority("mesh", time.Now())
+	must.NoError(b, err)
+	router := &fakeRouter{}
+	shared := Deps{
+		FailureDomain: "split-a",
+		Configuration: &fakeConfiguration{state: state},
+		Quota:         &fakeQuota{},
+		Ledger:        &fakeLedger{},
+		Router:        router,
+		Permits:       &fakePermits{left: make(map[string]int)},
+		Recorder:      discard{},
+		Announced:     &fakeAnnounced{},
+	}
+	l := &loopback{}
+	for _, service := range []string{"tides", "oprema"} {
+		l.add(b, ca, shared, router, service)
+	}
+	return l
+}
+
+type discard struct{}
+
+func (discard) Record(protocol.Event) {}
+
+func (l *loopback) add(b *testing.B, ca mesh.Pair, d Deps, router *fakeRouter, service string) {
+	pair, err := ca.Issue(service, mesh.Daemon, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Now())
+	must.NoError(b, err)
+	id, err := mesh.NewIdentity(ca.Certificate, pair)
+	must.NoError(b, err)
+	answering := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok"))
+	})}
+	targetAddress := serveTCP(b, answering, answering.Serve)
+	peers := peer.NewClient(id, peer.Options{})
+	targets := target.NewClient(target.Options{})
+	b.Cleanup(peers.Close)
+	b.Cleanup(targets.Close)
+
+	d.Instance = service
+	d.Admission = &fakeAdmission{address: targetAddress}
+	d.Running = running.NewTable()
+	d.Peers = peers
+	d.Targets = targets
+	beside := peer.NewServer(id, NewBeside(d), peer.ServerOptions{})
+	d.PeerAddress = serveTCP(b, beside, func(l net.Listener) error { return beside.ServeTLS(l, "", "") })
+	root := listener.NewServer(NewRoot(d), listener.Options{})
+	rootAddress := serveTCP(b, root, root.Serve)
+	router.targets = append(router.targets, protocol.TargetRecord{Service: service, Instance: service, PeerAddress: d.PeerAddress})
+	if l.root == "" {
+		l.root, l.direct = rootAddress, targetAddress
+	}
+}
+
+func serveTCP(b *testing.B, s *http.Server, serve func(net.Listener) error) string {
+	l, err := listener.Listen(context.Background(), "127.0.0.1:0")
+	must.NoError(b, err)
+	go func() { _ = serve(l) }()
+	b.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+// newCaller returns a function that calls one URL over one kept connection.
+func newCaller(b *testing.B, url string) func() {
+	client := &http.Client{Transport: &http.Transport{}}
+	b.Cleanup(client.CloseIdleConnections)
+	return func() {
+		resp, err := client.Get(url)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			b.Error(resp.Status)
+		}
+	}
+}
+
+// BenchmarkHop calls a target directly, through the process beside it, and
+// through the process of another instance, in turn, and reports percentiles of
+// each in milliseconds. The added times are differences between percentiles.
+func BenchmarkHop(b *testing.B) {
+	for _, callers := range []int{1, 4} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			l := newLoopback(b)
+			urls := []string{"http://" + l.direct + "/", "http://" + l.root + "/here", "http://" + l.root + "/there"}
+			histograms := measure(b, urls, callers)
+			for i, name := range []string{"direct", "hop", "cross"} {
+				for _, q := range []float64{50, 99} {
+					value := milliseconds64(histograms[i], q)
+					b.ReportMetric(value, fmt.Sprintf("%s-p%.0f-ms", name, q))
+					if i > 0 {
+						b.ReportMetric(value-milliseconds64(histograms[0], q), fmt.Sprintf("%s-added-p%.0f-ms", name, q))
+					}
+				}
+			}
+		})
+	}
+}
+
+// measure has each caller call the URLs in turn.
+func measure(b *testing.B, urls []string, callers int) []*hdrhistogram.Histogram {
+	const longest = int64(10 * time.Second)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	total := make([]*hdrhistogram.Histogram, len(urls))
+	for i := range total {
+		total[i] = hdrhistogram.New(1, longest, 3)
+	}
+	for range callers {
+		calls := make([]func(), len(urls))
+		for i, url := range urls {
+			calls[i] = newCaller(b, url)
+			calls[i]()
+		}
+		wg.Go(func() {
+			for range b.N / callers {
+				for i, call := range calls {
+					start := time.Now()
+					call()
+					took := int64(time.Since(start))
+					mu.Lock()
+					_ = total[i].RecordValue(took)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return total
+}
+
+func milliseconds64(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / float64(time.Millisecond)
+}
+
+// BenchmarkHopThroughput reports time and allocations of a cross-instance
+// request, caller and target included, with as many callers as cores.
+func BenchmarkHopThroughput(b *testing.B) {
+	l := newLoopback(b)
+	b.ReportAllocs()
+	b.SetParallelism(1)
+	b.Logf("%d cores", runtime.GOMAXPROCS(0))
+	b.RunParallel(func(pb *testing.PB) {
+		call := newCaller(b, "http://"+l.root+"/there")
+		for pb.Next() {
+			call()
+		}
+	})
+}
--- a/internal/request/hop/check.go
+++ b/internal/request/hop/check.go
@@ -13,6 +13,10 @@
 	"github.com/teaselrack/teaselrack/internal/version"
 )
 
+// HeaderLimit is the largest header block of a request, in bytes. Listeners
+// take more than this, so that the refusal has the form of every other one.
+const HeaderLimit = 32 << 10
+
 var methods = []string{
 	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
 	http.MethodPatch, http.MethodDelete, http.MethodOptions,
@@ -33,9 +37,24 @@
 	if !cleanPath(r.URL.Path) {
 		return fault.New(fault.BadRequest, "the path is not in its shortest form")
 	}
+	if headerSize(r) > HeaderLimit {
+		return fault.New(fault.TooLarge, "the header exceeds %d bytes", HeaderLimit)
+	}
 	return checkLength(r, bodyLimit)
 }
 
+// headerSize is the size of the header block as HTTP/1.1 writes it.
+func headerSize(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 // cleanPath reports whether p is absolute and without empty, "." and ".."
 // segments, so that a target cannot read another path in it than the routes
 // were matched with.
--- a/internal/request/hop/claim.go
+++ b/internal/request/hop/claim.go
@@ -114,19 +114,12 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), work.deadline)
 	defer cancel()
 	a, err := h.dispatch(ctx, work, slot)
-	if err != nil {
-		return nil, err
+	if err != nil || a.rest == nil {
+		return a, err
 	}
-	body, err := readUpTo(a.rest, -1, protocol.MaxStoredAnswer)
 	_ = a.rest.Close()
-	a.end(err)
-	switch {
-	case errors.Is(err, errTooLong):
-		return nil, fault.New(fault.AnswerTooLarge, "the answer exceeds %d bytes", protocol.MaxStoredAnswer)
-	case err != nil:
-		return nil, fault.Wrap(fault.AnswerBroken, err, "the target's answer ended before it was whole")
-	}
-	return &answer{status: a.status, header: a.header, body: body, head: a.head}, nil
+	a.end(errTooLong)
+	return nil, fault.New(fault.AnswerTooLarge, "the answer exceeds %d bytes", protocol.MaxStoredAnswer)
 }
 
 func command(operation protocol.OnceOperation, work *work, digest string) protocol.OnceRequest {
--- a/internal/request/hop/dispatch.go
+++ b/internal/request/hop/dispatch.go
@@ -12,30 +12,31 @@
 )
 
 // dispatch gives the attempt to the target. The slot and the handle are held
-// until the answer has been passed on or has broken off.
+// until the answer has been received, or has been passed on where it is too
+// large to be received whole before.
 func (h *beside) dispatch(ctx context.Context, work *work, slot Slot) (*answer, error) {
 	e := work.envelope
 	handle, remove := h.Running.Add(running.Request{Envelope: e, Context: ctx})
 	start := time.Now()
 	record(h.Deps, "attempt.dispatched", e, h.Instance, "")
 	request := work.toTarget(ctx, slot.Address, handle)
-	resp, err := h.Targets.RoundTrip(slot.Address, request, e.Mode == version.Idempotent) //nolint:bodyclose // the answer closes it
+	resp, err := h.Targets.RoundTrip(slot.Address, request, e.Mode == version.Idempotent)
 	took := time.Since(start)
 	if err != nil {
 		remove()
 		slot.Done(took, err, isReset(err))
 		return nil, err
 	}
-	a := &answer{
-		status: resp.StatusCode,
-		header: endToEnd(resp.Header),
-		head:   work.request.Method == http.MethodHead,
-		rest:   resp.Body,
-	}
-	a.finish = func(err error) {
+	end := func(err error) {
 		remove()
 		slot.Done(took, targetError(resp, err), err != nil && ctx.Err() == nil)
 	}
+	a, err := receive(resp, work.request.Method)
+	if err != nil || a.rest == nil {
+		end(err)
+		return a, err
+	}
+	a.finish = end
 	return a, nil
 }
 
--- a/internal/request/hop/hop_test.go
+++ b/internal/request/hop/hop_test.go
@@ -113,6 +113,7 @@
 		{"path hides dots", fault.BadRequest, "GET", "/look%2f..%2fdeep", nil},
 		{"method", fault.BadRequest, "BREW", "/look", nil},
 		{"timeout", fault.BadRequest, "GET", "/look", func(_ *system, r *http.Request) { r.Header.Set(HeaderTimeout, "-1") }},
+		{"large header", fault.TooLarge, "GET", "/look", func(_ *system, r *http.Request) { r.Header.Set("X-A", strings.Repeat("a", HeaderLimit)) }},
 		{"no once key", fault.OnceKeyMissing, "POST", "/pay", nil},
 		{"bad once key", fault.BadRequest, "POST", "/pay", func(_ *system, r *http.Request) { r.Header.Set(headerOnceKey, strings.Repeat("k", 300)) }},
 		{"lease", fault.LeaseExpired, "GET", "/look", func(s *system, _ *http.Request) { s.config.expire() }},
@@ -158,8 +159,10 @@
 func TestOpenRouteNeedsNoKey(t *testing.T) {
 	run(t, []string{"tides"}, func(t *testing.T, s *system) {
 		s.handle(0, func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte(r.Header.Get(HeaderTeam))) })
-		res := s.call(http.MethodGet, "/open", "", func(r *http.Request) { r.Header.Del("Authorization") })
-		must.Eq(t, "open", res.body)
+		for _, authorization := range []string{"", "Bearer o", "Bearer " + secret} {
+			res := s.call(http.MethodGet, "/open", "", func(r *http.Request) { r.Header.Set("Authorization", authorization) })
+			must.Eq(t, "open", res.body)
+		}
 	})
 }
 
--- a/internal/request/hop/once_test.go
+++ b/internal/request/hop/once_test.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -91,6 +92,36 @@
 	})
 }
 
+// TestOnceAtTheSameTime has callers send the same request at once, as phones do
+// that lost the signal.
+func TestOnceAtTheSameTime(t *testing.T) {
+	run(t, []string{"tides", "blagajna", "blagajna"}, func(t *testing.T, s *system) {
+		var ran atomic.Int64
+		s.handle(0, func(w http.ResponseWriter, _ *http.Request) {
+			ran.Add(1)
+			time.Sleep(300 * time.Millisecond)
+			_, _ = w.Write([]byte("paid"))
+		})
+		leaving, leave := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer leave()
+		var wg sync.WaitGroup
+		for n := range 20 {
+			wg.Go(func() {
+				res := s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed("k"), func(r *http.Request) {
+					if n < 10 {
+						*r = *r.WithContext(leaving)
+					}
+				})
+				if n >= 10 {
+					must.Eq(t, "paid", res.body)
+				}
+			})
+		}
+		wg.Wait()
+		must.Eq(t, 1, ran.Load())
+	})
+}
+
 // TestOnceWithLostLink silences the links between the root and the processes
 // beside the targets, at several moments.
 func TestOnceWithLostLink(t *testing.T) {
--- a/internal/request/hop/scrub.go
+++ b/internal/request/hop/scrub.go
@@ -20,7 +20,16 @@
 	key string // lower case
 }
 
-func newScrubber(key string) scrubber { return scrubber{strings.ToLower(key)} }
+// minKey is the shortest text that is taken for a key on an open route, where
+// it need not be in force; a shorter one would match at random.
+const minKey = 8
+
+func newScrubber(key string) scrubber {
+	if len(key) < minKey {
+		return scrubber{}
+	}
+	return scrubber{strings.ToLower(key)}
+}
 
 // holds reports whether text holds the key, as it is or percent-encoded.
 func (s scrubber) holds(text string) bool {
--- a/internal/request/hop/sender.go
+++ b/internal/request/hop/sender.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,10 +10,6 @@
 	"github.com/teaselrack/teaselrack/internal/version"
 )
 
-// bufferLimit is the largest answer that is read whole before it is passed on,
-// in bytes. A longer one is streamed and cannot be fetched again.
-const bufferLimit = 64 << 10
-
 // sender sends calls to the daemons beside targets. It makes one attempt, and
 // further ones only with a permit of the root each.
 type sender struct {
@@ -81,11 +75,14 @@
 		choice.Done(latency, err, level)
 		return s.settle(ctx, c, e, err, true)
 	}
-	a, err := receive(resp, c)
+	a, err := receive(resp, c.method)
 	if err != nil {
 		choice.Done(latency, err, level)
 		return s.settle(ctx, c, e, err, false)
 	}
+	if replayed := resp.Header.Get(HeaderReplayed); replayed != "" {
+		a.header.Set(HeaderReplayed, replayed)
+	}
 	if a.rest == nil {
 		choice.Done(latency, nil, level)
 		return a, nil
@@ -111,43 +108,6 @@
 	return s.settleOnce(ctx, c, e, err, refused)
 }
 
-// receive reads the beginning of an answer, and all of it where it is small or
-// answers a once request.
-func receive(resp *http.Response, c *call) (*answer, error) {
-	a := &answer{
-		status: resp.StatusCode,
-		header: endToEnd(resp.Header),
-		head:   c.method == http.MethodHead,
-	}
-	if replayed := resp.Header.Get(HeaderReplayed); replayed != "" {
-		a.header[HeaderReplayed] = []string{replayed}
-	}
-	body, whole, err := readStart(resp.Body, resp.ContentLength)
-	a.body = body
-	if err != nil {
-		_ = resp.Body.Close()
-		return nil, fault.Wrap(fault.AnswerBroken, err, "the answer ended before it was whole")
-	}
-	if whole {
-		_ = resp.Body.Close()
-		return a, nil
-	}
-	a.rest = resp.Body
-	return a, nil
-}
-
-// readStart reads up to bufferLimit bytes and reports whether that was all.
-func readStart(r io.Reader, length int64) ([]byte, bool, error) {
-	if length > bufferLimit {
-		return nil, false, nil
-	}
-	body, err := readUpTo(r, length, bufferLimit)
-	if errors.Is(err, errTooLong) {
-		return body, false, nil
-	}
-	return body, err == nil, err
-}
-
 // mayRepeat reports whether another attempt may follow err: always where the
 // request certainly did not run and another target may be better off, and for
 // idempotent requests also where it may have run.
