--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -21,6 +21,7 @@
 	MethodRemove  = "control.remove"
 	MethodOnce    = "once.command"
 	MethodReplica = "replica.message"
+	MethodSync    = "registry.sync"
 	MethodEvents  = "events.read"
 )
 
@@ -80,9 +81,17 @@
 	// Want is the number of tokens the holder expects to need until the next
 	// renewal.
 	Want int `json:"w"`
+	// Waiting is the number of requests that wait for one of them now.
+	Waiting int `json:"n,omitempty"`
 	// Sequence rises with each ask of one holder, so that a repeated or delayed
 	// ask is granted once.
 	Sequence uint64 `json:"q"`
+	// Spent is the number of tokens of the team that the holder has spent since
+	// its start.
+	Spent uint64 `json:"s,omitempty"`
+	// Left is the number of tokens that the holder still has. It gives up all
+	// others that asks before this one brought, or still would bring.
+	Left int `json:"k,omitempty"`
 }
 
 // QuotaGrant hands out tokens of one team.
@@ -180,6 +189,9 @@
 	Targets       []Announcement `json:"targets"`
 }
 
+// RoleLeader is the role of the member that leads a group.
+const RoleLeader = "leader"
+
 // ReplicaStatus is the state of one member of one replica group.
 type ReplicaStatus struct {
 	ID      string `json:"id"`
@@ -226,12 +238,30 @@
 // AdmitRequest admits a new replica: as learner, and as voter once it has
 // caught up and stored everything.
 type AdmitRequest struct {
+	// Address is the control address of the new replica, IP:port.
 	Address string `json:"address"`
+	// Group limits the change to one group; empty means all.
+	Group string `json:"group,omitempty"`
 }
 
 // RemoveRequest removes a replica from the groups.
 type RemoveRequest struct {
+	// ID is the id of the replica in a group, or its control address.
 	ID string `json:"id"`
+	// Group limits the change to one group; empty means all.
+	Group string `json:"group,omitempty"`
+}
+
+// ReplicaMessages carries messages between members of replica groups, each in
+// the encoding of package replica.
+type ReplicaMessages struct {
+	Messages [][]byte `json:"m"`
+}
+
+// OnceCall carries one ledger command to the replicas of a shard.
+type OnceCall struct {
+	Shard   int         `json:"shard"`
+	Request OnceRequest `json:"request"`
 }
 
 // Empty is a reply without content.
--- /dev/null
+++ b/internal/process/admission/learn.go
@@ -0,0 +1,139 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+// Names of the events of a target's limits.
+const (
+	eventCold    = "target.cold"
+	eventWarm    = "target.warm"
+	eventLeaving = "target.leaving"
+)
+
+// Announce takes what the target says about itself. A new incarnation, and a
+// target that announces that it became cold, start over.
+func (q *Queue) Announce(now time.Time, a protocol.Announcement) {
+	q.advance(now)
+	before := q.announce
+	fresh := q.gone || a.Incarnation != before.Incarnation
+	q.announce, q.gone = a, false
+	q.limit.announce(max(a.Slots, 0))
+	switch {
+	case fresh && a.State == protocol.Warm:
+		q.restart(now, max(a.Slots/warmShare, 2*coldLimit), warmRounds, "new incarnation")
+	case fresh:
+		q.restart(now, coldLimit, coldRounds, "new incarnation")
+	case a.State == protocol.Cold && before.State == protocol.Warm:
+		q.restart(now, coldLimit, coldRounds, "announced")
+	}
+	q.setLeaving(a.State == protocol.Leaving)
+	q.dispatch(now)
+}
+
+// Gone refuses everything until the target announces itself again.
+func (q *Queue) Gone(now time.Time) {
+	q.advance(now)
+	q.gone = true
+	q.refuseAll(fault.NoTarget)
+}
+
+func (q *Queue) setLeaving(leaving bool) {
+	if leaving && !q.leaving {
+		q.note(eventLeaving, "")
+	}
+	q.leaving = leaving
+	if leaving {
+		q.refuseAll(fault.TargetLeaving)
+	}
+}
+
+func (q *Queue) refuseAll(kind fault.Kind) {
+	for i := range q.classes {
+		for q.classes[i].waiting > 0 {
+			t := q.classes[i].refuse()
+			q.waiting--
+			q.refuse(t, kind)
+			q.settled(t)
+		}
+	}
+}
+
+// restart forgets what was learnt and begins a cold start.
+func (q *Queue) restart(now time.Time, first, rounds int, reason string) {
+	q.limit = newLimit(now, q.limit.announced)
+	q.own, q.worked, q.held = latency{}, latency{}, latency{}
+	q.resets, q.suspect = 0, 0
+	q.cold.restart(first, rounds)
+	q.note(eventCold, reason)
+}
+
+// learn takes the figures of one answer.
+func (q *Queue) learn(now time.Time, t *Ticket, r Result) {
+	held := now.Sub(t.started)
+	own := min(r.Took, held-t.waited)
+	switch {
+	case r.Reset:
+		q.reset(now)
+	case r.Failed:
+		q.failed(now, own, held)
+	default:
+		q.succeeded(now, t, own, held)
+	}
+}
+
+// reset counts a broken connection. One among many requests says little; two in
+// a short time, or one that was all that ran, show a target that restarted.
+func (q *Queue) reset(now time.Time) {
+	if now.Sub(q.lastReset) > resetInterval {
+		q.resets = 0
+	}
+	q.lastReset = now
+	q.resets++
+	if q.resets >= resetCount || q.inFlight == 0 || q.cold.active {
+		q.restart(now, coldLimit, coldRounds, "connection resets")
+	}
+}
+
+// failed counts a failure against the target only where its own time was most
+// of the time that the slot was taken: else a deeper call failed.
+func (q *Queue) failed(now time.Time, own, held time.Duration) {
+	if 2*own < held {
+		return
+	}
+	if q.cold.active {
+		q.restart(now, coldLimit, coldRounds, "failure in cold start")
+		return
+	}
+	q.limit.completed(now, own, true)
+}
+
+func (q *Queue) succeeded(now time.Time, t *Ticket, own, held time.Duration) {
+	if !q.own.slowNow(own) {
+		q.suspect = max(q.suspect-1, 0)
+	}
+	q.own.observe(own)
+	q.worked.observe(held - t.waited)
+	q.held.observe(held)
+	if q.own.jumped() {
+		q.restart(now, coldLimit, coldRounds, fmt.Sprintf("latency %v after %v", q.own.recent(), q.own.mean()))
+		return
+	}
+	if q.cold.active {
+		q.warmed(now, t)
+		return
+	}
+	q.limit.completed(now, own, false)
+}
+
+func (q *Queue) warmed(now time.Time, t *Ticket) {
+	if !q.cold.succeeded(t.stage, q.limit.current()) {
+		return
+	}
+	q.limit.restart(now)
+	q.note(eventWarm, "")
+}
