Targets' own calls are told to admission; benchmark without connections

Cause: admission can leave the time of deeper services out of a target's own (Queue.Calling), but nobody told it when a target calls. Change: Slot.Calling (may be nil) is passed on in the table of running requests; the egress listener tells of each call's begin and end.

--- a/internal/request/hop/bench_test.go
+++ b/internal/request/hop/bench_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -194,3 +199,67 @@
 		}
 	})
 }
+
+// BenchmarkInProcess runs the code of the root and of the process beside the
+// target without any connection: what is measured is this package, and the
+// request and the answer that it builds.
+func BenchmarkInProcess(b *testing.B) {
+	n, err := version.ParseNote([]byte(note))
+	must.NoError(b, err)
+	state, err := version.Initial().Apply(n)
+	must.NoError(b, err)
+	ca, err := mesh.NewAuthority("mesh", time.Now())
+	must.NoError(b, err)
+	pair, err := ca.Issue("i1", mesh.Daemon, nil, time.Now())
+	must.NoError(b, err)
+	block, _ := pem.Decode(pair.Certificate)
+	cert, err := x509.ParseCertificate(block.Bytes)
+	must.NoError(b, err)
+
+	links := &inProcess{tls: &tls.ConnectionState{VerifiedChains: [][]*x509.Certificate{{cert}}}}
+	d := Deps{
+		Instance: "i1", FailureDomain: "split-a", PeerAddress: "127.0.0.1:7000",
+		Configuration: &fakeConfiguration{state: state}, Quota: &fakeQuota{}, Ledger: &fakeLedger{},
+		Router:    &fakeRouter{targets: []protocol.TargetRecord{{Service: "tides", Instance: "i1", PeerAddress: "127.0.0.1:7000"}}},
+		Admission: &fakeAdmission{address: "127.0.0.1:9000"}, Permits: &fakePermits{left: make(map[string]int)},
+		Recorder: discard{}, Announced: &fakeAnnounced{}, Running: running.NewTable(), Peers: links, Targets: answering{},
+	}
+	links.beside = NewBeside(d)
+	root := NewRoot(d)
+	r := httptest.NewRequest(http.MethodGet, "/look/slots?day=1", nil)
+	r.Header.Set("Authorization", "Bearer "+secret)
+	r.Header.Set("Accept", "application/json")
+	b.ReportAllocs()
+	for b.Loop() {
+		w := httptest.NewRecorder()
+		root.ServeHTTP(w, r)
+		if w.Code != http.StatusOK {
+			b.Fatal(w.Body.String())
+		}
+	}
+}
+
+// inProcess is a link that calls the handler of the process beside the target.
+type inProcess struct {
+	beside http.Handler
+	tls    *tls.ConnectionState
+}
+
+func (l *inProcess) RoundTrip(_ string, r *http.Request) (*http.Response, error) {
+	r.TLS = l.tls
+	w := httptest.NewRecorder()
+	l.beside.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// answering is a target that answers at once.
+type answering struct{}
+
+func (answering) RoundTrip(string, *http.Request, bool) (*http.Response, error) {
+	return &http.Response{
+		StatusCode:    http.StatusOK,
+		Header:        http.Header{"Content-Type": {"text/plain"}},
+		Body:          io.NopCloser(strings.NewReader("ok")),
+		ContentLength: 2,
+	}, nil
+}
--- a/internal/request/hop/egress.go
+++ b/internal/request/hop/egress.go
@@ -42,6 +42,7 @@
 		h.refuse(w, c, err)
 		return
 	}
+	defer parent.Call()()
 	ctx, cancel := h.context(parent, r, c.timeout)
 	defer cancel()
 	a, err := h.run(ctx, w, r, c)
--- a/internal/request/hop/fakes_test.go
+++ b/internal/request/hop/fakes_test.go
@@ -113,6 +113,8 @@
 	address string
 	during  func(e *envelope.Envelope) error
 	open    atomic.Int64 // slots not given back
+	calling atomic.Int64 // calls of the target that run
+	called  atomic.Int64 // calls of the target so far
 }
 
 func (f *fakeAdmission) Admit(_ context.Context, e *envelope.Envelope) (Slot, error) {
@@ -122,7 +124,20 @@
 		}
 	}
 	f.open.Add(1)
-	return Slot{Address: f.address, Done: func(time.Duration, error, bool) { f.open.Add(-1) }}, nil
+	return Slot{
+		Address: f.address,
+		Done:    func(time.Duration, error, bool) { f.open.Add(-1) },
+		Calling: f.noteCall,
+	}, nil
+}
+
+func (f *fakeAdmission) noteCall(began bool) {
+	if began {
+		f.called.Add(1)
+		f.calling.Add(1)
+		return
+	}
+	f.calling.Add(-1)
 }
 
 func (f *fakeAdmission) Level(string) Level { return Level{version.Low, envelope.CohortCount - 1} }
--- a/internal/request/hop/hop_test.go
+++ b/internal/request/hop/hop_test.go
@@ -40,6 +40,10 @@
 		must.Eq(t, fmt.Sprintf("/look/slots?day=1 obala high %[1]s;/deep/a obala high %[1]s;/hold/b obala high %[1]s;", id), res.body)
 		must.Eq(t, "ran", res.header.Get(HeaderOutcome))
 
+		for i, calls := range []int64{1, 1, 0} {
+			must.Eq(t, calls, s.nodes[i].admission.called.Load())
+		}
+
 		for i, handle := range handles {
 			late := &http.Request{Host: s.nodes[i].target(), Header: http.Header{HeaderHandle: {handle}}}
 			res := s.next(t.Context(), late, http.MethodGet, "/look")
--- a/internal/request/hop/ports.go
+++ b/internal/request/hop/ports.go
@@ -74,6 +74,11 @@
 	// Done gives the slot back with the time the target took, the error or
 	// nil, and whether the target reset the connection.
 	Done func(took time.Duration, err error, reset bool)
+	// Calling tells that the target began or ended a call of its own for the
+	// request, so that the time of deeper services is not taken for its own. It
+	// may be nil. A call that ends after Done is told of as well, and changes
+	// nothing.
+	Calling func(began bool)
 }
 
 // Permits bounds retries over the whole chain.
--- a/internal/request/running/table.go
+++ b/internal/request/running/table.go
@@ -22,6 +22,19 @@
 	// Context ends when the request ends, its sender leaves or its deadline
 	// passes.
 	Context context.Context
+	// Calling is told when the target begins and ends a call of its own for
+	// the request. It may be nil.
+	Calling func(began bool)
+}
+
+// Call tells that the target has begun a call of its own. The function that it
+// returns tells that the call has ended, and must be called exactly once.
+func (r Request) Call() (ended func()) {
+	if r.Calling == nil {
+		return func() {}
+	}
+	r.Calling(true)
+	return func() { r.Calling(false) }
 }
 
 // Table maps handles to running requests. It may be used by any number of
