Cluster tests on disks that lose what was not synced

Ruled out: a faster folder; it would not lose or tear anything either.

Change: the opener of a group's disk is an option of the replica and of the control role; the tests use the disk in memory that drops and tears unsynced writes at each kill.

--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"path/filepath"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,6 +23,8 @@
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/renewal"
+	"github.com/teaselrack/teaselrack/internal/process/storage"
+	"github.com/teaselrack/teaselrack/internal/process/storage/storagetest"
 )
 
 const (
@@ -37,7 +41,6 @@
 type cluster struct {
 	t        *testing.T
 	net      *network
-	dir      string
 	replicas []*replicaProcess
 	daemons  []*daemonProcess
 	operator *port
@@ -61,10 +64,12 @@
 }
 
 func newCluster(t *testing.T, seed uint64) *cluster {
-	c := &cluster{t: t, net: newNetwork(seed), dir: t.TempDir()}
+	c := &cluster{t: t, net: newNetwork(seed)}
 	c.operator = &port{c.net, operatorName, mesh.Peer{Name: operatorName, Role: mesh.Operator}}
 	for i := range replicaCount {
-		c.replicas = append(c.replicas, &replicaProcess{cluster: c, address: fmt.Sprintf("10.0.0.%d:1", i+1)})
+		r := &replicaProcess{cluster: c, address: fmt.Sprintf("10.0.0.%d:1", i+1), disks: make(map[string]*storagetest.Disk)}
+		r.random = rand.New(rand.NewPCG(seed, uint64(i)))
+		c.replicas = append(c.replicas, r)
 	}
 	for _, r := range c.replicas {
 		r.start()
@@ -133,16 +138,27 @@
 type replicaProcess struct {
 	cluster *cluster
 	address string
-	life    int
+	disks   map[string]*storagetest.Disk
+	random  *rand.Rand
 	cancel  context.CancelFunc
 	ended   chan error
 	role    *control.Role
 }
 
+func (r *replicaProcess) openDisk(dir string) (storage.Disk, error) {
+	disk, ok := r.disks[dir]
+	if !ok {
+		disk = storagetest.New(r.random)
+		r.disks[dir] = disk
+	}
+	return disk, nil
+}
+
 func (r *replicaProcess) start() {
 	c := r.cluster
 	role, err := control.NewRole(control.RoleOptions{
-		Folder:       filepath.Join(c.dir, r.address, fmt.Sprint(r.life)),
+		Folder:       r.address,
+		OpenDisk:     r.openDisk,
 		Address:      r.address,
 		Replicas:     c.addresses(),
 		LedgerShards: 1,
@@ -157,6 +173,7 @@
 	c.net.serve(r.address, role.Handlers())
 }
 
+// stop kills the replica: what its disks had not synced is lost or torn.
 func (r *replicaProcess) stop() {
 	if r.role == nil {
 		return
@@ -165,13 +182,16 @@
 	r.cancel()
 	must.NoError(r.cluster.t, <-r.ended)
 	must.NoError(r.cluster.t, r.role.Close())
+	for _, name := range slices.Sorted(maps.Keys(r.disks)) {
+		r.disks[name].Crash()
+	}
 	r.role = nil
 }
 
 // replace starts the replica again with an empty data folder and admits it.
 func (r *replicaProcess) replace() {
 	r.stop()
-	r.life++
+	clear(r.disks)
 	r.start()
 	r.cluster.admit(r.address)
 }
--- a/internal/process/control/role.go
+++ b/internal/process/control/role.go
@@ -16,15 +16,18 @@
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/replica"
+	"github.com/teaselrack/teaselrack/internal/process/storage"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
 	"github.com/teaselrack/teaselrack/internal/request/hop"
 )
 
 // RoleOptions are the settings and ports of the control role. All are required
-// but Heartbeat and Election.
+// but OpenDisk, Heartbeat and Election.
 type RoleOptions struct {
 	// Folder is the data folder; each group has a folder in it.
 	Folder string
+	// OpenDisk opens the folder of one group; nil opens a directory.
+	OpenDisk func(dir string) (storage.Disk, error)
 	// Address is the control address as other replicas reach it.
 	Address string
 	// Replicas are the control addresses of all replicas.
@@ -102,6 +105,7 @@
 	node, err := replica.New(replica.Options{
 		Group:     name,
 		Dir:       filepath.Join(r.o.Folder, name),
+		OpenDisk:  r.o.OpenDisk,
 		Address:   r.o.Address,
 		Machine:   machine,
 		Transport: r.transport,
--- a/internal/process/replica/node.go
+++ b/internal/process/replica/node.go
@@ -57,7 +57,7 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	disk, err := storage.OpenDirectory(o.Dir)
+	disk, err := o.OpenDisk(o.Dir)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/replica/options.go
+++ b/internal/process/replica/options.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/storage"
 )
 
 // Defaults of Options.
@@ -32,6 +33,8 @@
 	Group string
 	// Dir is the data folder of this replica of this group alone.
 	Dir string
+	// OpenDisk opens the data folder. Default: storage.OpenDirectory.
+	OpenDisk func(dir string) (storage.Disk, error)
 	// Address is where the other replicas reach this one.
 	Address   string
 	Machine   Machine
@@ -53,6 +56,9 @@
 }
 
 func (o *Options) setDefaults() {
+	if o.OpenDisk == nil {
+		o.OpenDisk = func(dir string) (storage.Disk, error) { return storage.OpenDirectory(dir) }
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
