--- /dev/null
+++ b/bench/report/write.go
@@ -0,0 +1,43 @@
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+)
+
+// Table writes one line for each summary.
+func Table(w io.Writer, rows []Summary) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, err := fmt.Fprintln(t, "deployment\tscenario\tversion\tgoodput/s\tsettled/s\trecovery\ttail\tworst team\twrongful\twasted\tretries\tcold\tunseen\tserved critical..low\t")
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		_, err = fmt.Fprintf(t, "%s\t%s\t%s\t%.0f\t%.0f\t%s\t%.3f\t%.3f\t%.4f\t%.3f\t%.3f\t%d\t%d\t%.2f\t\n",
+			r.Deployment, r.Scenario, r.Version, r.Goodput, r.Settled, seconds(r.Recovery), r.Tail,
+			r.Worst, r.Wrongful, r.Wasted, r.Retries, r.Violations, r.Unseen, r.Served)
+		if err != nil {
+			return err
+		}
+	}
+	return t.Flush()
+}
+
+func seconds(s float64) string {
+	if s < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.1fs", s)
+}
+
+// JSON writes the summaries to a file.
+func JSON(path string, rows []Summary) error {
+	b, err := json.MarshalIndent(rows, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(b, '\n'), 0o644)
+}
--- a/internal/process/admission/coldstart.go
+++ b/internal/process/admission/coldstart.go
@@ -6,9 +6,11 @@
 	// warmShare is the divisor of the slots that a target gets at once if it
 	// announced itself warm from its start.
 	warmShare = 8
-	// roundsPerStep is how many times the limit must have completed before it
-	// doubles.
-	roundsPerStep = 2
+	// coldRounds is how many times the limit of a cold target must have
+	// completed before it doubles; warmRounds the same for one that announced
+	// itself warm from its start.
+	coldRounds = 2
+	warmRounds = 1
 )
 
 // coldStart limits a target that has not shown what it bears. The limit
@@ -17,14 +19,16 @@
 type coldStart struct {
 	active bool
 	limit  int
+	rounds int
 	// stage numbers the limits; evidence of an earlier stage counts nothing.
 	stage     uint64
 	completed int
 }
 
-func (c *coldStart) restart(limit int) {
+func (c *coldStart) restart(limit, rounds int) {
 	c.active = true
 	c.limit = max(limit, 1)
+	c.rounds = rounds
 	c.stage++
 	c.completed = 0
 }
@@ -36,7 +40,7 @@
 		return false
 	}
 	c.completed++
-	if c.completed < roundsPerStep*c.limit {
+	if c.completed < c.rounds*c.limit {
 		return false
 	}
 	if c.limit >= full {
--- a/internal/process/admission/latency.go
+++ b/internal/process/admission/latency.go
@@ -15,6 +15,12 @@
 	tailQuantile = 0.95
 	// tailStep is the step of tail as a share of the mean.
 	tailStep = 0.1
+	// tailFirst widens the first steps.
+	tailFirst = 2.0
+	// streakLength is how many times in a row above the high quantile count as
+	// a jump, where the recent mean also lies streakRatio above the usual one.
+	streakLength = 3
+	streakRatio  = 2.0
 )
 
 // latency follows the times of one target: the usual mean, the mean of the
@@ -24,6 +30,8 @@
 	fast    float64
 	slow    float64
 	tail    float64
+	// streak counts the last times that were all above tail.
+	streak int
 }
 
 func (l *latency) observe(d time.Duration) {
@@ -35,11 +43,13 @@
 	}
 	l.fast += (v - l.fast) * max(fastShare, 1/float64(l.samples))
 	l.slow += (v - l.slow) * max(slowShare, 1/float64(l.samples))
-	step := l.slow * tailStep
+	step := l.slow * max(tailStep, tailFirst/float64(l.samples))
 	if v > l.tail {
+		l.streak++
 		l.tail += step * tailQuantile
 		return
 	}
+	l.streak = 0
 	l.tail = max(l.tail-step*(1-tailQuantile), 0)
 }
 
@@ -48,9 +58,16 @@
 	if l.samples < minSamples {
 		return false
 	}
-	return l.fast > jumpRatio*l.slow && l.fast-l.slow > float64(minJump)
+	if l.fast-l.slow < float64(minJump) {
+		return false
+	}
+	if l.streak >= streakLength && l.fast > streakRatio*l.slow {
+		return true
+	}
+	return l.fast > jumpRatio*l.slow
 }
 
-func (l *latency) mean() time.Duration { return time.Duration(l.slow) }
+// slowNow reports whether d is above the high quantile.
+func (l *latency) slowNow(d time.Duration) bool { return float64(d) > l.tail }
 
-func (l *latency) recent() time.Duration { return time.Duration(l.fast) }
+func (l *latency) mean() time.Duration { return time.Duration(l.slow) }
--- a/internal/process/admission/learn.go
+++ b/internal/process/admission/learn.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
@@ -10,9 +9,9 @@
 
 // Names of the events of a target's limits.
 const (
-	eventCold    = "target.cold"
-	eventWarm    = "target.warm"
-	eventLeaving = "target.leaving"
+	EventCold    = "target.cold"
+	EventWarm    = "target.warm"
+	EventLeaving = "target.leaving"
 )
 
 // Announce takes what the target says about itself. A new incarnation, and a
@@ -24,10 +23,12 @@
 	q.announce, q.gone = a, false
 	q.limit.announce(max(a.Slots, 0))
 	switch {
+	case fresh && a.State == protocol.Warm:
+		q.restart(now, max(a.Slots/warmShare, 2*coldLimit), warmRounds, "new incarnation")
 	case fresh:
-		q.restart(now, firstLimit(a), "new incarnation")
+		q.restart(now, coldLimit, coldRounds, "new incarnation")
 	case a.State == protocol.Cold && before.State == protocol.Warm:
-		q.restart(now, coldLimit, "announced")
+		q.restart(now, coldLimit, coldRounds, "announced")
 	}
 	q.setLeaving(a.State == protocol.Leaving)
 	q.dispatch(now)
@@ -40,16 +41,9 @@
 	q.refuseAll(fault.NoTarget)
 }
 
-func firstLimit(a protocol.Announcement) int {
-	if a.State == protocol.Warm {
-		return max(a.Slots/warmShare, 2*coldLimit)
-	}
-	return coldLimit
-}
-
 func (q *Queue) setLeaving(leaving bool) {
 	if leaving && !q.leaving {
-		q.note(eventLeaving, "")
+		q.note(EventLeaving, "")
 	}
 	q.leaving = leaving
 	if leaving {
@@ -69,64 +63,70 @@
 }
 
 // restart forgets what was learnt and begins a cold start.
-func (q *Queue) restart(now time.Time, first int, reason string) {
+func (q *Queue) restart(now time.Time, first, rounds int, reason string) {
 	q.limit = newLimit(now, q.limit.announced)
-	q.own, q.held = latency{}, latency{}
-	q.stall = stall{progress: now}
-	q.resets = 0
-	q.cold.restart(first)
-	q.note(eventCold, reason)
+	q.own, q.worked, q.held = latency{}, latency{}, latency{}
+	q.resets, q.suspect = 0, 0
+	q.cold.restart(first, rounds)
+	q.note(EventCold, reason)
 }
 
 // learn takes the figures of one answer.
 func (q *Queue) learn(now time.Time, t *Ticket, r Result) {
 	held := now.Sub(t.started)
+	own := min(r.Took, held-t.waited)
 	switch {
 	case r.Reset:
 		q.reset(now)
 	case r.Failed:
-		q.failed(now, r.Took, held)
+		q.failed(now, own, held)
 	default:
-		q.succeeded(now, t, r.Took, held)
+		q.succeeded(now, t, own, held)
 	}
 }
 
+// reset counts a broken connection. One among many requests says little; two in
+// a short time, or one that was all that ran, show a target that restarted.
 func (q *Queue) reset(now time.Time) {
 	if now.Sub(q.lastReset) > resetInterval {
 		q.resets = 0
 	}
 	q.lastReset = now
 	q.resets++
-	if q.resets >= resetCount || q.cold.active {
-		q.restart(now, coldLimit, "connection resets")
+	if q.resets >= resetCount || q.inFlight == 0 || q.cold.active {
+		q.restart(now, coldLimit, coldRounds, "connection resets")
 	}
 }
 
 // failed counts a failure against the target only where its own time was most
 // of the time that the slot was taken: else a deeper call failed.
-func (q *Queue) failed(now time.Time, took, held time.Duration) {
-	if 2*took < held {
+func (q *Queue) failed(now time.Time, own, held time.Duration) {
+	if 2*own < held {
 		return
 	}
 	if q.cold.active {
-		q.restart(now, coldLimit, "failure in cold start")
+		q.restart(now, coldLimit, coldRounds, "failure in cold start")
 		return
 	}
-	q.limit.completed(now, took, true)
+	q.limit.completed(now, own, true)
 }
 
-func (q *Queue) succeeded(now time.Time, t *Ticket, took, held time.Duration) {
-	q.own.observe(took)
+func (q *Queue) succeeded(now time.Time, t *Ticket, own, held time.Duration) {
+	if !q.own.slowNow(own) {
+		q.suspect = max(q.suspect-1, 0)
+	}
+	q.own.observe(own)
+	q.worked.observe(held - t.waited)
 	q.held.observe(held)
 	if q.own.jumped() {
-		q.restart(now, coldLimit, fmt.Sprintf("latency %v after %v", q.own.recent(), q.own.mean()))
+		q.restart(now, coldLimit, coldRounds, "latency jump")
 		return
 	}
 	if q.cold.active {
 		q.warmed(now, t)
 		return
 	}
-	q.limit.completed(now, took, false)
+	q.limit.completed(now, own, false)
 }
 
 func (q *Queue) warmed(now time.Time, t *Ticket) {
@@ -134,5 +134,5 @@
 		return
 	}
 	q.limit.restart(now)
-	q.note(eventWarm, "")
+	q.note(EventWarm, "")
 }
--- a/internal/process/admission/level.go
+++ b/internal/process/admission/level.go
@@ -16,20 +16,20 @@
 	levelGain = 0.5
 	// refusedShare is the share of refusals that keeps a target busy and needs
 	// no cut.
-	refusedShare = 0.02
+	refusedShare = 0.2
 	// minOpen is the part of the most important requests that always passes, so
 	// that the level can be seen to recover.
 	minOpen = 0.05
 	// firstOpen is the part of an importance that passes first after it was
 	// shed altogether.
-	firstOpen = 0.02
+	firstOpen = 0.05
 	// Bounds of the rise in one window.
 	minRise = 1.05
 	maxRise = 2.0
 	// aimUse is the use of the slots that a rise aims at.
 	aimUse = 0.95
 	// maxMissed bounds the windows made up for after a time without events.
-	maxMissed = 8
+	maxMissed = 4
 )
 
 // level is the threshold of importance and cohort that senders are asked to
@@ -71,7 +71,8 @@
 	arrivals := l.total()
 	switch {
 	case float64(l.refused) > refusedShare*float64(arrivals):
-		l.cut(levelGain * float64(l.refused))
+		excess := float64(l.refused) - refusedShare*float64(arrivals)
+		l.cut(excess * max(levelGain, float64(l.refused)/float64(arrivals)))
 	case l.refused == 0 && !l.stood:
 		l.raise(min(max(aimUse/max(use, 0.01), minRise), maxRise))
 	}
--- a/internal/process/admission/queue.go
+++ b/internal/process/admission/queue.go
@@ -12,8 +12,18 @@
 const (
 	// waitingPerSlot bounds the queue by the slots.
 	waitingPerSlot = 2
+	// coldWaiting is the same in cold start.
+	coldWaiting = 4
 	// minWaiting is the least bound of a queue.
 	minWaiting = 16
+	// suspectCount is how many usual times clear a target of the suspicion that
+	// it turned cold.
+	suspectCount = 3
+	// suspectLimit is the limit during the suspicion.
+	suspectLimit = 2
+	// judgedShare is the part of the known work that must be the target's own
+	// time for the target to be judged by requests that still run.
+	judgedShare = 0.9
 	// resetInterval is the time within which resetCount connection resets show
 	// that the target restarted.
 	resetInterval = 100 * time.Millisecond
@@ -34,16 +44,23 @@
 	classes  [version.ImportanceCount]class
 	waiting  int
 	inFlight int
+	working  running
 	last     time.Time
 
 	limit limit
 	cold  coldStart
-	stall stall
 	delay delay
 	level level
-	// own are the target's own times, held how long slots were taken.
-	own  latency
-	held latency
+	// held is how long slots were taken, worked the same without the time of
+	// the calls that Calling told of, and own the times that Done gave, where
+	// they are shorter.
+	held   latency
+	worked latency
+	own    latency
+
+	// suspect is how many usual times must be seen before the target counts as
+	// well again, after too many requests were overdue.
+	suspect int
 
 	resets    int
 	lastReset time.Time
@@ -90,7 +107,7 @@
 	q.advance(now)
 	t.Phase = Finished
 	q.inFlight--
-	q.stall.completed(now)
+	q.stop(now, t)
 	if !r.Unused {
 		q.learn(now, t, r)
 	}
@@ -165,17 +182,26 @@
 }
 
 func (q *Queue) allowed(now time.Time) int {
-	if q.stall.holds(now, q.inFlight, &q.held) {
-		return 0
+	if q.judged() && q.working.overdue(now, &q.worked) {
+		q.suspect = suspectCount
+	}
+	if q.suspect > 0 {
+		return min(q.Limit(), suspectLimit)
 	}
 	return q.Limit()
 }
 
+// judged reports whether the time for which a request runs says something about
+// the target itself: not where it makes calls that nobody told the Queue of.
+func (q *Queue) judged() bool {
+	return q.own.slow >= judgedShare*q.worked.slow
+}
+
 func (q *Queue) start(now time.Time, t *Ticket) {
+	t.Phase, t.started, t.stage = Running, now, 0
 	q.inFlight++
-	q.stall.dispatched(now, q.inFlight)
+	q.working.add(now, t)
 	q.limit.dispatched(q.inFlight)
-	t.Phase, t.started, t.stage = Running, now, 0
 	if 2*q.inFlight >= q.cold.limit {
 		t.stage = q.cold.stage
 	}
@@ -214,7 +240,7 @@
 
 func (q *Queue) room() int {
 	if q.cold.active {
-		return max(waitingPerSlot*q.cold.limit, waitingPerSlot)
+		return coldWaiting * q.cold.limit
 	}
 	return max(waitingPerSlot*q.limit.current(), minWaiting)
 }
--- a/internal/process/admission/ticket.go
+++ b/internal/process/admission/ticket.go
@@ -39,12 +39,20 @@
 	arrived time.Time
 	started time.Time
 	stage   uint64
+	// calls counts the target's own calls that run for this ticket, since when
+	// at least one did, and waited how long that was before.
+	calls  int
+	called time.Time
+	waited time.Duration
+	// since is when the target last began to work on the ticket itself.
+	since        time.Time
+	older, newer *Ticket
 }
 
 // Result is how a dispatched request ended.
 type Result struct {
-	// Took is the target's own time, without the time in which it waited for
-	// its own calls.
+	// Took is the time the target took, for callers that leave the time of the
+	// target's own calls out themselves; see Queue.Calling.
 	Took time.Duration
 	// Failed is true for a timeout, a broken connection or an answer that
 	// shows an overloaded target.
--- a/internal/process/routing/passing.go
+++ b/internal/process/routing/passing.go
@@ -10,27 +10,38 @@
 )
 
 const (
-	// passingShare is the weight of one answer.
-	passingShare = 1.0 / 8
+	// passingTime is the time over which answers are averaged.
+	passingTime = 100 * time.Millisecond
+	// passingShare is the least weight of one answer.
+	passingShare = 1.0 / 16
 	// passingLife is how long a level is good without a new answer; after it,
 	// the part that passes doubles once in each passingLife.
-	passingLife = 200 * time.Millisecond
+	passingLife = 250 * time.Millisecond
 	// probePart is the least part of an importance that is sent, so that the
 	// end of an overload is noticed.
 	probePart = 0.01
 )
 
-// passing is the part of one importance that a target lets pass, by the levels
-// that came back on answers to that importance.
+// passing is the part of one importance that passes, by the levels that came
+// back on answers to that importance.
 type passing struct {
 	part float64
 	at   time.Time
 }
 
-// observe takes the level of one answer.
-func (p *passing) observe(now time.Time, part float64) {
+// observe takes the level of one answer: the rarer they are, the more each
+// counts. A refusal does not raise the part, because the deeper hops that the
+// request did not reach may shed more.
+func (p *passing) observe(now time.Time, part float64, whole bool) {
+	if p.at.IsZero() {
+		p.part = 1
+	}
+	weight := 1 - math.Exp(-float64(now.Sub(p.at))/float64(passingTime))
 	v := p.current(now)
-	p.part = v + (part-v)*passingShare
+	if !whole {
+		part = min(part, v)
+	}
+	p.part = v + (part-v)*max(weight, passingShare)
 	p.at = now
 }
 
--- a/internal/process/routing/peer.go
+++ b/internal/process/routing/peer.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
-	"github.com/teaselrack/teaselrack/internal/request/hop"
 	"github.com/teaselrack/teaselrack/internal/version"
 )
 
@@ -17,6 +16,8 @@
 	failureShare = 1.0 / 8
 	// failureCost is how much a share of failures of 1 adds to the cost.
 	failureCost = 10.0
+	// shedCost is how much a target that sheds everything adds to the cost.
+	shedCost = 4.0
 	// rampTime is how long a newcomer or a returned target takes to its full
 	// weight, and rampStart where it begins.
 	rampTime  = time.Second
@@ -55,11 +56,13 @@
 	return slots * min(max(part, rampStart), 1)
 }
 
-// cost is the expected wait at the target; the lowest is best.
-func (p *peer) cost(now time.Time) float64 {
+// cost is the expected wait at the target of a request of importance i; the
+// lowest is best.
+func (p *peer) cost(now time.Time, i version.Importance) float64 {
 	latency := max(p.latency, float64(latencyFloor))
 	load := float64(p.inFlight+1) / p.weight(now)
-	return latency * load * (1 + failureCost*p.ejection.failing)
+	shed := 1 - p.passing[i-version.Critical].current(now)
+	return latency * load * (1 + failureCost*p.ejection.failing) * (1 + shedCost*shed)
 }
 
 // available reports whether the target may be chosen now.
@@ -77,11 +80,6 @@
 	p.latency += (v - p.latency) * latencyShare
 }
 
-// levelled takes the level that came back to a request of importance i.
-func (p *peer) levelled(now time.Time, i version.Importance, l hop.Level) {
-	p.passing[i-version.Critical].observe(now, partOf(l, i))
-}
-
 // pause leaves the target alone for d; it comes back by ramp.
 func (p *peer) pause(now time.Time, d time.Duration) {
 	until := now.Add(d)
--- a/internal/process/routing/shard.go
+++ b/internal/process/routing/shard.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,9 +21,6 @@
 	// spillRatio is how much costlier the own failure domain may be before work
 	// goes to another one.
 	spillRatio = 1.5
-	// closedPart is the part below which an importance counts as shed by
-	// hops that are not the root.
-	closedPart = 0.02
 	// tries bounds the random choices that hit an excluded target.
 	tries = 4
 )
@@ -36,9 +34,13 @@
 	random    *rand.Rand
 	refreshed time.Time
 	peers     map[string]*peer
-	// local and remote are the targets that may be chosen.
-	local, remote []*peer
-	// parts is what passes of each importance over all targets.
+	// all is peers in the order of their names; local and remote are those
+	// that may be chosen.
+	all, local, remote []*peer
+	// passing follows what passes of each importance over all targets; each
+	// answer counts, so that a target with little work counts little.
+	passing [version.ImportanceCount]passing
+	// parts are its values at the last refresh.
 	parts    [version.ImportanceCount]float64
 	shares   [version.ImportanceCount]shares
 	requests uint64
@@ -63,7 +65,7 @@
 	if s.sheds(e, len(exclude) == 0) {
 		return nil, protocol.TargetRecord{}, fault.New(fault.Overloaded, "%s is overloaded", s.service)
 	}
-	p := s.choose(now, exclude)
+	p := s.choose(now, importanceOf(e), exclude)
 	if p == nil {
 		return nil, protocol.TargetRecord{}, fault.New(fault.NoTarget, "no target of %s", s.service)
 	}
@@ -71,13 +73,13 @@
 	return p, p.record, nil
 }
 
-// sheds decides by the levels that came back. The root sheds by cohort, with
-// each team's fair part; deeper hops refuse only an importance that is shed
-// altogether, because work was spent on the request already.
+// sheds decides by the levels that came back, with each team's fair part. Only
+// the root sheds: for deeper hops work was spent on the request already, and
+// the queue that they ask decides, whose level the answer must carry.
 func (s *shard) sheds(e *envelope.Envelope, first bool) bool {
 	i := importanceOf(e) - version.Critical
 	if e.Depth > 1 {
-		return s.parts[i] < closedPart
+		return false
 	}
 	part := s.partOfTeam(e, int(i), first)
 	if part >= 1 {
@@ -99,27 +101,27 @@
 
 // choose takes the better of two random targets of the own failure domain,
 // unless the better of two others costs far less.
-func (s *shard) choose(now time.Time, exclude []string) *peer {
-	near := s.better(now, s.local, exclude)
-	far := s.better(now, s.remote, exclude)
+func (s *shard) choose(now time.Time, i version.Importance, exclude []string) *peer {
+	near := s.better(now, i, s.local, exclude)
+	far := s.better(now, i, s.remote, exclude)
 	switch {
 	case near == nil:
 		return far
 	case far == nil:
 		return near
-	case near.cost(now) > spillRatio*far.cost(now):
+	case near.cost(now, i) > spillRatio*far.cost(now, i):
 		return far
 	}
 	return near
 }
 
-func (s *shard) better(now time.Time, peers []*peer, exclude []string) *peer {
+func (s *shard) better(now time.Time, i version.Importance, peers []*peer, exclude []string) *peer {
 	a := s.oneOf(now, peers, exclude, nil)
 	if a == nil {
 		return nil
 	}
 	b := s.oneOf(now, peers, exclude, a)
-	if b == nil || a.cost(now) <= b.cost(now) {
+	if b == nil || a.cost(now, i) <= b.cost(now, i) {
 		return a
 	}
 	return b
@@ -159,11 +161,10 @@
 		s.list(now, r)
 	}
 	s.local, s.remote = s.local[:0], s.remote[:0]
-	for name, p := range s.peers {
-		s.sort(name, p)
+	s.all = slices.DeleteFunc(s.all, s.forget)
+	for _, p := range s.all {
+		s.place(p)
 	}
-	slices.SortFunc(s.local, byInstance)
-	slices.SortFunc(s.remote, byInstance)
 	s.divide(now)
 }
 
@@ -173,6 +174,8 @@
 	if !ok {
 		p = &peer{}
 		s.peers[r.Instance] = p
+		at, _ := slices.BinarySearchFunc(s.all, r.Instance, byInstance)
+		s.all = slices.Insert(s.all, at, p)
 	}
 	wasCold := p.record.State == protocol.Cold
 	p.record, p.listed = r, true
@@ -183,15 +186,20 @@
 	p.usable = usable
 }
 
-// sort puts a peer into the list it belongs to, or forgets it.
-func (s *shard) sort(name string, p *peer) {
-	listed := p.listed
+// forget drops a peer that is no longer listed and has nothing in flight.
+func (s *shard) forget(p *peer) bool {
+	if p.listed || p.inFlight > 0 {
+		return false
+	}
+	delete(s.peers, p.record.Instance)
+	return true
+}
+
+// place puts a peer into the list it belongs to.
+func (s *shard) place(p *peer) {
+	p.usable = p.usable && p.listed
 	p.listed = false
 	switch {
-	case !listed && p.inFlight == 0:
-		delete(s.peers, name)
-	case !listed:
-		p.usable = false
 	case !p.usable:
 	case p.record.FailureDomain == s.options.FailureDomain:
 		s.local = append(s.local, p)
@@ -200,35 +208,14 @@
 	}
 }
 
-func byInstance(a, b *peer) int {
-	if a.record.Instance < b.record.Instance {
-		return -1
-	}
-	return 1
+func byInstance(p *peer, instance string) int {
+	return strings.Compare(p.record.Instance, instance)
 }
 
-// divide works out what passes of each importance, weighed by the capacity of
-// the targets, and each team's part of it.
+// divide works out what passes of each importance, and each team's part of it.
 func (s *shard) divide(now time.Time) {
-	var passed [version.ImportanceCount]float64
-	total := 0.0
-	for _, list := range [2][]*peer{s.local, s.remote} {
-		for _, p := range list {
-			if !p.available(now) {
-				continue
-			}
-			w := p.weight(now)
-			total += w
-			for i := range passed {
-				passed[i] += w * p.passing[i].current(now)
-			}
-		}
-	}
-	for i := range passed {
-		s.parts[i] = 1
-		if total > 0 {
-			s.parts[i] = passed[i] / total
-		}
+	for i := range s.parts {
+		s.parts[i] = s.passing[i].current(now)
 		s.shares[i].divide(s.parts[i])
 	}
 }
@@ -239,7 +226,8 @@
 	defer s.mu.Unlock()
 	p.inFlight--
 	if level != nil {
-		p.levelled(now, i, *level)
+		s.passing[i-version.Critical].observe(now, partOf(*level, i), err == nil)
+		p.passing[i-version.Critical].observe(now, partOf(*level, i), err == nil)
 	}
 	switch effectOf(err) {
 	case succeeded:
@@ -260,7 +248,7 @@
 // eject takes p out where it fails more than the others and few enough are out.
 func (s *shard) eject(now time.Time, p *peer) {
 	out, others, n := 0, 0.0, 0
-	for _, v := range s.peers {
+	for _, v := range s.all {
 		if v.ejection.active(now) {
 			out++
 		}
--- a/internal/process/routing/share.go
+++ b/internal/process/routing/share.go
@@ -12,6 +12,7 @@
 
 // demand is what one team asked for lately, and the part of it that passes.
 type demand struct {
+	team   string
 	count  float64
 	weight float64
 	part   float64
@@ -21,6 +22,7 @@
 // fair share keeps all, the others the same amount for each unit of weight.
 type shares struct {
 	teams map[string]*demand
+	// order holds the same demands, so that sums are the same each run.
 	order []*demand
 }
 
@@ -31,8 +33,9 @@
 	}
 	d, ok := s.teams[team]
 	if !ok {
-		d = &demand{part: 1}
+		d = &demand{team: team, part: 1}
 		s.teams[team] = d
+		s.order = append(s.order, d)
 	}
 	d.weight = float64(max(weight, 1))
 	d.count++
@@ -42,23 +45,29 @@
 // divide sets each team's part so that together they make up part of the whole
 // demand, and lets the counts fade.
 func (s *shares) divide(part float64) {
-	s.order = s.order[:0]
+	s.forget()
 	total := 0.0
-	for team, d := range s.teams {
-		if d.count < minDemand {
-			delete(s.teams, team)
-			continue
-		}
-		s.order = append(s.order, d)
+	for _, d := range s.order {
 		total += d.count
 	}
-	slices.SortFunc(s.order, byNeed)
+	slices.SortStableFunc(s.order, byNeed)
 	fill(s.order, part*total)
 	for _, d := range s.order {
 		d.count *= demandKeep
 	}
 }
 
+// forget drops the teams that ask for nothing any more.
+func (s *shares) forget() {
+	s.order = slices.DeleteFunc(s.order, func(d *demand) bool {
+		if d.count >= minDemand {
+			return false
+		}
+		delete(s.teams, d.team)
+		return true
+	})
+}
+
 // fill gives each of the sorted demands its max-min fair part of room.
 func fill(sorted []*demand, room float64) {
 	weights := 0.0
