--- a/bench/report/fair.go
+++ b/bench/report/fair.go
@@ -2,45 +2,58 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/teaselrack/teaselrack/bench/simulation"
 )
 
+// cells are the counts of all runs, [team][route].
+type cells [][]simulation.Cell
+
 // sumCells adds the cells of all runs up.
-func sumCells(runs []*simulation.Figures) [][]simulation.Cell {
-	sum := make([][]simulation.Cell, len(runs[0].Cells))
+func sumCells(runs []*simulation.Figures) cells {
+	sum := make(cells, len(runs[0].Cells))
 	for t := range sum {
 		sum[t] = make([]simulation.Cell, len(runs[0].Cells[t]))
 		for r := range sum[t] {
 			for _, f := range runs {
-				add(&sum[t][r], f.Cells[t][r])
+				add(&sum[t][r], &f.Cells[t][r])
 			}
 		}
 	}
 	return sum
 }
 
-func add(sum *simulation.Cell, c simulation.Cell) {
+func add(sum, c *simulation.Cell) {
 	for p := range c.Offered {
 		sum.Offered[p] += c.Offered[p]
 		sum.Done[p] += c.Done[p]
 		sum.Prompt[p] += c.Prompt[p]
 	}
+	for i, s := range c.Seconds {
+		sum.Seconds[i].Offered += s.Offered
+		sum.Seconds[i].Done += s.Done
+	}
 }
 
-// worst is the least part of its fair share that any team got during the
-// disturbance. On each route, what was answered in all is divided max-min over
-// the teams that asked.
-func worst(cells [][]simulation.Cell) float64 {
-	fair := fairShares(cells)
-	least := 1.0
-	for t := range cells {
-		var got, due float64
-		for r, c := range cells[t] {
-			got += float64(c.Done[simulation.During])
-			due += fair[t][r]
+// worst is the least part of its fair share that any team got from from to to.
+// In each second and on each route, what was answered in all is divided max-min
+// over the teams that asked.
+func worst(c cells, from, to time.Duration) float64 {
+	got := make([]float64, len(c))
+	due := make([]float64, len(c))
+	for second := from / time.Second; second < to/time.Second; second++ {
+		for route := range c[0] {
+			fair := fairShares(c, route, int(second))
+			for team := range c {
+				got[team] += float64(c[team][route].Seconds[second].Done)
+				due[team] += fair[team]
+			}
 		}
-		least = min(least, ratio(got, due))
+	}
+	least := 1.0
+	for team := range c {
+		least = min(least, ratio(got[team], due[team]))
 	}
 	return least
 }
@@ -48,49 +61,59 @@
 // wrongful is the part of first attempts that failed before the disturbance,
 // after the recovery, or during it on routes where the team asked for no more
 // than its fair share.
-func wrongful(cells [][]simulation.Cell) float64 {
-	fair := fairShares(cells)
+func wrongful(c cells, from, to time.Duration) float64 {
 	var offered, prompt int
-	for t := range cells {
-		for r, c := range cells[t] {
+	for route := range c[0] {
+		within := withinShare(c, route, from, to)
+		for team := range c {
+			cell := &c[team][route]
 			for _, p := range []int{simulation.Before, simulation.After} {
-				offered += c.Offered[p]
-				prompt += c.Prompt[p]
+				offered += cell.Offered[p]
+				prompt += cell.Prompt[p]
 			}
-			if float64(c.Offered[simulation.During]) <= fair[t][r] {
-				offered += c.Offered[simulation.During]
-				prompt += c.Prompt[simulation.During]
+			if within[team] {
+				offered += cell.Offered[simulation.During]
+				prompt += cell.Prompt[simulation.During]
 			}
 		}
 	}
 	return ratio(float64(offered-prompt), float64(offered))
 }
 
-// fairShares divides what was answered on each route during the disturbance.
-func fairShares(cells [][]simulation.Cell) [][]float64 {
-	fair := make([][]float64, len(cells))
-	for t := range fair {
-		fair[t] = make([]float64, len(cells[t]))
+// withinShare tells which teams asked for no more than their fair share in each
+// second of the disturbance.
+func withinShare(c cells, route int, from, to time.Duration) []bool {
+	within := make([]bool, len(c))
+	for team := range within {
+		within[team] = true
 	}
-	for r := range cells[0] {
-		divide(cells, fair, r)
+	for second := from / time.Second; second < to/time.Second; second++ {
+		fair := fairShares(c, route, int(second))
+		for team := range c {
+			if float64(c[team][route].Seconds[second].Offered) > fair[team] {
+				within[team] = false
+			}
+		}
 	}
-	return fair
+	return within
 }
 
-func divide(cells [][]simulation.Cell, fair [][]float64, route int) {
+// fairShares divides what was answered on one route in one second.
+func fairShares(c cells, route, second int) []float64 {
+	fair := make([]float64, len(c))
+	order := make([]int, len(c))
 	room := 0.0
-	order := make([]int, len(cells))
-	for t := range cells {
-		order[t] = t
-		room += float64(cells[t][route].Done[simulation.During])
+	for team := range c {
+		order[team] = team
+		room += float64(c[team][route].Seconds[second].Done)
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cells[a][route].Offered[simulation.During] - cells[b][route].Offered[simulation.During]
+		return c[a][route].Seconds[second].Offered - c[b][route].Seconds[second].Offered
 	})
-	for i, t := range order {
+	for i, team := range order {
 		share := room / float64(len(order)-i)
-		fair[t][route] = min(share, float64(cells[t][route].Offered[simulation.During]))
-		room -= fair[t][route]
+		fair[team] = min(share, float64(c[team][route].Seconds[second].Offered))
+		room -= fair[team]
 	}
+	return fair
 }
--- a/bench/report/summary.go
+++ b/bench/report/summary.go
@@ -65,8 +65,9 @@
 	r.Goodput = goodput(runs, s.From, s.To)
 	r.Settled = goodput(runs, s.From+settleTime, s.To)
 	r.Recovery, r.Tail = recovery(s, runs)
-	r.Worst = worst(sumCells(runs))
-	r.Wrongful = wrongful(sumCells(runs))
+	sum := sumCells(runs)
+	r.Worst = worst(sum, s.From, s.To)
+	r.Wrongful = wrongful(sum, s.From, s.To)
 	r.Course = course(runs)
 	var attempts, retries int
 	var worked, wasted time.Duration
--- a/bench/simulation/caller.go
+++ b/bench/simulation/caller.go
@@ -64,7 +64,9 @@
 	now := w.loop.Now()
 	i := &intent{team: team, route: c.pickRoute(), first: now, phase: w.scenario.phase(now)}
 	w.figures.Offered[now/Bucket]++
-	w.figures.Cells[team][i.route].Offered[i.phase]++
+	cell := &w.figures.Cells[team][i.route]
+	cell.Offered[i.phase]++
+	cell.Seconds[now/time.Second].Offered++
 	c.try(i)
 }
 
@@ -100,10 +102,12 @@
 	w := c.world
 	if ok {
 		w.figures.Completed[min(int(w.loop.Now()/Bucket), len(w.figures.Completed)-1)]++
-		w.figures.Cells[i.team][i.route].Done[i.phase]++
+		cell := &w.figures.Cells[i.team][i.route]
+		cell.Done[i.phase]++
+		cell.Seconds[i.first/time.Second].Done++
 		if i.attempt == 1 {
 			w.figures.Prompt[i.first/Bucket]++
-			w.figures.Cells[i.team][i.route].Prompt[i.phase]++
+			cell.Prompt[i.phase]++
 		}
 		return
 	}
--- a/bench/simulation/figures.go
+++ b/bench/simulation/figures.go
@@ -31,15 +31,28 @@
 	// that came before the change could be seen.
 	Violations int
 	Early      int
+	// ColdStarts counts the cold starts that queues decided on, by reason.
+	ColdStarts map[string]int
 }
 
-// Cell counts the requests of one team on one route in each phase.
+// Cell counts the requests of one team on one route, in each phase and in each
+// second of the run.
 type Cell struct {
 	Offered [phases]int
 	Done    [phases]int
 	Prompt  [phases]int
+	Seconds [maxSeconds]Second
 }
 
+// Second counts the requests that were first sent in one second.
+type Second struct {
+	Offered int
+	Done    int
+}
+
+// maxSeconds bounds the length of a run.
+const maxSeconds = 16
+
 // Phases of a run. Requests of the tail may be unfinished when the run ends.
 const (
 	Before = iota
@@ -52,7 +65,7 @@
 
 func newFigures(d *Deployment, length time.Duration) *Figures {
 	n := int(length/Bucket) + 1
-	f := &Figures{Offered: make([]int, n), Prompt: make([]int, n), Completed: make([]int, n)}
+	f := &Figures{ColdStarts: make(map[string]int), Offered: make([]int, n), Prompt: make([]int, n), Completed: make([]int, n)}
 	f.Cells = make([][]Cell, len(d.Teams))
 	for i := range f.Cells {
 		f.Cells[i] = make([]Cell, len(d.Routes))
--- a/internal/process/admission/latency.go
+++ b/internal/process/admission/latency.go
@@ -71,5 +71,3 @@
 func (l *latency) slowNow(d time.Duration) bool { return float64(d) > l.tail }
 
 func (l *latency) mean() time.Duration { return time.Duration(l.slow) }
-
-func (l *latency) recent() time.Duration { return time.Duration(l.fast) }
--- a/internal/process/admission/learn.go
+++ b/internal/process/admission/learn.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
@@ -10,9 +9,9 @@
 
 // Names of the events of a target's limits.
 const (
-	eventCold    = "target.cold"
-	eventWarm    = "target.warm"
-	eventLeaving = "target.leaving"
+	EventCold    = "target.cold"
+	EventWarm    = "target.warm"
+	EventLeaving = "target.leaving"
 )
 
 // Announce takes what the target says about itself. A new incarnation, and a
@@ -44,7 +43,7 @@
 
 func (q *Queue) setLeaving(leaving bool) {
 	if leaving && !q.leaving {
-		q.note(eventLeaving, "")
+		q.note(EventLeaving, "")
 	}
 	q.leaving = leaving
 	if leaving {
@@ -69,7 +68,7 @@
 	q.own, q.worked, q.held = latency{}, latency{}, latency{}
 	q.resets, q.suspect = 0, 0
 	q.cold.restart(first, rounds)
-	q.note(eventCold, reason)
+	q.note(EventCold, reason)
 }
 
 // learn takes the figures of one answer.
@@ -120,7 +119,7 @@
 	q.worked.observe(held - t.waited)
 	q.held.observe(held)
 	if q.own.jumped() {
-		q.restart(now, coldLimit, coldRounds, fmt.Sprintf("latency %v after %v", q.own.recent(), q.own.mean()))
+		q.restart(now, coldLimit, coldRounds, "latency jump")
 		return
 	}
 	if q.cold.active {
@@ -135,5 +134,5 @@
 		return
 	}
 	q.limit.restart(now)
-	q.note(eventWarm, "")
+	q.note(EventWarm, "")
 }
