Ledger model: a cancel describes the attempt that holds the key

Cause: the naive copy in the ledger's differential test still answered "fenced" to the cancel of an attempt whose key another one holds, which the end-to-end test had shown to be a wrong not-run.

--- a/internal/process/ledger/model_test.go
+++ b/internal/process/ledger/model_test.go
@@ -85,8 +85,12 @@
 		n.barred[r.Key.Key+"/"+r.Attempt] = n.now
 	}
 	switch {
-	case r.Operation == protocol.OnceCancel:
+	case r.Operation == protocol.OnceCancel && c == nil:
 		return protocol.OnceReply{State: protocol.OnceFenced}
+	case r.Operation == protocol.OnceCancel && c.digest != r.Digest:
+		return protocol.OnceReply{State: protocol.OnceMismatch, Holder: c.holder}
+	case r.Operation == protocol.OnceCancel:
+		return n.tell(c)
 	case c == nil || mine:
 		delete(n.claims, r.Key.Key)
 		return protocol.OnceReply{State: protocol.OnceFree}
