--- a/internal/process/ledger/model_test.go
+++ b/internal/process/ledger/model_test.go
@@ -85,8 +85,12 @@
 		n.barred[r.Key.Key+"/"+r.Attempt] = n.now
 	}
 	switch {
-	case r.Operation == protocol.OnceCancel:
+	case r.Operation == protocol.OnceCancel && c == nil:
 		return protocol.OnceReply{State: protocol.OnceFenced}
+	case r.Operation == protocol.OnceCancel && c.digest != r.Digest:
+		return protocol.OnceReply{State: protocol.OnceMismatch, Holder: c.holder}
+	case r.Operation == protocol.OnceCancel:
+		return n.tell(c)
 	case c == nil || mine:
 		delete(n.claims, r.Key.Key)
 		return protocol.OnceReply{State: protocol.OnceFree}
@@ -195,6 +199,9 @@
 		must.NoError(t, err)
 		must.Eq(t, want, reply)
 	}
+	if reply.State == protocol.OnceFenced && s.r.Operation == protocol.OnceCancel && w.runs[s.to.key] > 0 {
+		t.Fatalf("%s ran, and the cancel of %s says that it did not", s.to.key, s.to.id)
+	}
 	w.answers = append(w.answers, answered{s, reply})
 }
 
@@ -266,8 +273,9 @@
 
 // TestAtMostOneRun compares the machine with the naive copy over lost, late,
 // repeated and reordered commands and answers: a key is dispatched at most
-// once, and an attempt that somebody was told not to run never is. Times stay
-// within the retention of records and the life of fences.
+// once, an attempt that somebody was told not to run never is, and a cancel
+// says not run only of a key that was not dispatched. Times stay within the
+// retention of records and the life of fences.
 func TestAtMostOneRun(t *testing.T) {
 	limits := DefaultLimits()
 	limits.FenceLife = limits.Retention
