--- a/internal/process/admission/learn.go
+++ b/internal/process/admission/learn.go
@@ -119,20 +119,38 @@
 	q.worked.observe(held - t.waited)
 	q.held.observe(held)
 	if q.own.jumped() {
-		q.restart(now, coldLimit, coldRounds, "latency jump")
+		q.jumped(now)
 		return
 	}
 	if q.cold.active {
-		q.warmed(now, t)
+		q.evidence(now, t, own)
 		return
 	}
 	q.limit.completed(now, own, false)
 }
 
-func (q *Queue) warmed(now time.Time, t *Ticket) {
-	if !q.cold.succeeded(t.stage, q.limit.current()) {
+// evidence takes a completion in cold start. The limit that the target did not
+// bear is kept as the learnt one.
+func (q *Queue) evidence(now time.Time, t *Ticket, own time.Duration) {
+	v := q.cold.succeeded(t.stage, own, q.limit.current())
+	if v == undecided {
 		return
 	}
+	if v == strained {
+		q.limit.value = float64(max(q.cold.limit/2, 1))
+	}
+	q.limit.base = float64(q.cold.best)
 	q.limit.restart(now)
 	q.note(EventWarm, "")
 }
+
+// jumped begins a cold start. A jump within one shows that the target may not
+// bear the limit that was reached: the next one stops below it.
+func (q *Queue) jumped(now time.Time) {
+	reached := q.cold.limit
+	strained := q.cold.active && reached >= strainLimit
+	q.restart(now, coldLimit, coldRounds, "latency jump")
+	if strained {
+		q.limit.value = float64(reached / 2)
+	}
+}
