A slow target is told from silent connections

Cause: every idempotent request that found no answer within 700 ms on a used connection was given up and repeated. When a target turns slow (not its connections silent) that gives up a whole wave of work that runs, in the very moment of an overload; and admission took each as a reset of the target, which puts it back into cold start. Ruled out: waiting for the deadline (a silent connection must be found within 1 s), and a health probe (the target announces no path for one). Change: one stalled request is given up at once, to be repeated; the others only when a new connection has answered in time. Connections opened after the stalled request was sent stay in use. A request that was given up says nothing about the target to admission. Conclusion: silent connections cost no more than before, slow targets one repeat each 700 ms until the average has followed.

--- a/internal/connection/meter/conn.go
+++ b/internal/connection/meter/conn.go
@@ -5,13 +5,30 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
+// ErrSilent is the cause of errors of requests that were given up because their
+// connection is taken to be silent: the other end may be well.
+var ErrSilent = errors.New("nothing was heard on the connection")
+
+// IsSilent reports whether err is ErrSilent, or of a fault kind with ErrSilent
+// as its cause; errorx hides the causes of its errors from errors.Is.
+func IsSilent(err error) bool {
+	var typed *errorx.Error
+	if errors.As(err, &typed) {
+		return errors.Is(typed.Cause(), ErrSilent)
+	}
+	return errors.Is(err, ErrSilent)
+}
+
 // Conn is a connection that counts. It may be used by any number of
 // goroutines.
 type Conn struct {
--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -12,9 +12,6 @@
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
-// errSilent ends a request on a connection that is taken to be silent.
-var errSilent = errors.New("nothing was heard on the connection")
-
 // conn is one HTTP/1.1 connection; it carries one request at a time.
 type conn struct {
 	cc     *http.ClientConn
@@ -27,7 +24,9 @@
 
 	// Guarded by the pool's lock.
 	idleSince time.Time
-	ended     bool
+	// sent is when the request was sent that has no answer yet.
+	sent  time.Time
+	ended bool
 }
 
 func (c *conn) idleFor() time.Duration { return time.Since(c.idleSince) }
@@ -36,35 +35,36 @@
 // byte of r left this process.
 func (c *conn) roundTrip(r *http.Request, repeatable bool) (resp *http.Response, sent bool, err error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
-	stop := c.watch(cancel, repeatable)
-	before := c.meter.Written()
 	start := time.Now()
+	stop := c.watch(start, cancel, repeatable)
+	before := c.meter.Written()
 	resp, err = c.cc.RoundTrip(r.WithContext(ctx))
 	stop()
 	if err != nil {
+		if errors.Is(context.Cause(ctx), meter.ErrSilent) {
+			err = meter.ErrSilent
+		}
 		cancel(err)
 		sent = c.meter.Seal() != before
 		_ = c.cc.Close()
 		c.pool.end(c)
 		return nil, sent, err
 	}
-	c.pool.observe(time.Since(start))
+	c.pool.answered(c, time.Since(start))
 	resp.Body = &body{ReadCloser: resp.Body, conn: c, cancel: cancel, whole: resp.Body == http.NoBody}
 	return resp, true, nil
 }
 
-// watch retires the target's connections of this age where no answer begins in
-// the usual time, and ends the request itself where it may be repeated.
-func (c *conn) watch(cancel context.CancelCauseFunc, repeatable bool) (stop func()) {
+// watch tells the pool where no answer begins in the usual time. On a new
+// connection nothing is concluded from that.
+func (c *conn) watch(start time.Time, cancel context.CancelCauseFunc, repeatable bool) (stop func()) {
 	if !c.used {
 		return func() {}
 	}
-	timer := time.AfterFunc(c.pool.stall(), func() {
-		c.pool.retire()
-		if repeatable {
-			cancel(errSilent)
-		}
-	})
+	if !repeatable {
+		cancel = nil
+	}
+	timer := time.AfterFunc(c.pool.sending(c, start), func() { c.pool.stall(c, start, cancel) })
 	return func() { timer.Stop() }
 }
 
--- a/internal/connection/target/options.go
+++ b/internal/connection/target/options.go
@@ -17,11 +17,6 @@
 	// request that may not be repeated: a connection that the target closes at
 	// that very moment would leave its outcome unknown.
 	onceIdleTimeout = 200 * time.Millisecond
-	// stallTimeout is the least wait for the first byte on a used connection
-	// before it is taken to be silent.
-	stallTimeout = 700 * time.Millisecond
-	// stallFactor is the wait in multiples of the usual latency.
-	stallFactor = 4
 	// maxHeader bounds the header block of an answer, in bytes.
 	maxHeader       = 64 << 10
 	keepAlivePeriod = 15 * time.Second
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -21,13 +21,9 @@
 	open  int // connections that are open or being opened
 	idle  []*conn
 	// freed holds a token whenever it may be worth for a waiter to ask again.
-	freed chan struct{}
-	// retired is the latest time before which connections were opened that new
-	// work must not use.
-	retired time.Time
-	// usual is a moving average of the time to the first byte.
-	usual  time.Duration
-	closed bool
+	freed   chan struct{}
+	silence silence
+	closed  bool
 }
 
 func newPool(transport *http.Transport, address string) *pool {
@@ -123,7 +119,7 @@
 func (p *pool) prune() {
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if c.cc.Err() != nil || c.idleFor() > idleTimeout || c.opened.Before(p.retired) || p.open > p.limit {
+		if c.cc.Err() != nil || c.idleFor() > idleTimeout || c.opened.Before(p.silence.retired) || p.open > p.limit {
 			p.drop(i)
 		}
 	}
@@ -191,6 +187,7 @@
 		return
 	}
 	c.ended = true
+	p.silence.ended(c)
 	p.open--
 	p.signal()
 }
@@ -203,28 +200,32 @@
 	}
 }
 
-// retire keeps new work off every connection opened before now.
-func (p *pool) retire() {
+// stall notes that a request on c, sent at start, has no answer in the usual
+// time. giveUp is nil where the request may not be repeated.
+func (p *pool) stall(c *conn, start time.Time, giveUp context.CancelCauseFunc) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.retired = time.Now()
+	if !c.sent.Equal(start) {
+		return // it was answered just now
+	}
+	p.silence.stall(c, start, giveUp)
 	p.prune()
 }
 
-// stall returns how long the first byte may take before a used connection
-// counts as silent.
-func (p *pool) stall() time.Duration {
+// sending notes that a request is sent on c, and returns how long its answer
+// may take to begin.
+func (p *pool) sending(c *conn, start time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(stallTimeout, stallFactor*p.usual)
+	c.sent = start
+	return p.silence.limit()
 }
 
-// observe takes the time to the first byte of one answer into the average.
-func (p *pool) observe(took time.Duration) {
-	const weight = 8
+func (p *pool) answered(c *conn, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.usual += (took - p.usual) / weight
+	c.sent = time.Time{}
+	p.silence.answered(c, took)
 }
 
 func (p *pool) close() {
--- a/internal/connection/target/target_test.go
+++ b/internal/connection/target/target_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -251,6 +252,71 @@
 	})
 }
 
+// TestManySilentConnections has many requests on silent connections: one is
+// given up first, the others once a new connection has answered.
+func TestManySilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(time.Millisecond)
+		serve(t, network, func(_ int, conn net.Conn) bool {
+			time.Sleep(10 * time.Millisecond)
+			return answer(conn, okAnswer)
+		})
+		c := NewClient(Options{Dial: network.Dial})
+		defer end(c)
+		defer network.Close()
+		must.Eq(t, 0, sendMany(t, c, 0))
+		synctest.Wait()
+		network.Silence()
+		start := time.Now()
+		must.Eq(t, 20, sendMany(t, c, 1))
+		must.Less(t, time.Second, time.Since(start))
+		must.LessEq(t, 20+20, network.Dials())
+	})
+}
+
+// TestSlowTargetIsNotSilent has a target that turns slow: its requests are not
+// given up all at once, and soon none of them.
+func TestSlowTargetIsNotSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(time.Millisecond)
+		var takes atomic.Int64
+		takes.Store(int64(50 * time.Millisecond))
+		serve(t, network, func(_ int, conn net.Conn) bool {
+			time.Sleep(time.Duration(takes.Load()))
+			return answer(conn, okAnswer)
+		})
+		c := NewClient(Options{Dial: network.Dial})
+		defer end(c)
+		must.Eq(t, 0, sendMany(t, c, 0))
+		takes.Store(int64(2 * time.Second))
+		must.Eq(t, 1, sendMany(t, c, 1), must.Sprint("given up when it turns slow"))
+		must.Eq(t, 0, sendMany(t, c, 0), must.Sprint("given up later"))
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// sendMany sends 20 idempotent requests at once, repeats each that fails up to
+// the given number of times, and returns how many attempts failed.
+func sendMany(t *testing.T, c *Client, repeats int) int64 {
+	t.Helper()
+	const requests = 20
+	var failed atomic.Int64
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() {
+			for range 1 + repeats {
+				if _, err := roundTrip(c, request(t.Context(), t, http.MethodGet, "empty"), true); err == nil {
+					return
+				}
+				failed.Add(1)
+			}
+			t.Error("a request failed for good")
+		})
+	}
+	wg.Wait()
+	return failed.Load()
+}
+
 func TestAnswersWithoutAnEnd(t *testing.T) {
 	cases := map[string]struct {
 		text string
--- a/internal/request/hop/dispatch.go
+++ b/internal/request/hop/dispatch.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"time"
 
+	"github.com/teaselrack/teaselrack/internal/connection/meter"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/request/running"
 	"github.com/teaselrack/teaselrack/internal/version"
@@ -24,7 +25,7 @@
 	took := time.Since(start)
 	if err != nil {
 		remove()
-		slot.Done(took, err, isReset(err))
+		slot.Done(took, verdict(err), isReset(err))
 		return nil, err
 	}
 	end := func(err error) {
@@ -67,8 +68,20 @@
 	return nil
 }
 
+// verdict is what a failed request says about the target: nothing, where it was
+// given up on a silent connection.
+func verdict(err error) error {
+	if meter.IsSilent(err) {
+		return fault.Wrap(fault.CallerGone, err, "the request was given up")
+	}
+	return err
+}
+
 // isReset reports whether the target ended the connection.
 func isReset(err error) bool {
+	if meter.IsSilent(err) {
+		return false
+	}
 	switch fault.KindOf(err) {
 	case fault.ConnectionLost, fault.ConnectFailed, fault.AnswerBroken:
 		return true
--- a/internal/request/hop/failure_test.go
+++ b/internal/request/hop/failure_test.go
@@ -179,6 +179,7 @@
 					start = time.Now()
 					must.Eq(t, "ok", s.call(http.MethodGet, "/look", "").body)
 					must.Less(t, 50*time.Millisecond, time.Since(start), must.Sprint("new work uses a new connection"))
+					must.Eq(t, 0, s.nodes[0].admission.resets.Load(), must.Sprint("a silent connection is no restart of the target"))
 				})
 			})
 		}
--- a/internal/request/hop/fakes_test.go
+++ b/internal/request/hop/fakes_test.go
@@ -113,6 +113,7 @@
 	address string
 	during  func(e *envelope.Envelope) error
 	open    atomic.Int64 // slots not given back
+	resets  atomic.Int64 // slots given back with a reset
 	calling atomic.Int64 // calls of the target that run
 	called  atomic.Int64 // calls of the target so far
 }
@@ -126,11 +127,18 @@
 	f.open.Add(1)
 	return Slot{
 		Address: f.address,
-		Done:    func(time.Duration, error, bool) { f.open.Add(-1) },
+		Done:    f.done,
 		Calling: f.noteCall,
 	}, nil
 }
 
+func (f *fakeAdmission) done(_ time.Duration, _ error, reset bool) {
+	f.open.Add(-1)
+	if reset {
+		f.resets.Add(1)
+	}
+}
+
 func (f *fakeAdmission) noteCall(began bool) {
 	if began {
 		f.called.Add(1)
--- a/internal/request/hop/once_test.go
+++ b/internal/request/hop/once_test.go
@@ -195,6 +195,7 @@
 		again := s.call(http.MethodPost, "/pay", "5 EUR", onceKeyed("k"))
 		must.Eq(t, fault.OnceUnknown, again.refusal.Kind)
 		must.Eq(t, 1, ran.Load())
+		must.Eq(t, 1, s.nodes[0].admission.resets.Load()+s.nodes[1].admission.resets.Load())
 	})
 }
 
