--- a/internal/process/admission/queue.go
+++ b/internal/process/admission/queue.go
@@ -19,6 +19,8 @@
 	// suspectCount is how many usual times clear a target of the suspicion that
 	// it turned cold.
 	suspectCount = 3
+	// suspectLimit is the limit during the suspicion.
+	suspectLimit = 2
 	// judgedShare is the part of the known work that must be the target's own
 	// time for the target to be judged by requests that still run.
 	judgedShare = 0.9
@@ -184,7 +186,7 @@
 		q.suspect = suspectCount
 	}
 	if q.suspect > 0 {
-		return min(q.Limit(), coldLimit)
+		return min(q.Limit(), suspectLimit)
 	}
 	return q.Limit()
 }
