A key that stands in the wrong place is dropped too

Cause: only the key of the Authorization header was dropped. A caller who sends its key in another header, a cookie or the query of an open route showed it to the target, and a key of another team could pass on a keyed route. Ruled out: refusing such requests; they would have worked before the key was issued. Scanning for the form of keys; operators may hash any text. Change: each token of 16 to 128 letters, digits, "-" and "_" in header values, cookies and query parameters is looked up among the keys in force, also when percent-encoded, and dropped with its value; in a path it is refused. A key of another form is only found where it is presented. Bodies are not searched. Seen failing first: TestMisplacedKeyIsSeenNowhere/header with the old code. Conclusion: the target sees no key in force outside a body.

--- a/internal/request/hop/hop_test.go
+++ b/internal/request/hop/hop_test.go
@@ -160,6 +160,34 @@
 	return io.NopCloser(strings.NewReader(strings.Repeat("x", DefaultBodyLimit+1)))
 }
 
+// TestMisplacedKeyIsSeenNowhere has callers who do not present their key, but
+// send it in another place on an open route.
+func TestMisplacedKeyIsSeenNowhere(t *testing.T) {
+	places := map[string]func(r *http.Request){
+		"header":  func(r *http.Request) { r.Header.Set("X-Api-Key", secret) },
+		"scheme":  func(r *http.Request) { r.Header.Set("Authorization", "Key "+secret) },
+		"cookie":  func(r *http.Request) { r.AddCookie(&http.Cookie{Name: "k", Value: secret}) },
+		"query":   func(r *http.Request) { r.URL.RawQuery = "a=1&key=" + secret },
+		"encoded": func(r *http.Request) { r.URL.RawQuery = "a=1&key=%53" + secret[1:] },
+		"path":    func(r *http.Request) { r.URL.Path += "/" + secret },
+	}
+	for name, place := range places {
+		t.Run(name, func(t *testing.T) {
+			run(t, []string{"tides"}, func(t *testing.T, s *system) {
+				var seen atomic.Value
+				seen.Store("")
+				s.handle(0, func(_ http.ResponseWriter, r *http.Request) { seen.Store(fmt.Sprint(r.URL, r.Header)) })
+				res := s.call(http.MethodGet, "/open", "", func(r *http.Request) {
+					r.Header.Del("Authorization")
+					place(r)
+				})
+				must.Eq(t, name == "path", res.refusal.Kind == fault.BadRequest)
+				must.StrNotContains(t, fmt.Sprint(seen.Load(), s.events.events, res.body), secret[1:])
+			})
+		})
+	}
+}
+
 func TestOpenRouteNeedsNoKey(t *testing.T) {
 	run(t, []string{"tides"}, func(t *testing.T, s *system) {
 		s.handle(0, func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte(r.Header.Get(HeaderTeam))) })
--- a/internal/request/hop/root.go
+++ b/internal/request/hop/root.go
@@ -76,7 +76,7 @@
 	if err := h.identify(c, state, key); err != nil {
 		return c, err
 	}
-	if err := c.take(r, newScrubber(key)); err != nil {
+	if err := c.take(r, newScrubber(key, keyInForce(state))); err != nil {
 		return c, err
 	}
 	c.envelope.Importance = route.Importance
@@ -87,6 +87,13 @@
 	return c, nil
 }
 
+func keyInForce(state *version.State) func(secret string) bool {
+	return func(secret string) bool {
+		_, ok := state.Key(secret)
+		return ok
+	}
+}
+
 // identify finds the team in whose name the request runs.
 func (h *root) identify(c *call, state *version.State, key string) error {
 	if c.route.Access == version.Open {
--- a/internal/request/hop/scrub.go
+++ b/internal/request/hop/scrub.go
@@ -15,39 +15,72 @@
 	return strings.TrimSpace(key)
 }
 
-// scrubber drops a caller's key from everything that is passed on.
-type scrubber struct {
-	key string // lower case
-}
-
 // minKey is the shortest text that is taken for a key on an open route, where
 // it need not be in force; a shorter one would match at random.
 const minKey = 8
 
-func newScrubber(key string) scrubber {
+// A token of a text is looked up as a key where its length is within these
+// bounds.
+const (
+	minToken = 16
+	maxToken = 128
+)
+
+// scrubber drops keys from everything that is passed on: the one that the
+// caller presents, wherever it stands, and any other that is in force, where it
+// stands as a token of letters, digits, "-" and "_".
+type scrubber struct {
+	key     string // lower case
+	inForce func(secret string) bool
+}
+
+func newScrubber(key string, inForce func(secret string) bool) scrubber {
 	if len(key) < minKey {
-		return scrubber{}
+		key = ""
 	}
-	return scrubber{strings.ToLower(key)}
+	return scrubber{strings.ToLower(key), inForce}
 }
 
-// holds reports whether text holds the key, as it is or percent-encoded.
+// holds reports whether text holds a key, as it is or percent-encoded.
 func (s scrubber) holds(text string) bool {
-	if s.key == "" {
-		return false
-	}
-	if strings.Contains(strings.ToLower(text), s.key) {
+	if s.holdsPlain(text) {
 		return true
 	}
 	if !strings.ContainsAny(text, "%+") {
 		return false
 	}
 	plain, err := url.QueryUnescape(text)
-	if err == nil && strings.Contains(strings.ToLower(plain), s.key) {
+	if err == nil && s.holdsPlain(plain) {
 		return true
 	}
 	plain, err = url.PathUnescape(text)
-	return err == nil && strings.Contains(strings.ToLower(plain), s.key)
+	return err == nil && s.holdsPlain(plain)
+}
+
+func (s scrubber) holdsPlain(text string) bool {
+	if s.key != "" && strings.Contains(strings.ToLower(text), s.key) {
+		return true
+	}
+	return s.inForce != nil && len(text) >= minToken && s.holdsToken(text)
+}
+
+// holdsToken looks each token of text up among the keys in force.
+func (s scrubber) holdsToken(text string) bool {
+	start := 0
+	for i := 0; i <= len(text); i++ {
+		if i < len(text) && isTokenByte(text[i]) {
+			continue
+		}
+		if n := i - start; n >= minToken && n <= maxToken && s.inForce(text[start:i]) {
+			return true
+		}
+		start = i + 1
+	}
+	return false
+}
+
+func isTokenByte(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_'
 }
 
 // header drops the Authorization header, and each value, cookie and name that
--- a/internal/request/hop/system_test.go
+++ b/internal/request/hop/system_test.go
@@ -77,11 +77,11 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem(t)
+		defer s.close()
 		for _, service := range services {
 			s.add(service)
 		}
 		body(t, s)
-		s.close()
 	})
 }
 
