An idempotent request goes on where a target sheds it

Cause: a 503 that a target gives by itself ended the request, although another target of the service might have served it. Ruled out: repeating other 5xx answers, which say nothing about load; repeating once requests, which the target may have begun. Change: a whole 503 to an idempotent request is repeated at another target with a permit, so within the route's retries and the service's retry ratio. Without a permit, a target or time, the caller gets the target's own answer. Seen failing first: with shedError cut out TestTargetsThatShed gets "busy" from the one target that sheds. Figures: one of three targets sheds: 1 permit, whole answer; all three: 2 permits, the target's 503 with outcome ran. Conclusion: bounded as every other retry; the effect on goodput under load is not measured here.

--- a/internal/request/hop/failure_test.go
+++ b/internal/request/hop/failure_test.go
@@ -157,6 +157,29 @@
 	})
 }
 
+// TestTargetsThatShed has targets that answer 503 by themselves.
+func TestTargetsThatShed(t *testing.T) {
+	for _, shedding := range []int{1, 3} {
+		run(t, []string{"tides", "tides", "tides"}, func(t *testing.T, s *system) {
+			s.handle(shedding, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+			for _, n := range s.nodes[:shedding] {
+				s.serve(n.target(), &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					http.Error(w, "busy", http.StatusServiceUnavailable)
+				})})
+			}
+			res := s.call(http.MethodGet, "/look", "")
+			if shedding == 1 {
+				must.Eq(t, "ok", res.body)
+				must.Eq(t, 1, s.permits.took)
+				return
+			}
+			must.Eq(t, "busy\n", res.body)
+			must.Eq(t, "ran", res.header.Get(HeaderOutcome))
+			must.Eq(t, 2, s.permits.took)
+		})
+	}
+}
+
 // TestSilentConnections silences the links, or the connections to targets,
 // while no request is on them.
 func TestSilentConnections(t *testing.T) {
--- a/internal/request/hop/sender.go
+++ b/internal/request/hop/sender.go
@@ -23,29 +23,52 @@
 	if c.route.Mode == version.Once {
 		c.digest = digestOf(c.method, &c.url, c.body)
 	}
-	var exclude []string
-	var last error
+	t := &tries{}
 	for {
-		e, choice, err := s.pick(ctx, c, exclude)
-		if err != nil && last != nil {
-			return nil, last
-		}
+		e, choice, err := s.pick(ctx, c, t.exclude)
 		if err != nil {
-			return nil, err
+			return t.result(err)
 		}
 		a, err := s.attempt(ctx, c, e, choice)
 		if err == nil {
 			return a, nil
 		}
+		t.add(choice.Target.Instance, a, err)
 		if !mayRepeat(ctx, c.route.Mode, err) || !s.Permits.Take(ctx, e) {
-			return nil, err
+			return t.result(err)
 		}
 		record(s.Deps, "request.retry", e, choice.Target.Instance, string(fault.KindOf(err)))
-		exclude = append(exclude, choice.Target.Instance)
-		last = err
 	}
 }
 
+// tries are the failed attempts of one call.
+type tries struct {
+	exclude []string // instances
+	last    error
+	// shed is the last answer of a target that sheds load by itself.
+	shed *answer
+}
+
+func (t *tries) add(instance string, a *answer, err error) {
+	t.exclude = append(t.exclude, instance)
+	t.last = err
+	if a != nil {
+		t.shed = a
+	}
+}
+
+// result is what the call ends with where no further attempt is made: the
+// answer of a target, else the error of the last attempt, else err.
+func (t *tries) result(err error) (*answer, error) {
+	switch {
+	case t.shed != nil:
+		return t.shed, nil
+	case t.last != nil:
+		return nil, t.last
+	}
+	return nil, err
+}
+
 // pick chooses a target that was not tried yet, or one that was where there is
 // no other.
 func (s *sender) pick(ctx context.Context, c *call, exclude []string) (*envelope.Envelope, Choice, error) {
@@ -60,7 +83,9 @@
 	return e, choice, err
 }
 
-// attempt sends one attempt and calls choice.Done when it has ended.
+// attempt sends one attempt and calls choice.Done when it has ended. It returns
+// an answer together with an error where the target sheds load by itself and
+// the request may be repeated.
 func (s *sender) attempt(ctx context.Context, c *call, e *envelope.Envelope, choice Choice) (*answer, error) {
 	start := time.Now()
 	resp, err := s.roundTrip(ctx, c, e, choice)
@@ -84,13 +109,22 @@
 		a.header.Set(HeaderReplayed, replayed)
 	}
 	if a.rest == nil {
-		choice.Done(latency, nil, level)
-		return a, nil
+		err = shedError(a, c.route.Mode)
+		choice.Done(latency, err, level)
+		return a, err
 	}
 	a.finish = func(err error) { choice.Done(latency, err, level) }
 	return a, nil
 }
 
+// shedError is the error of a whole answer that says that the target sheds load.
+func shedError(a *answer, mode version.Mode) error {
+	if a.status != http.StatusServiceUnavailable || mode != version.Idempotent {
+		return nil
+	}
+	return fault.New(fault.Overloaded, "the target sheds load")
+}
+
 func (s *sender) roundTrip(ctx context.Context, c *call, e *envelope.Envelope, choice Choice) (*http.Response, error) {
 	r, err := c.request(ctx, e, choice.Target.PeerAddress)
 	if err != nil {
