--- a/bench/simulation/mesh.go
+++ b/bench/simulation/mesh.go
@@ -46,7 +46,7 @@
 
 func (m *mesh) newDaemon(t *target) *daemon {
 	d := &daemon{name: t.name, target: t, alive: true}
-	d.queue = admission.NewQueue(m.world.loop.Clock(), m.settled, nil)
+	d.queue = admission.NewQueue(m.world.loop.Clock(), m.settled, m.noted)
 	d.router = routing.New(routing.Options{
 		Clock:         m.world.loop.Clock,
 		FailureDomain: t.domain,
@@ -61,6 +61,13 @@
 	return d
 }
 
+// noted counts the cold starts that the queues decided on.
+func (m *mesh) noted(name, detail string) {
+	if name == admission.EventCold {
+		m.world.figures.ColdStarts[detail]++
+	}
+}
+
 // ask reaches the root's book; the round trip is paid by the hop.
 func (m *mesh) ask(_ context.Context, root, requestID string) bool {
 	r := m.byName[root]
@@ -105,7 +112,7 @@
 		m.world.loop.After(registryDelay, m.list)
 	case changeUp:
 		d.alive = true
-		d.queue = admission.NewQueue(m.world.loop.Clock(), m.settled, nil)
+		d.queue = admission.NewQueue(m.world.loop.Clock(), m.settled, m.noted)
 		m.announce(d, protocol.Warm)
 		m.world.loop.After(registryDelay, m.list)
 	case changeRestart, changeAnnouncedCold:
--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"path/filepath"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +23,8 @@
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/renewal"
+	"github.com/teaselrack/teaselrack/internal/process/storage"
+	"github.com/teaselrack/teaselrack/internal/process/storage/storagetest"
 )
 
 const (
@@ -36,7 +41,6 @@
 type cluster struct {
 	t        *testing.T
 	net      *network
-	dir      string
 	replicas []*replicaProcess
 	daemons  []*daemonProcess
 	operator *port
@@ -60,10 +64,12 @@
 }
 
 func newCluster(t *testing.T, seed uint64) *cluster {
-	c := &cluster{t: t, net: newNetwork(seed), dir: t.TempDir()}
+	c := &cluster{t: t, net: newNetwork(seed)}
 	c.operator = &port{c.net, operatorName, mesh.Peer{Name: operatorName, Role: mesh.Operator}}
 	for i := range replicaCount {
-		c.replicas = append(c.replicas, &replicaProcess{cluster: c, address: fmt.Sprintf("10.0.0.%d:1", i+1)})
+		r := &replicaProcess{cluster: c, address: fmt.Sprintf("10.0.0.%d:1", i+1), disks: make(map[string]*storagetest.Disk)}
+		r.random = rand.New(rand.NewPCG(seed, uint64(i)))
+		c.replicas = append(c.replicas, r)
 	}
 	for _, r := range c.replicas {
 		r.start()
@@ -132,16 +138,27 @@
 type replicaProcess struct {
 	cluster *cluster
 	address string
-	life    int
+	disks   map[string]*storagetest.Disk
+	random  *rand.Rand
 	cancel  context.CancelFunc
 	ended   chan error
 	role    *control.Role
 }
 
+func (r *replicaProcess) openDisk(dir string) (storage.Disk, error) {
+	disk, ok := r.disks[dir]
+	if !ok {
+		disk = storagetest.New(r.random)
+		r.disks[dir] = disk
+	}
+	return disk, nil
+}
+
 func (r *replicaProcess) start() {
 	c := r.cluster
 	role, err := control.NewRole(control.RoleOptions{
-		Folder:       filepath.Join(c.dir, r.address, fmt.Sprint(r.life)),
+		Folder:       r.address,
+		OpenDisk:     r.openDisk,
 		Address:      r.address,
 		Replicas:     c.addresses(),
 		LedgerShards: 1,
@@ -156,6 +173,7 @@
 	c.net.serve(r.address, role.Handlers())
 }
 
+// stop kills the replica: what its disks had not synced is lost or torn.
 func (r *replicaProcess) stop() {
 	if r.role == nil {
 		return
@@ -164,13 +182,16 @@
 	r.cancel()
 	must.NoError(r.cluster.t, <-r.ended)
 	must.NoError(r.cluster.t, r.role.Close())
+	for _, name := range slices.Sorted(maps.Keys(r.disks)) {
+		r.disks[name].Crash()
+	}
 	r.role = nil
 }
 
 // replace starts the replica again with an empty data folder and admits it.
 func (r *replicaProcess) replace() {
 	r.stop()
-	r.life++
+	clear(r.disks)
 	r.start()
 	r.cluster.admit(r.address)
 }
@@ -179,42 +200,48 @@
 type daemonProcess struct {
 	cluster *cluster
 	name    string
-	starts  int
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	floor   configuration.Floor
+	life    atomic.Pointer[daemonLife]
+
+	mu      sync.Mutex
+	targets []protocol.Announcement
+}
+
+// daemonLife is what one start of a daemon holds.
+type daemonLife struct {
+	session string
 	holder  *configuration.Holder
 	table   *registry.Table
 	quota   *quota.Holder
 	ledger  *ledger.Client
 	loop    *renewal.Loop
-
-	mu      sync.Mutex
-	targets []protocol.Announcement
 }
 
 func (d *daemonProcess) start() {
 	c := d.cluster
-	d.starts++
-	d.holder = configuration.NewHolder(configuration.HolderOptions{Now: time.Now, Save: d.save, Floor: d.floor})
-	d.table = registry.NewTable(time.Now)
-	d.quota = quota.NewHolder(time.Now, func(ctx context.Context, asks []protocol.QuotaAsk) ([]protocol.QuotaGrant, time.Time, error) {
-		return d.loop.Ask(ctx, asks)
+	l := &daemonLife{session: fmt.Sprint(d.name, "/", time.Now().UnixNano())}
+	l.holder = configuration.NewHolder(configuration.HolderOptions{Now: time.Now, Save: d.save, Floor: d.floor})
+	l.table = registry.NewTable(time.Now)
+	l.quota = quota.NewHolder(time.Now, func(ctx context.Context, asks []protocol.QuotaAsk) ([]protocol.QuotaGrant, time.Time, error) {
+		return l.loop.Ask(ctx, asks)
 	})
-	d.loop = renewal.New(renewal.Options{
-		Instance: d.name, Session: fmt.Sprint(d.name, d.starts), PeerAddress: d.name + ":1", FailureDomain: "a",
+	l.loop = renewal.New(renewal.Options{
+		Instance: d.name, Session: l.session, PeerAddress: d.name + ":1", FailureDomain: "a",
 		Replicas:      c.addresses(),
 		Subscriptions: func() []string { return []string{"tides"} },
 		Caller:        &port{c.net, d.name, mesh.Peer{Name: d.name, Role: mesh.Daemon}},
-		Holder:        d.holder, Table: d.table, Quota: d.quota,
+		Holder:        l.holder, Table: l.table, Quota: l.quota,
 		Targets: d.announced, Leaving: func() bool { return false },
 		Clock: time.Now, Recorder: nothing{}, Log: zap.NewNop(),
 	})
-	d.ledger = ledger.NewClient(d.loop, 1)
+	l.ledger = ledger.NewClient(l.loop, 1)
+	d.life.Store(l)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.wg.Go(func() { _ = d.loop.Run(ctx) })
-	d.wg.Go(func() { _ = d.quota.Run(ctx) })
+	d.wg.Go(func() { _ = l.loop.Run(ctx) })
+	d.wg.Go(func() { _ = l.quota.Run(ctx) })
 }
 
 func (d *daemonProcess) stop() {
@@ -237,7 +264,7 @@
 	d.mu.Lock()
 	d.targets = targets
 	d.mu.Unlock()
-	d.loop.Kick()
+	d.life.Load().loop.Kick()
 }
 
 // callRole calls a method of a role as an operator, without a network.
