--- a/e2e/cmd/demo/steps.go
+++ b/e2e/cmd/demo/steps.go
@@ -124,10 +124,11 @@
 	return "answered by " + answer.Target.Instance, expect(answer, 200, "ran", "")
 }
 
-// quota sends more than the burst of team sidro. Whatever is refused must not
-// have run.
+// quota sends more than the rate and burst of team sidro. Whatever is refused
+// must not have run, and no more may run than the burst and the rate allow.
 func (d *driver) quota() (string, error) {
 	refused := 0
+	began := time.Now()
 	for n := range quotaRequests {
 		answer, err := d.caller.Do(system.Call{Ingress: d.ingress(n), Method: "GET", Path: "/slots?quota=1", Key: d.key("B")})
 		if err != nil {
@@ -141,17 +142,21 @@
 			return "", err
 		}
 	}
-	if refused == 0 {
-		return "", fmt.Errorf("none of %d requests was refused", quotaRequests)
-	}
+	took := time.Since(began)
 	runs, err := d.runs(func(_ system.Instance, r system.Record) bool { return r.URL == "/slots?quota=1" })
 	if err != nil {
 		return "", err
 	}
-	if runs != quotaRequests-refused {
+	allowed := system.SidroBurst + int(system.SidroRate*took.Seconds())
+	switch {
+	case refused == 0:
+		return "", fmt.Errorf("none of %d requests was refused", quotaRequests)
+	case runs != quotaRequests-refused:
 		return "", fmt.Errorf("%d requests were answered, but %d ran", quotaRequests-refused, runs)
+	case runs > allowed:
+		return "", fmt.Errorf("%d requests ran in %v, at most %d may", runs, took, allowed)
 	}
-	return fmt.Sprintf("%d of %d refused, and just those did not run", refused, quotaRequests), nil
+	return fmt.Sprintf("%d of %d refused, and just those did not run; %d were allowed in %v", refused, quotaRequests, allowed, took.Round(time.Millisecond)), nil
 }
 
 func (d *driver) withdraw() (string, error) {
--- a/e2e/system/found.go
+++ b/e2e/system/found.go
@@ -8,6 +8,12 @@
 // startLimit bounds how long a system may take to come up.
 const startLimit = 30 * time.Second
 
+// Limits of team sidro in the first note: requests a second, and requests.
+const (
+	SidroRate  = 5
+	SidroBurst = 10
+)
+
 // FirstNote is the release note of the demo: two teams, a chain of idempotent
 // calls (/slots, /prices, /stock), a chain of calls that run once (/book, /pay,
 // /gear), and a route open to all.
@@ -16,7 +22,7 @@
 added:
   teams:
     - {name: obala, rate: 500, burst: 500}
-    - {name: sidro, rate: 5, burst: 10}
+    - {name: sidro, rate: %d, burst: %d}
   keys:
     %s
     %s
@@ -31,7 +37,7 @@
   failure_domains:
     - {name: split-a, region: coast, in_service: true}
     - {name: split-b, region: coast, in_service: true}
-`, l.Keys["A"].Line, l.Keys["B"].Line)
+`, SidroRate, SidroBurst, l.Keys["A"].Line, l.Keys["B"].Line)
 }
 
 // Found founds the replica groups, admits the other replicas and waits until
