Daemon: timestamps on peer links, so that the time line is causal

Cause: the ring's clock was not carried between processes, so the merged time line was ordered by wall clocks alone.

Change: hops to peers go through events.Link, and the peer listener through events.Handler; two lines in the daemon. The demo checks that the time line of a request starts with request.accepted and ends with request.answered.

Not shown end to end: hosts with different clocks, as all processes of a test share one; TestLinkOrdersBothWays covers that in the package.

--- a/e2e/cmd/demo/steps.go
+++ b/e2e/cmd/demo/steps.go
@@ -290,5 +290,9 @@
 	if len(line.Missing) > 0 || len(processes) < services {
 		return "", fmt.Errorf("%d events of %d processes, missing %v", len(line.Events), len(processes), line.Missing)
 	}
-	return fmt.Sprintf("%d events of %d processes", len(line.Events), len(processes)), nil
+	first, last := line.Events[0].Name, line.Events[len(line.Events)-1].Name
+	if first != "request.accepted" || last != "request.answered" {
+		return "", fmt.Errorf("the time line goes from %s to %s", first, last)
+	}
+	return fmt.Sprintf("%d events of %d processes, from %s to %s", len(line.Events), len(processes), first, last), nil
 }
--- a/internal/process/daemon/peerlink.go
+++ b/internal/process/daemon/peerlink.go
@@ -10,6 +10,7 @@
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/events"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
 )
 
@@ -26,13 +27,14 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathPermit+"{request}", d.servePermit)
 	mux.HandleFunc("GET "+pathEvents, d.serveEvents)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	split := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(envelope.Header) != "" {
 			beside.ServeHTTP(w, r)
 			return
 		}
 		mux.ServeHTTP(w, r)
 	})
+	return events.Handler(d.ring, split)
 }
 
 // servePermit answers another daemon's ask for a retry of a request that began
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -12,6 +12,7 @@
 
 	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/connection/peer"
+	"github.com/teaselrack/teaselrack/internal/process/events"
 	"github.com/teaselrack/teaselrack/internal/request/hop"
 )
 
@@ -98,7 +99,7 @@
 		Permits:       d.permits,
 		Recorder:      d.ring,
 		Running:       d.running,
-		Peers:         d.peers,
+		Peers:         events.NewLink(d.ring, d.peers),
 		Targets:       d.targets,
 		Announced:     d.announced,
 	}
