--- a/internal/process/replica/change.go
+++ b/internal/process/replica/change.go
@@ -14,6 +14,9 @@
 	// at address has told it, for an admission too.
 	address, id string
 	remove      bool
+	// token marks the probes of this change: a late answer to an earlier one may
+	// come from a replica that has lost its data since.
+	token uint64
 }
 
 func errLeadershipLost() error {
@@ -38,7 +41,7 @@
 	return nil
 }
 
-// beginChange starts a change; its end comes with the output. Errors:
+// beginChange starts a change; its end comes with takeEnded. Errors:
 // NotLeader, MembershipBusy.
 func (c *core) beginChange(ch change) error {
 	if c.role != leader {
@@ -51,6 +54,7 @@
 		return fault.New(fault.MembershipBusy, "without %s the group would have no quorum", ch.id)
 	}
 	c.change = &ch
+	c.change.token = c.rng.Uint64()
 	c.probeAddress()
 	c.advanceChange()
 	return nil
@@ -67,7 +71,7 @@
 		return
 	}
 	c.change = nil
-	c.out.changes = append(c.out.changes, err)
+	c.ended = append(c.ended, err)
 }
 
 // probeAddress asks the replica that is to be admitted for its id.
@@ -79,15 +83,15 @@
 		c.change.id = c.state.ID
 		return
 	}
-	c.send(c.change.address, "", Message{Type: Probe})
+	c.send(c.change.address, "", Message{Type: Probe, Token: c.change.token})
 }
 
 func (c *core) onProbe(m Message) {
-	c.send(m.Address, m.From, Message{Type: ProbeReply})
+	c.send(m.Address, m.From, Message{Type: ProbeReply, Token: m.Token})
 }
 
 func (c *core) onProbeReply(m Message) {
-	if c.change == nil || c.change.remove || c.change.id != "" || c.change.address != m.Address {
+	if c.change == nil || c.change.remove || c.change.id != "" || c.change.token != m.Token {
 		return
 	}
 	c.change.id = m.From
@@ -160,7 +164,6 @@
 		c.endChange(err)
 		return
 	}
-	c.push(storage.Entry{Index: c.tail.lastIndex() + 1, Term: c.state.Term, Kind: kindMembers, Data: data})
 	maps.DeleteFunc(c.peers, func(id string, _ *progress) bool {
 		_, stays := members.find(id)
 		return !stays
@@ -168,5 +171,6 @@
 	for _, m := range members {
 		c.track(m.ID)
 	}
+	c.push(storage.Entry{Index: c.tail.lastIndex() + 1, Term: c.state.Term, Kind: kindMembers, Data: data})
 	c.broadcast(false)
 }
--- a/internal/process/replica/core.go
+++ b/internal/process/replica/core.go
@@ -23,7 +23,9 @@
 type coreOptions struct {
 	group, address      string
 	heartbeat, election time.Duration
-	rng                 *rand.Rand
+	// appendBytes and chunkBytes bound the content of one message.
+	appendBytes, chunkBytes int
+	rng                     *rand.Rand
 }
 
 // core is the consensus algorithm of one replica. It does no I/O, reads no
@@ -54,13 +56,15 @@
 	snapshot    *transferSource
 	incoming    transferSink
 
+	// ended holds how changes ended, see takeEnded.
+	ended []error
 	// diverged is true once the leader's log was seen to differ in content.
 	diverged bool
 	out      output
 }
 
 // output is what a core wants to be done, in this order: send early, store
-// state, install, entries, then send messages and complete reads and changes.
+// state, install, entries, then send messages and complete reads.
 type output struct {
 	early    []outgoing
 	state    bool
@@ -68,13 +72,12 @@
 	entries  []storage.Entry
 	messages []outgoing
 	reads    []readDone
-	changes  []error
 	// wantSnapshot asks for the stored snapshot, see offerSnapshot.
 	wantSnapshot bool
 }
 
 func (o *output) empty() bool {
-	work := len(o.early) + len(o.entries) + len(o.messages) + len(o.reads) + len(o.changes)
+	work := len(o.early) + len(o.entries) + len(o.messages) + len(o.reads)
 	return work == 0 && !o.state && o.install == nil && !o.wantSnapshot
 }
 
@@ -272,6 +275,19 @@
 	return out
 }
 
+// idle reports whether there is nothing to take.
+func (c *core) idle() bool {
+	return c.out.empty() && len(c.ended) == 0 && c.stable == c.tail.lastIndex()
+}
+
+// takeEnded returns how changes of the membership have ended since the last
+// call.
+func (c *core) takeEnded() []error {
+	ended := c.ended
+	c.ended = nil
+	return ended
+}
+
 // stored notes that the entries up to index are durable.
 func (c *core) stored(index uint64) {
 	c.stable = index
--- a/internal/process/replica/core_test.go
+++ b/internal/process/replica/core_test.go
@@ -25,7 +25,7 @@
 	for i, term := range terms {
 		must.NoError(t, log.push(storage.Entry{Index: uint64(i) + 2, Term: term}))
 	}
-	o := coreOptions{group: "g", address: "a", heartbeat: DefaultHeartbeat, election: DefaultElection, rng: rand.New(rand.NewPCG(1, 1))}
+	o := coreOptions{group: "g", address: "a", heartbeat: DefaultHeartbeat, election: DefaultElection, appendBytes: maxAppendBytes, chunkBytes: maxChunkBytes, rng: rand.New(rand.NewPCG(1, 1))}
 	return newCore(o, storage.HardState{ID: "a", Cluster: testCluster, Term: term}, log, 1, 0)
 }
 
@@ -86,7 +86,9 @@
 	c.elect(t)
 	must.NoError(t, c.beginChange(change{address: "d"}))
 	must.Eq(t, fault.MembershipBusy, fault.KindOf(c.beginChange(change{id: "b", remove: true})))
-	c.from("d", Message{Type: ProbeReply})
+	c.from("old d", Message{Type: ProbeReply, Token: c.change.token - 1})
+	must.Eq(t, "", c.change.id, must.Sprint("a late answer to an earlier probe"))
+	c.from("d", Message{Type: ProbeReply, Token: c.change.token})
 	must.SliceLen(t, 3, c.members())
 	c.from("b", Message{Type: AppendReply, Index: 3})
 	must.SliceLen(t, 4, c.members())
--- a/internal/process/replica/engine.go
+++ b/internal/process/replica/engine.go
@@ -28,6 +28,10 @@
 	proposals    proposals
 	confirms     confirms
 	changeDone   func(error)
+	// saving is the snapshot that is being written. write runs such a job and
+	// then sets written; the next flush ends it.
+	saving, written *snapshotJob
+	write           func(*snapshotJob)
 }
 
 // openEngine opens the store on disk. A store that finds damage gives up its
@@ -75,7 +79,10 @@
 	e.applied = snapshot.Index
 	e.snapshotSize = len(snapshot.Data)
 	e.confirms.token = rng.Uint64()
-	o := coreOptions{group: e.Group, address: e.Address, heartbeat: e.Heartbeat, election: e.Election, rng: rng}
+	o := coreOptions{
+		group: e.Group, address: e.Address, heartbeat: e.Heartbeat, election: e.Election,
+		appendBytes: e.appendBytes, chunkBytes: e.chunkBytes, rng: rng,
+	}
 	e.core = newCore(o, e.store.State(), t, snapshot.Index, now)
 	return nil
 }
@@ -115,6 +122,7 @@
 		done(fault.New(fault.NotFounded, "this replica belongs to no group yet"))
 		return
 	}
+	e.endChanges()
 	if err := e.core.beginChange(ch); err != nil {
 		done(err)
 		return
@@ -125,26 +133,29 @@
 // cancelChange ends the running change where it stands.
 func (e *engine) cancelChange() {
 	e.core.endChange(fault.New(fault.NoLeader, "the change of the membership was canceled"))
+	e.endChanges()
 }
 
-func (e *engine) endChange(err error) {
-	if e.changeDone == nil {
+// endChanges completes the call whose change has ended, before another begins.
+func (e *engine) endChanges() {
+	ended := e.core.takeEnded()
+	if len(ended) == 0 || e.changeDone == nil {
 		return
 	}
 	done := e.changeDone
 	e.changeDone = nil
-	done(err)
+	done(ended[0])
 }
 
 // flush does everything that the core has asked for. An error is final: the
 // process must end.
 func (e *engine) flush() error {
+	if err := e.endSnapshot(e.written); err != nil {
+		return err
+	}
 	e.submit()
 	for {
 		out := e.core.take()
-		if out.empty() {
-			return nil
-		}
 		if err := e.carryOut(&out); err != nil {
 			return err
 		}
@@ -154,6 +165,9 @@
 		if err := e.advance(); err != nil {
 			return err
 		}
+		if e.core.idle() {
+			return nil
+		}
 	}
 }
 
@@ -173,9 +187,7 @@
 	for _, read := range out.reads {
 		e.confirms.answered(read)
 	}
-	for _, err := range out.changes {
-		e.endChange(err)
-	}
+	e.endChanges()
 	if out.wantSnapshot {
 		return e.loadSnapshot()
 	}
@@ -222,6 +234,9 @@
 }
 
 func (e *engine) install(s storage.Snapshot) error {
+	if err := e.endSnapshot(e.saving); err != nil {
+		return err
+	}
 	if err := e.store.InstallSnapshot(s); err != nil {
 		return err
 	}
@@ -268,8 +283,9 @@
 	e.proposals.fail(err)
 	e.confirms.fail(err)
 	e.core.endChange(err)
-	for _, end := range e.core.take().changes {
-		e.endChange(end)
+	e.endChanges()
+	if e.saving != nil {
+		e.saving.run()
 	}
 	return e.store.Close()
 }
--- a/internal/process/replica/message.go
+++ b/internal/process/replica/message.go
@@ -66,7 +66,7 @@
 	Offset uint64 `cbor:"16,keyasint,omitempty"`
 	Size   uint64 `cbor:"17,keyasint,omitempty"`
 	Data   []byte `cbor:"18,keyasint,omitempty"`
-	// Token links a ReadIndexReply to its request.
+	// Token links a ReadIndexReply or a ProbeReply to its request.
 	Token uint64 `cbor:"19,keyasint,omitempty"`
 }
 
--- a/internal/process/replica/node.go
+++ b/internal/process/replica/node.go
@@ -85,10 +85,22 @@
 	if err != nil {
 		return nil, err
 	}
+	e.write = n.write
 	n.engine = e
 	return n, nil
 }
 
+// write writes a snapshot beside the loop.
+func (n *Node) write(job *snapshotJob) {
+	go func() {
+		job.run()
+		select {
+		case n.calls <- func(e *engine) { e.written = job }:
+		case <-n.stop:
+		}
+	}()
+}
+
 func (n *Node) now() time.Duration { return time.Since(n.start) }
 
 // Run takes part in the group until ctx ends. An error is final and the
--- a/internal/process/replica/node_test.go
+++ b/internal/process/replica/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/storage/storagetest"
 )
 
 // counter is a Machine that counts its commands and chains their content.
@@ -143,3 +145,40 @@
 		}
 	})
 }
+
+func TestRunEndsWhenTheDiskFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := storagetest.New(rand.New(rand.NewPCG(1, 1)))
+		o := Options{Group: "g", Dir: "-", Address: "a", Machine: new(counter), Transport: &links{}}
+		o.setDefaults()
+		n, err := newNode(o, disk)
+		must.NoError(t, err)
+		ended := make(chan error, 1)
+		go func() { ended <- n.Run(t.Context()) }()
+		must.NoError(t, n.Found(t.Context()))
+		propose(t, n, 10)
+		disk.FailAfter(1) // the write succeeds, the sync fails
+		_, err = n.Propose(t.Context(), []byte("lost"))
+		must.Eq(t, fault.NoLeader, fault.KindOf(err))
+		must.Eq(t, fault.StorageFailed, fault.KindOf(<-ended))
+		must.Eq(t, fault.NoLeader, fault.KindOf(n.Confirm(t.Context())))
+		must.NoError(t, n.Close())
+	})
+}
+
+func TestCallsEndWithTheirContext(t *testing.T) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		l := &links{nodes: make(map[string]*Node)}
+		n, stop := runNode(t, l, dir, "a", new(counter))
+		defer stop()
+		must.NoError(t, n.Found(t.Context()))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		must.Eq(t, fault.NoLeader, fault.KindOf(n.Admit(ctx, "nobody")))
+		must.NoError(t, n.Remove(t.Context(), "nobody"), must.Sprint("the place of the change is free again"))
+		must.Eq(t, fault.MembershipBusy, fault.KindOf(n.Remove(t.Context(), n.Status().ID)))
+		_, self := n.Leader()
+		must.True(t, self)
+	})
+}
--- a/internal/process/replica/options.go
+++ b/internal/process/replica/options.go
@@ -50,6 +50,9 @@
 	SnapshotEvery uint64
 	// SegmentSize is the size of a file of the log, in bytes. Default 4 MiB.
 	SegmentSize int64
+	// appendBytes bounds the entries of one message, chunkBytes the part of a
+	// snapshot in one message.
+	appendBytes, chunkBytes int
 }
 
 func (o *Options) setDefaults() {
@@ -62,6 +65,12 @@
 	if o.Election == 0 {
 		o.Election = DefaultElection
 	}
+	if o.appendBytes == 0 {
+		o.appendBytes = maxAppendBytes
+	}
+	if o.chunkBytes == 0 {
+		o.chunkBytes = maxChunkBytes
+	}
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = DefaultSnapshotEvery
 	}
--- a/internal/process/replica/replication.go
+++ b/internal/process/replica/replication.go
@@ -48,7 +48,7 @@
 	var entries []storage.Entry
 	blocked := p.probing && p.waiting && !heartbeat
 	if !blocked && p.next-p.match <= maxInFlight {
-		entries = c.tail.from(p.next, maxAppendBytes)
+		entries = c.tail.from(p.next, c.appendBytes)
 	}
 	if len(entries) == 0 && !heartbeat {
 		return
--- a/internal/process/replica/scenario_test.go
+++ b/internal/process/replica/scenario_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
 const (
@@ -179,3 +181,42 @@
 		}
 	}
 }
+
+// TestNothingWaitsForAClockTick measures commands and reads without faults: they
+// take round trips only, never the time to the next tick or heartbeat.
+func TestNothingWaitsForAClockTick(t *testing.T) {
+	for seed := range uint64(20) {
+		s, l := scenario(t, seed)
+		for range 10 {
+			start := s.now
+			must.True(t, s.commit(l, time.Second))
+			must.Less(t, simTick, s.now-start, must.Sprintf("seed %d: a command", seed))
+			start = s.now
+			h, confirmed := s.others(l)[0], false
+			h.work(func() {
+				h.engine.confirm(confirmation{gone: func() bool { return false }, done: func(err error) { confirmed = err == nil }})
+			})
+			for !confirmed && s.now < start+time.Second {
+				s.runUntil(s.now + time.Millisecond)
+			}
+			must.Less(t, simTick, s.now-start, must.Sprintf("seed %d: a read", seed))
+		}
+	}
+}
+
+// TestCanceledChangeEndsItsOwnCall begins a change in the same pass in which
+// another is canceled: each call gets its own end.
+func TestCanceledChangeEndsItsOwnCall(t *testing.T) {
+	s, l := scenario(t, 1)
+	var first, second error
+	ended := false
+	l.work(func() {
+		l.engine.change(change{address: "nobody"}, func(err error) { first = err })
+		l.engine.cancelChange()
+		l.engine.change(change{id: "nobody", remove: true}, func(err error) { second, ended = err, true })
+	})
+	s.runUntil(s.now + time.Second)
+	must.Eq(t, fault.NoLeader, fault.KindOf(first))
+	must.True(t, ended)
+	must.NoError(t, second)
+}
--- a/internal/process/replica/sim_test.go
+++ b/internal/process/replica/sim_test.go
@@ -16,6 +16,8 @@
 	simTick          = DefaultHeartbeat / ticksPerHeartbeat
 	simSnapshotEvery = 16
 	simSegmentSize   = 2048
+	simAppendBytes   = 200
+	simChunkBytes    = 300
 )
 
 // event is something that happens at a virtual time.
@@ -137,17 +139,29 @@
 func (h *host) boot() {
 	h.life++
 	h.machine = new(register)
-	o := Options{Group: simGroup, Address: h.address, Machine: h.machine, Transport: h, SnapshotEvery: simSnapshotEvery, SegmentSize: simSegmentSize, Logger: zap.NewNop()}
+	o := Options{Group: simGroup, Address: h.address, Machine: h.machine, Transport: h, SnapshotEvery: simSnapshotEvery, SegmentSize: simSegmentSize, appendBytes: simAppendBytes, chunkBytes: simChunkBytes, Logger: zap.NewNop()}
 	o.setDefaults()
 	e, err := openEngine(o, h.disk, h.sim.rng, h.clock())
 	if err != nil {
 		h.crash()
 		return
 	}
+	e.write = h.write
 	h.engine = e
 	h.sim.check.observe(h)
 }
 
+// write writes a snapshot a while later, where the process still runs.
+func (h *host) write(job *snapshotJob) {
+	life := h.life
+	h.sim.after(h.sim.between(0, 300*time.Millisecond), func() {
+		if h.life != life {
+			return
+		}
+		h.work(func() { h.engine.written = job })
+	})
+}
+
 // clock is the host's own monotonic clock.
 func (h *host) clock() time.Duration {
 	return time.Duration(float64(h.sim.now) * h.rate)
--- a/internal/process/replica/snapshots.go
+++ b/internal/process/replica/snapshots.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"sync"
+
 	"go.uber.org/zap"
 
 	"github.com/teaselrack/teaselrack/internal/fault"
@@ -16,17 +18,32 @@
 	maxLogBytes = 64 << 20
 )
 
+// snapshotJob writes one snapshot beside the loop.
+type snapshotJob struct {
+	snapshot storage.Snapshot
+	store    *storage.Store
+	once     sync.Once
+	err      error
+}
+
+// run writes the snapshot, or waits until it is written.
+func (j *snapshotJob) run() {
+	j.once.Do(func() { j.err = j.store.WriteSnapshot(j.snapshot) })
+}
+
 // snapshotDue reports whether enough was applied since the last snapshot. The
 // log may grow to the size of the state, so that writing snapshots costs no
 // more than writing the log.
 func (e *engine) snapshotDue() bool {
 	since := e.applied - e.store.Snapshot().Index
-	if since < e.SnapshotEvery {
+	if e.saving != nil || since < e.SnapshotEvery {
 		return false
 	}
 	return e.core.tail.bytes >= min(e.snapshotSize, maxLogBytes)
 }
 
+// makeSnapshot takes a snapshot where one is due, and hands it over to be
+// written while the group goes on.
 func (e *engine) makeSnapshot() error {
 	if !e.snapshotDue() {
 		return nil
@@ -44,12 +61,27 @@
 		return err
 	}
 	s := storage.Snapshot{Index: at.index, Term: at.term, Digest: at.digest, Members: members, Data: data}
-	if err := e.store.SaveSnapshot(s); err != nil {
+	e.saving = &snapshotJob{snapshot: s, store: e.store}
+	e.write(e.saving)
+	return nil
+}
+
+// endSnapshot waits for a job, if any, and compacts the log behind its
+// snapshot.
+func (e *engine) endSnapshot(job *snapshotJob) error {
+	e.written = nil
+	if job == nil || e.saving != job {
+		return nil
+	}
+	e.saving = nil
+	job.run()
+	s := job.snapshot
+	if err := e.store.SnapshotWritten(s, job.err); err != nil {
 		return err
 	}
-	e.snapshotSize = len(data)
-	e.Logger.Debug("snapshot", zap.String("group", e.Group), zap.Uint64("index", at.index), zap.Int("bytes", len(data)))
-	return e.compact(at.index)
+	e.snapshotSize = len(s.Data)
+	e.Logger.Debug("snapshot", zap.String("group", e.Group), zap.Uint64("index", s.Index), zap.Int("bytes", len(s.Data)))
+	return e.compact(s.Index)
 }
 
 func (e *engine) compact(index uint64) error {
--- a/internal/process/replica/transfer.go
+++ b/internal/process/replica/transfer.go
@@ -4,8 +4,8 @@
 	"github.com/teaselrack/teaselrack/internal/process/storage"
 )
 
-// chunkSize is the size of the parts in which a snapshot is sent, in bytes.
-const chunkSize = 256 << 10
+// maxChunkBytes is the size of the parts in which a snapshot is sent.
+const maxChunkBytes = 256 << 10
 
 // transferSource is a stored snapshot while the leader sends it.
 type transferSource struct {
@@ -57,7 +57,7 @@
 func (c *core) sendChunk(m member, p *progress) {
 	s := c.snapshot
 	start := min(p.offset, uint64(len(s.data)))
-	end := min(start+chunkSize, uint64(len(s.data)))
+	end := min(start+uint64(c.chunkBytes), uint64(len(s.data)))
 	c.send(m.Address, m.ID, Message{
 		Type: Chunk, Index: s.index, LogTerm: s.term, Round: c.reads.round,
 		Offset: start, Size: uint64(len(s.data)), Data: s.data[start:end],
--- a/internal/process/storage/store.go
+++ b/internal/process/storage/store.go
@@ -137,24 +137,42 @@
 	return nil
 }
 
-// SaveSnapshot stores a snapshot that this replica made itself; the log stays.
-// The snapshot's data are not kept in memory.
-func (s *Store) SaveSnapshot(snapshot Snapshot) error {
-	if s.failed != nil {
-		return s.failed
-	}
+// WriteSnapshot writes a snapshot that this replica made itself. Alone among
+// the methods it may run beside others, apart from itself and InstallSnapshot;
+// SnapshotWritten must follow before the log is compacted.
+func (s *Store) WriteSnapshot(snapshot Snapshot) error {
 	b, err := encodeRecord(snapshot)
 	if err != nil {
 		return err
 	}
 	if err := s.disk.Replace(snapshotName, b); err != nil {
-		return s.fail(err, "store the snapshot")
+		return fault.Wrap(fault.StorageFailed, err, "store the snapshot")
+	}
+	return nil
+}
+
+// SnapshotWritten notes how WriteSnapshot ended. A failure is final. The data
+// of the snapshot are not kept in memory.
+func (s *Store) SnapshotWritten(snapshot Snapshot, err error) error {
+	if err != nil && s.failed == nil {
+		s.failed = err
+	}
+	if s.failed != nil {
+		return s.failed
 	}
 	snapshot.Data = nil
 	s.snapshot = snapshot
 	return nil
 }
 
+// SaveSnapshot writes a snapshot and notes it.
+func (s *Store) SaveSnapshot(snapshot Snapshot) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	return s.SnapshotWritten(snapshot, s.WriteSnapshot(snapshot))
+}
+
 // InstallSnapshot stores a snapshot that came from another replica, and starts
 // the log again after it.
 func (s *Store) InstallSnapshot(snapshot Snapshot) error {
