Registry: tests, and a heartbeat that names what it stands for

Cause: the property over three replicas found a replica that kept an old record for good: a daemon renewed with replica 1, then with replica 0 saying something else, then with replica 1 as at first. Replica 1 saw no change and sent only a heartbeat; replica 0 prolonged its other record. A target could so stay listed as warm after it had said that it leaves.

Ruled out: sending whole records with every exchange (some 200 bytes for each daemon, several times a second).

Change: a heartbeat carries the checksum of its record; one that does not fit makes the receiver ask anew. A service without a change since the subscriber's version is passed over without working out its subsets.

Not seen: records passed on at second hand (more traffic only).

--- a/internal/process/registry/exchange.go
+++ b/internal/process/registry/exchange.go
@@ -31,9 +31,11 @@
 
 // Heartbeat says that a daemon has renewed with an unchanged record.
 type Heartbeat struct {
-	Instance string        `json:"i"`
-	Session  string        `json:"x"`
-	Age      time.Duration `json:"g"`
+	Instance string `json:"i"`
+	// Sum is the checksum of the record: the receiver may have another one,
+	// from a replica that the daemon renewed with in between.
+	Sum uint64        `json:"x"`
+	Age time.Duration `json:"g"`
 }
 
 // Changes answers an exchange: the daemons that renew with this replica.
@@ -62,14 +64,14 @@
 		case d.changed > since:
 			reply.Changed = append(reply.Changed, AgedRecord{d.record, age})
 		default:
-			reply.Alive = append(reply.Alive, Heartbeat{d.record.Instance, d.record.Session, age})
+			reply.Alive = append(reply.Alive, Heartbeat{d.record.Instance, d.sum, age})
 		}
 	}
 }
 
 // Merge takes the answer of another replica. It returns false where a
-// heartbeat names a daemon that this replica doesn't know in that session:
-// then the caller asks again from version 0.
+// heartbeat names a record that this replica does not have: then the caller
+// asks again from version 0.
 func (r *Registry) Merge(now time.Time, reply ExchangeReply) bool {
 	for _, c := range reply.Changed {
 		if c.Age < RecordLife {
@@ -84,16 +86,22 @@
 	return complete
 }
 
-// beat takes a heartbeat over and reports whether the daemon is known.
+// beat takes a heartbeat over and reports whether its record is known, or older
+// than the one that is.
 func (sh *daemonShard) beat(now time.Time, b Heartbeat) bool {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	d, ok := sh.daemons[b.Instance]
-	if !ok || d.record.Session != b.Session {
+	if !ok {
 		return false
 	}
-	if at := now.Add(-b.Age); at.After(d.renewed) {
-		d.renewed = at
+	at := now.Add(-b.Age)
+	if !at.After(d.renewed) {
+		return true
 	}
+	if d.sum != b.Sum {
+		return false
+	}
+	d.renewed = at
 	return true
 }
--- a/internal/process/registry/record.go
+++ b/internal/process/registry/record.go
@@ -3,9 +3,12 @@
 package registry
 
 import (
+	"encoding/json"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 )
 
@@ -53,6 +56,15 @@
 		slices.Equal(r.Targets, o.Targets)
 }
 
+// sum returns a checksum of everything that the record says.
+func (r Record) sum() uint64 {
+	b, err := json.Marshal(r)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(b)
+}
+
 // targets returns the usable targets of the record by service. Where a service
 // is announced twice the last one counts.
 func (r Record) targets() map[string]protocol.TargetRecord {
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -32,7 +32,9 @@
 
 // daemon is what the replica knows of one daemon.
 type daemon struct {
-	record  Record
+	record Record
+	// sum is the checksum of record.
+	sum     uint64
 	renewed time.Time
 	// direct is true where this replica got the renewal itself.
 	direct bool
@@ -85,6 +87,7 @@
 	}
 	old := d.record
 	d.record = rec
+	d.sum = rec.sum()
 	d.direct = direct
 	d.changed = r.next()
 	r.announce(old, rec, now)
--- /dev/null
+++ b/internal/process/registry/registry_test.go
@@ -0,0 +1,245 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+)
+
+// epoch is the time at which each simulated run starts.
+var epoch = time.Unix(1_000_000, 0)
+
+func renewal(instance, domain string, state protocol.TargetState, services ...string) protocol.RenewRequest {
+	r := protocol.RenewRequest{Instance: instance, Session: instance, PeerAddress: instance, FailureDomain: domain}
+	for _, s := range services {
+		r.Targets = append(r.Targets, protocol.Announcement{Service: s, State: state})
+	}
+	return r
+}
+
+// listed is what a subscriber has made of the deltas so far.
+type listed map[string]protocol.TargetRecord
+
+func (l listed) apply(d *protocol.RegistryDelta) {
+	if d == nil {
+		return
+	}
+	if d.Full {
+		clear(l)
+	}
+	for _, id := range d.Removes {
+		delete(l, id)
+	}
+	for _, r := range d.Upserts {
+		l[idOf(r)] = r
+	}
+}
+
+// TestDeltasEqualTheWholeList lets daemons come, change, move between failure
+// domains and go, and compares what a subscriber has with the whole list of
+// that moment. Deltas may be lost: the subscriber then asks from where it is.
+func TestDeltasEqualTheWholeList(t *testing.T) {
+	deltas, full := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		r := New("epoch")
+		now := epoch
+		have := listed{}
+		version, known := uint64(0), ""
+		services := []string{"small", "large"}
+		for range 60 {
+			for range rapid.IntRange(0, 12).Draw(t, "renewals") {
+				// The large service has more targets than a subset.
+				i := rapid.IntRange(0, 2*SubsetSize).Draw(t, "instance")
+				domain := fmt.Sprint("d", rapid.IntRange(0, 3).Draw(t, "domain"))
+				state := rapid.SampledFrom([]protocol.TargetState{protocol.Cold, protocol.Warm, protocol.Leaving}).Draw(t, "state")
+				announced := services[rapid.IntRange(0, 1).Draw(t, "services"):]
+				if i%5 > 0 {
+					announced = announced[len(announced)-1:]
+				}
+				r.Renew(now, renewal(fmt.Sprint("i", i), domain, state, announced...))
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 20).Draw(t, "long") == 20 {
+				now = now.Add(2 * tombstoneLife)
+			}
+			r.Expire(now)
+			if rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+				continue
+			}
+			d := r.Delta("subscriber", services, known, version)
+			if d != nil {
+				have.apply(d)
+				known, version = d.Epoch, d.Version
+				deltas++
+				if d.Full {
+					full++
+				}
+			}
+			whole := listed{}
+			whole.apply(r.Delta("subscriber", services, "", 0))
+			must.Eq(t, whole, have)
+		}
+	})
+	t.Logf("%d deltas, %d of them full", deltas, full)
+	must.Positive(t, full)
+	must.Less(t, deltas/2, full)
+}
+
+// TestSubsetsAreEven spreads subscribers over the targets of one service.
+func TestSubsetsAreEven(t *testing.T) {
+	const subscribers = 400
+	for _, sizes := range [][]int{{25, 25, 25, 25}, {60, 30, 10}, {100}} {
+		members := make(map[string]string)
+		for d, n := range sizes {
+			for i := range n {
+				members[fmt.Sprintf("i%d-%d", d, i)] = fmt.Sprint("d", d)
+			}
+		}
+		chosen := make(map[string]int)
+		byDomain := make(map[string]int)
+		for s := range subscribers {
+			set := subset(fmt.Sprint("s", s), members)
+			must.MapLen(t, SubsetSize, set)
+			for instance := range set {
+				chosen[instance]++
+				byDomain[members[instance]]++
+			}
+		}
+		for d, n := range sizes {
+			domain := fmt.Sprint("d", d)
+			must.Eq(t, subscribers*SubsetSize/len(sizes), byDomain[domain])
+			mean := byDomain[domain] / n
+			for instance, count := range chosen {
+				if members[instance] == domain {
+					must.Between(t, mean/2, count, mean*3/2)
+				}
+			}
+		}
+	}
+}
+
+// A target that leaves takes at most one place of a subset with it.
+func TestSubsetsAreStable(t *testing.T) {
+	members := make(map[string]string)
+	for i := range 100 {
+		members[fmt.Sprint("i", i)] = fmt.Sprint("d", i%4)
+	}
+	for s := range 50 {
+		subscriber := fmt.Sprint("s", s)
+		before := subset(subscriber, members)
+		for i := range 100 {
+			left := fmt.Sprint("i", i)
+			domain := members[left]
+			delete(members, left)
+			after := subset(subscriber, members)
+			members[left] = domain
+			_, had := before[left]
+			kept := 0
+			for instance := range after {
+				if _, ok := before[instance]; ok {
+					kept++
+				}
+			}
+			if had {
+				must.Eq(t, SubsetSize-1, kept)
+			} else {
+				must.Eq(t, SubsetSize, kept)
+			}
+		}
+	}
+}
+
+// group is some replicas that exchange what they know.
+type group struct {
+	now      time.Time
+	replicas []*Registry
+	// from is what replica i has of replica j.
+	from   map[[2]int]ExchangeRequest
+	starts int
+}
+
+func newGroup(n int) *group {
+	g := &group{now: epoch, from: make(map[[2]int]ExchangeRequest)}
+	for i := range n {
+		g.replicas = append(g.replicas, nil)
+		g.restart(i)
+	}
+	return g
+}
+
+// restart starts replica i without any state.
+func (g *group) restart(i int) {
+	g.starts++
+	g.replicas[i] = New(fmt.Sprint("epoch", g.starts))
+	for j := range g.replicas {
+		delete(g.from, [2]int{i, j})
+	}
+}
+
+func (g *group) exchange() {
+	for i, r := range g.replicas {
+		r.Expire(g.now)
+		for j, other := range g.replicas {
+			if i == j {
+				continue
+			}
+			reply := other.Changes(g.now, g.from[[2]int{i, j}])
+			g.from[[2]int{i, j}] = ExchangeRequest{Epoch: reply.Epoch, Version: reply.Version}
+			if !r.Merge(g.now, reply) {
+				delete(g.from, [2]int{i, j})
+			}
+		}
+	}
+}
+
+// TestReplicasAgreeAndForget: every replica knows what every daemon said last
+// after an exchange, also where daemons change their replica; what a replica
+// that lost everything had heard itself comes back with the next renewals. A
+// daemon that ends is forgotten everywhere after RecordLife.
+func TestReplicasAgreeAndForget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(3)
+		last := make(map[string]time.Time)
+		said := make(map[string]string)
+		for range 25 {
+			if rapid.IntRange(0, 4).Draw(t, "restart") == 0 {
+				g.restart(rapid.IntRange(0, 2).Draw(t, "replica"))
+				clear(said)
+			}
+			for range rapid.IntRange(0, 5).Draw(t, "renewals") {
+				name := fmt.Sprint("i", rapid.IntRange(0, 5).Draw(t, "instance"))
+				r := renewal(name, "d", protocol.Warm, "s")
+				r.Session = fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "session"))
+				r.Version = rapid.Uint64Range(0, 2).Draw(t, "version")
+				g.replicas[rapid.IntRange(0, 2).Draw(t, "replica")].Renew(g.now, r)
+				last[name] = g.now
+				said[name] = fmt.Sprint(r.Version, r.Targets)
+				g.now = g.now.Add(time.Millisecond)
+			}
+			g.exchange()
+			g.exchange()
+			for _, r := range g.replicas {
+				g.check(t, r, last, said)
+			}
+			g.now = g.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+		}
+	})
+}
+
+func (g *group) check(t *rapid.T, r *Registry, last map[string]time.Time, said map[string]string) {
+	known := make(map[string]string)
+	for _, d := range r.Daemons(g.now) {
+		must.Less(t, RecordLife, g.now.Sub(last[d.Instance]))
+		known[d.Instance] = fmt.Sprint(d.Version, d.Targets)
+	}
+	for name, text := range said {
+		if g.now.Sub(last[name]) < RecordLife {
+			must.Eq(t, text, known[name])
+		}
+	}
+}
--- a/internal/process/registry/service.go
+++ b/internal/process/registry/service.go
@@ -12,6 +12,8 @@
 type service struct {
 	live map[string]*member // by instance
 	gone []tombstone        // oldest first
+	// last is the version of the last change.
+	last uint64
 }
 
 // member is one target of a service.
@@ -56,18 +58,19 @@
 	defer sh.mu.Unlock()
 	s := sh.service(t.Service)
 	m, ok := s.live[t.Instance]
+	if ok && m.record == t {
+		return
+	}
+	s.last = next()
 	switch {
 	case !ok:
-		v := next()
-		s.live[t.Instance] = &member{record: t, joined: v, changed: v}
-	case m.record == t:
+		s.live[t.Instance] = &member{record: t, joined: s.last, changed: s.last}
 	case m.record.FailureDomain != t.FailureDomain:
-		v := next()
-		s.gone = append(s.gone, tombstone{m.record, m.joined, v, now})
-		s.live[t.Instance] = &member{record: t, joined: v, changed: v}
+		s.gone = append(s.gone, tombstone{m.record, m.joined, s.last, now})
+		s.live[t.Instance] = &member{record: t, joined: s.last, changed: s.last}
 	default:
 		m.record = t
-		m.changed = next()
+		m.changed = s.last
 	}
 }
 
@@ -84,7 +87,8 @@
 		return
 	}
 	delete(s.live, instance)
-	s.gone = append(s.gone, tombstone{m.record, m.joined, next(), now})
+	s.last = next()
+	s.gone = append(s.gone, tombstone{m.record, m.joined, s.last, now})
 }
 
 // forget drops old tombstones, and services that have nothing left.
@@ -111,7 +115,7 @@
 		return false
 	}
 	s, ok := sh.services[name]
-	if !ok {
+	if !ok || s.last <= since {
 		return true
 	}
 	before := subset(subscriber, s.membersAt(since))
