Tools of their own module; targets for bench and proof

Cause: the programs that judge test runs stood among the end-to-end tests, and the benchmarks had no target. Ruled out: keeping them in the product's module; it would take in what only checks need. Change: tools/ holds verdict, proof and the reader of test events; make bench measures hops, single operations and the policy; make proof prints the rows of docs/PROOF.md with their results, and make test checks them.

--- a/Makefile
+++ b/Makefile
@@ -3,25 +3,39 @@
 BIN := build/bin
 TOOLS := build/tools
 LINT_VERSION := v2.15.0
-MODULES := . ./bench ./e2e
-VERDICT := $(GO) run github.com/teaselrack/teaselrack/e2e/cmd/verdict
+MODULES := . ./bench ./e2e ./tools
+PROOF := $(GO) run github.com/teaselrack/teaselrack/tools/proof --results build/unit.jsonl --results build/bench.jsonl --results build/e2e.jsonl
+VERDICT := $(GO) run github.com/teaselrack/teaselrack/tools/verdict
 
-.PHONY: build test test-race test-e2e demo up down capacity lint fmt clean
+.PHONY: build test test-race test-bench test-e2e proof proof-check demo up down bench capacity lint fmt clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/... ./e2e/cmd/...
 
-test: test-race test-e2e
+# test runs every test, and checks that the page of proofs names tests that ran.
+test: test-race test-bench test-e2e proof-check
 
 test-race:
 	@mkdir -p build
 	$(GO) test -race -json ./... | $(VERDICT) --save build/unit.jsonl
 
+# test-bench holds the policy to its targets, in virtual time.
+test-bench:
+	@mkdir -p build
+	cd bench && $(GO) test -json ./... | (cd .. && $(VERDICT) --save build/bench.jsonl)
+
 # test-e2e starts real processes on free loopback ports and stops them by id.
 test-e2e: build
 	@mkdir -p build
 	cd e2e && TEASELRACK_BIN=$(CURDIR)/$(BIN) $(GO) test -json -count=1 ./... | (cd .. && $(VERDICT) --save build/e2e.jsonl)
 
+# proof runs every test and prints the rows of docs/PROOF.md with the results.
+proof: test-race test-bench test-e2e
+	$(PROOF)
+
+proof-check:
+	$(PROOF) --quiet
+
 # demo runs the whole system once and leaves no process behind.
 demo: build
 	@e2e/demo/demo.sh
@@ -34,6 +48,13 @@
 down:
 	@e2e/demo/down.sh
 
+# bench measures added latency on loopback, single operations, and the policy
+# beside a naive version.
+bench:
+	$(GO) test ./internal/request/hop -run '^$$' -bench 'Hop$$|InProcess' -benchtime 5000x
+	$(GO) test ./internal/process/admission ./internal/process/routing ./internal/request/permit -run '^$$' -bench . -benchtime 20000x -cpu 1,4,10
+	$(GO) run github.com/teaselrack/teaselrack/bench/cmd/policybench
+
 # capacity measures how each role grows, for docs/CAPACITY.md.
 capacity:
 	$(GO) run github.com/teaselrack/teaselrack/bench/cmd/capacity
--- a/e2e/cmd/proof/main.go
+++ b/tools/proof/main.go
@@ -9,7 +9,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/teaselrack/teaselrack/e2e/results"
+	"github.com/teaselrack/teaselrack/tools/results"
 )
 
 type options struct {
--- a/e2e/cmd/proof/row.go
+++ b/tools/proof/row.go
@@ -6,7 +6,7 @@
 	"regexp"
 	"strings"
 
-	"github.com/teaselrack/teaselrack/e2e/results"
+	"github.com/teaselrack/teaselrack/tools/results"
 )
 
 // Statuses of a row.
