--- a/internal/process/control/faults_test.go
+++ b/internal/process/control/faults_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -33,13 +35,13 @@
 	}
 }
 
-// note returns the text of release note number; even numbers add a team, odd
-// ones withdraw it.
+// note returns the text of release note number: it changes the rate of team t,
+// which the first note adds.
 func note(number int, comment string) string {
-	if number%2 == 1 {
+	if number == 1 {
 		return fmt.Sprintf("number: %d\ncomment: %s\nadded:\n  teams: [{name: t, rate: 50, burst: 20}]\n", number, comment)
 	}
-	return fmt.Sprintf("number: %d\ncomment: %s\nwithdrawn:\n  teams: [t]\n", number, comment)
+	return fmt.Sprintf("number: %d\ncomment: %s\nchanged:\n  teams: [{name: t, rate: %d, burst: 20}]\n", number, comment, 50+number)
 }
 
 // forSeeds runs f for each seed in its own bubble of virtual time.
@@ -115,11 +117,11 @@
 	}
 }
 
-// operators applies notes one after the other until stop is closed, two
+// operators applies notes from number first on until stop is closed, two
 // operators racing for each number, and returns the accepted digests.
-func operators(c *cluster, f *freshness, stop <-chan struct{}) map[uint64]string {
+func operators(c *cluster, f *freshness, first int, stop <-chan struct{}) map[uint64]string {
 	digests := make(map[uint64]string)
-	for number := 1; ; number++ {
+	for number := first; ; number++ {
 		select {
 		case <-stop:
 			return digests
@@ -158,48 +160,91 @@
 	return winners
 }
 
-// upset applies one fault of the seed's schedule and returns its end.
-func upset(c *cluster, random *rand.Rand) (name string, heal func()) {
-	r := c.replicas[random.IntN(len(c.replicas))]
-	d := c.daemons[random.IntN(len(c.daemons))]
-	switch random.IntN(9) {
-	case 0:
-		c.net.isolate(r.address, c.names(), true)
-		return "isolate " + r.address, func() { c.net.isolate(r.address, c.names(), false) }
-	case 1:
-		c.net.isolate(d.name, c.names(), true)
-		return "isolate " + d.name, func() { c.net.isolate(d.name, c.names(), false) }
-	case 2:
-		c.net.isolate(r.address, c.addresses(), true)
-		return "isolate from replicas " + r.address, func() { c.net.isolate(r.address, c.addresses(), false) }
-	case 3:
-		r.stop()
-		return "kill " + r.address, r.start
-	case 7:
-		r.stop()
-		return "lose the data of " + r.address, r.replace
-	case 4:
-		c.net.freeze(r.address)
-		return "freeze " + r.address, func() { c.net.thaw(r.address) }
-	case 5:
-		d.stop()
-		return "restart " + d.name, d.start
-	case 6:
-		other := c.replicas[random.IntN(len(c.replicas))]
-		c.net.cut(r.address, other.address, true)
-		return "cut one way " + r.address, func() { c.net.cut(r.address, other.address, false) }
-	default:
-		c.net.mu.Lock()
-		c.net.loss = 0.1
-		c.net.mu.Unlock()
-		return "lose messages", func() {
-			c.net.mu.Lock()
-			c.net.loss = 0
-			c.net.mu.Unlock()
-		}
-	}
+// disturbance is one fault that is in force until it is healed.
+type disturbance struct {
+	name string
+	// victim is the process it concerns, empty for the network.
+	victim string
+	// losesData is true where the victim's data folder is gone.
+	losesData bool
+	heal      func()
+}
+
+// victims are the processes that a fault may concern.
+type victims struct {
+	replica, other *replicaProcess
+	daemon         *daemonProcess
+}
+
+// anyVictims draws two different replicas and a daemon.
+func anyVictims(c *cluster, random *rand.Rand) victims {
+	order := random.Perm(len(c.replicas))
+	return victims{c.replicas[order[0]], c.replicas[order[1]], c.daemons[random.IntN(len(c.daemons))]}
+}
+
+// upset applies one fault of the seed's schedule.
+func upset(c *cluster, random *rand.Rand) disturbance {
+	return faults[random.IntN(len(faults))](c, anyVictims(c, random))
+}
+
+// faults are the kinds of faults of a schedule; losing the data is the last.
+var faults = []func(*cluster, victims) disturbance{
+	isolateReplica, isolateDaemon, isolateFromReplicas, killReplica, freezeReplica, restartDaemon, cutOneWay, loseMessages, loseData,
+}
+
+func isolateReplica(c *cluster, v victims) disturbance {
+	name := v.replica.address
+	c.net.isolate(name, c.names(), true)
+	return disturbance{name: "isolate", victim: name, heal: func() { c.net.isolate(name, c.names(), false) }}
+}
+
+func isolateDaemon(c *cluster, v victims) disturbance {
+	name := v.daemon.name
+	c.net.isolate(name, c.names(), true)
+	return disturbance{name: "isolate", victim: name, heal: func() { c.net.isolate(name, c.names(), false) }}
 }
 
+func isolateFromReplicas(c *cluster, v victims) disturbance {
+	name := v.replica.address
+	c.net.isolate(name, c.addresses(), true)
+	return disturbance{name: "isolate from replicas", victim: name, heal: func() { c.net.isolate(name, c.addresses(), false) }}
+}
+
+func killReplica(_ *cluster, v victims) disturbance {
+	v.replica.stop()
+	return disturbance{name: "kill", victim: v.replica.address, heal: v.replica.start}
+}
+
+func loseData(_ *cluster, v victims) disturbance {
+	v.replica.stop()
+	return disturbance{name: "lose the data", victim: v.replica.address, losesData: true, heal: v.replica.replace}
+}
+
+func freezeReplica(c *cluster, v victims) disturbance {
+	name := v.replica.address
+	c.net.freeze(name)
+	return disturbance{name: "freeze", victim: name, heal: func() { c.net.thaw(name) }}
+}
+
+func restartDaemon(_ *cluster, v victims) disturbance {
+	v.daemon.stop()
+	return disturbance{name: "restart", victim: v.daemon.name, heal: v.daemon.start}
+}
+
+func cutOneWay(c *cluster, v victims) disturbance {
+	from, to := v.replica.address, v.other.address
+	c.net.cut(from, to, true)
+	return disturbance{name: "cut one way", victim: from, heal: func() { c.net.cut(from, to, false) }}
+}
+
+func loseMessages(c *cluster, _ victims) disturbance {
+	c.net.setLoss(messageLoss)
+	return disturbance{name: "lose messages", heal: func() { c.net.setLoss(0) }}
+}
+
+// messageLoss is the share of messages that are lost.
+const messageLoss = 0.1
+
 // TestConfigurationUnderFaults checks, under faults that come one after the
 // other and now and then two at once: one winner for each number, none of them
 // ever reversed, in force everywhere within inForceWithin, and no daemon that
@@ -213,12 +258,12 @@
 		var wg sync.WaitGroup
 		wg.Go(func() { f.run(stop) })
 		var digests map[uint64]string
-		wg.Go(func() { digests = operators(c, f, stop) })
+		wg.Go(func() { digests = operators(c, f, 1, stop) })
 		for range 6 {
-			name, heal := upset(c, random)
-			t.Logf("seed %d: %s", seed, name)
+			fault := upset(c, random)
+			t.Logf("seed %d: %s %s", seed, fault.name, fault.victim)
 			time.Sleep(time.Duration(1+random.IntN(5)) * time.Second)
-			heal()
+			fault.heal()
 			time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
 		}
 		time.Sleep(5 * time.Second)
@@ -237,10 +282,11 @@
 func checkEnd(t *testing.T, c *cluster, digests map[uint64]string) {
 	time.Sleep(inForceWithin)
 	must.Positive(t, len(digests))
+	last := slices.Max(slices.Collect(maps.Keys(digests)))
 	for _, d := range c.daemons {
 		must.NoError(t, d.life.Load().holder.Fresh())
 		state := d.life.Load().holder.Current()
-		must.Eq(t, uint64(len(digests)), state.Number())
+		must.Eq(t, last, state.Number())
 		must.Eq(t, digests[state.Number()], state.NoteDigest())
 	}
 }
--- a/internal/process/control/network_test.go
+++ b/internal/process/control/network_test.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// setLoss sets the share of messages that are lost.
+func (n *network) setLoss(share float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = share
+}
+
 // freeze holds every call to and from a process until thaw.
 func (n *network) freeze(name string) {
 	n.mu.Lock()
--- a/internal/process/control/once_test.go
+++ b/internal/process/control/once_test.go
@@ -24,6 +24,10 @@
 	wg       sync.WaitGroup
 }
 
+func newOnceRuns() *onceRuns {
+	return &onceRuns{runs: make(map[string]int), ran: make(map[string]bool), notRun: make(map[string]bool)}
+}
+
 // attempt does what the daemon beside a target does for one request: claim,
 // run, complete. Now and then it dies between two steps, or a sender that lost
 // sight of it cancels it meanwhile.
@@ -104,17 +108,17 @@
 		c := newCluster(t, seed)
 		_, err := c.apply(teamNote)
 		must.NoError(t, err)
-		o := &onceRuns{runs: make(map[string]int), ran: make(map[string]bool), notRun: make(map[string]bool)}
+		o := newOnceRuns()
 		stop := make(chan struct{})
 		var wg sync.WaitGroup
 		for i := range c.daemons {
 			wg.Go(func() { o.load(c, i, stop, seed) })
 		}
 		for range 4 {
-			name, heal := upset(c, random)
-			t.Logf("seed %d: %s", seed, name)
+			fault := upset(c, random)
+			t.Logf("seed %d: %s %s", seed, fault.name, fault.victim)
 			time.Sleep(time.Duration(500+random.IntN(3000)) * time.Millisecond)
-			heal()
+			fault.heal()
 			time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
 		}
 		close(stop)
--- /dev/null
+++ b/internal/process/control/pairs_test.go
@@ -0,0 +1,94 @@
+package control_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var pairCount = flag.Int("pairs", 24, "number of seeds of the schedules with two faults at once")
+
+// upsetTwice brings two faults on different processes into force, the second
+// while the first holds. The folders of two replicas are never lost at once.
+func upsetTwice(c *cluster, random *rand.Rand) [2]disturbance {
+	v := anyVictims(c, random)
+	other := victims{v.other, v.replica, c.daemons[0]}
+	if other.daemon == v.daemon {
+		other.daemon = c.daemons[1]
+	}
+	kind := random.IntN(len(faults))
+	first := faults[kind](c, v)
+	time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+	kinds := len(faults)
+	if first.losesData {
+		kinds--
+	}
+	return [2]disturbance{first, faults[random.IntN(kinds)](c, other)}
+}
+
+// healBoth heals two faults, a lost folder last: its replacement needs a
+// quorum.
+func healBoth(pair [2]disturbance) {
+	if pair[0].losesData {
+		pair[0], pair[1] = pair[1], pair[0]
+	}
+	pair[0].heal()
+	pair[1].heal()
+}
+
+// TestTwoFailuresAtOnce brings two faults into force at once while operators
+// race, teams use up their quota and callers repeat once requests, and checks
+// every invariant of the single tests.
+func TestTwoFailuresAtOnce(t *testing.T) {
+	for seed := range uint64(*pairCount) {
+		if *oneSeed != 0 && seed != *oneSeed {
+			continue
+		}
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { twoFailures(t, seed) })
+		})
+	}
+}
+
+func twoFailures(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 6))
+	c := newCluster(t, seed)
+	f, o, tokens := watchFreshness(c), newOnceRuns(), new(takes)
+	_, err := c.apply(pairsNote)
+	must.NoError(t, err)
+	time.Sleep(3 * time.Second)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.run(ctx.Done()) })
+	var digests map[uint64]string
+	wg.Go(func() { digests = operators(c, f, 2, ctx.Done()) })
+	for i, d := range c.daemons {
+		wg.Go(func() { tokens.load(ctx, d, "q") })
+		wg.Go(func() { o.load(c, i, ctx.Done(), seed) })
+	}
+	pair := upsetTwice(c, random)
+	t.Logf("seed %d: %s %s, %s %s", seed, pair[0].name, pair[0].victim, pair[1].name, pair[1].victim)
+	time.Sleep(time.Duration(1000+random.IntN(3500)) * time.Millisecond)
+	healBoth(pair)
+	time.Sleep(3 * time.Second)
+	cancel()
+	wg.Wait()
+	o.wg.Wait()
+	checkEnd(t, c, digests)
+	must.Nil(t, f.problems)
+	must.Nil(t, o.problems)
+	must.LessEq(t, 0.0, tokens.excess())
+	c.close()
+}
+
+// pairsNote adds the team whose quota is used; the notes that follow change
+// another team.
+const pairsNote = "number: 1\nadded:\n  teams: [{name: q, rate: 50, burst: 20}, {name: t, rate: 50, burst: 20}]\n"
--- a/internal/process/control/quota_test.go
+++ b/internal/process/control/quota_test.go
@@ -33,9 +33,9 @@
 
 // load takes tokens at a daemon until ctx ends. A restarted daemon has another
 // holder, so it is read anew each time.
-func (r *takes) load(ctx context.Context, d *daemonProcess) {
+func (r *takes) load(ctx context.Context, d *daemonProcess, team string) {
 	for ctx.Err() == nil {
-		if d.life.Load().quota.Take(ctx, "t") == nil {
+		if d.life.Load().quota.Take(ctx, team) == nil {
 			r.add(time.Now())
 		}
 		time.Sleep(time.Second / callsPerDaemon)
@@ -70,13 +70,13 @@
 		var record takes
 		var wg sync.WaitGroup
 		for _, d := range c.daemons {
-			wg.Go(func() { record.load(ctx, d) })
+			wg.Go(func() { record.load(ctx, d, "t") })
 		}
 		for range 4 {
-			name, heal := upset(c, random)
-			t.Logf("seed %d: %s", seed, name)
+			fault := upset(c, random)
+			t.Logf("seed %d: %s %s", seed, fault.name, fault.victim)
 			time.Sleep(time.Duration(500+random.IntN(3000)) * time.Millisecond)
-			heal()
+			fault.heal()
 			time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
 		}
 		cancel()
