Outcomes are checked under random faults

Cause: the tests so far set up one fault at a time; faults come together. Change: TestOutcomesAreHonest, 12 seeds, each with 40 callers, 4 processes, once requests sent up to three times with one key (half on a route without retries) and idempotent ones, while links and target connections go silent every 100 to 600 ms, targets fail before and during their answers (1 in 12 each), and 1 in 10 replies of the ledger is lost. Checked: no key runs twice; a first answer "not-run" is true; an answer is whole and the caller's own; all slots, handles and calls end.

--- a/internal/request/hop/fakes_test.go
+++ b/internal/request/hop/fakes_test.go
@@ -173,6 +173,8 @@
 	err    error
 	// before is called with each command.
 	before func(r protocol.OnceRequest)
+	// lose says that the reply to a command is lost after it was taken.
+	lose func() bool
 }
 
 type fakeClaim struct {
@@ -189,18 +191,26 @@
 	if f.err != nil {
 		return protocol.OnceReply{}, f.err
 	}
+	reply := f.apply(r)
+	if f.lose != nil && f.lose() {
+		return protocol.OnceReply{}, fault.New(fault.LedgerUnknown, "the reply was lost")
+	}
+	return reply, nil
+}
+
+func (f *fakeLedger) apply(r protocol.OnceRequest) protocol.OnceReply {
 	claim := f.claims[r.Key]
 	switch {
 	case claim != nil && r.Digest != claim.digest:
-		return protocol.OnceReply{State: protocol.OnceMismatch}, nil
+		return protocol.OnceReply{State: protocol.OnceMismatch}
 	case claim != nil && claim.answer != nil:
-		return protocol.OnceReply{State: protocol.OnceDone, Holder: claim.holder, Answer: claim.answer}, nil
+		return protocol.OnceReply{State: protocol.OnceDone, Holder: claim.holder, Answer: claim.answer}
 	case claim == nil:
-		return protocol.OnceReply{State: f.take(r)}, nil
+		return protocol.OnceReply{State: f.take(r)}
 	case claim.holder != r.Attempt:
-		return protocol.OnceReply{State: protocol.OnceHeld, Holder: claim.holder}, nil
+		return protocol.OnceReply{State: protocol.OnceHeld, Holder: claim.holder}
 	}
-	return f.own(r, claim), nil
+	return f.own(r, claim)
 }
 
 // take is a command on a free key.
--- /dev/null
+++ b/internal/request/hop/honest_test.go
@@ -0,0 +1,162 @@
+package hop
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+)
+
+// faults is a source of random faults that any goroutine may ask.
+type faults struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func (f *faults) below(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.IntN(n)
+}
+
+// oneIn returns true once in n times.
+func (f *faults) oneIn(n int) bool { return f.below(n) == 0 }
+
+func (f *faults) pause(longest time.Duration) {
+	time.Sleep(time.Duration(f.below(int(longest))))
+}
+
+// TestOutcomesAreHonest runs once and idempotent requests while links and
+// target connections go silent, targets fail before and during their answers,
+// and replies of the ledger are lost. Each caller sends a once request up to
+// three times with its key, as long as it has no answer; half of them on a route
+// without retries.
+func TestOutcomesAreHonest(t *testing.T) {
+	const callers = 40
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			run(t, []string{"tides", "blagajna", "blagajna", "tides"}, func(t *testing.T, s *system) {
+				f := &faults{rng: rand.New(rand.NewPCG(seed, seed))}
+				runs := &counter{counts: make(map[string]int)}
+				s.handle(0, failing(f, runs))
+				s.ledger.lose = func() bool { return f.oneIn(10) }
+				for _, n := range s.nodes {
+					n.admission.during = func(*envelope.Envelope) error { f.pause(50 * time.Millisecond); return nil }
+				}
+				stop := make(chan struct{})
+				go silencing(s, f, stop)
+				var wg sync.WaitGroup
+				tally := &counter{counts: make(map[string]int)}
+				for n := range callers {
+					wg.Go(func() {
+						f.pause(2 * time.Second)
+						path := []string{"/pay", "/charge"}[n%2]
+						s.callOnce(t, path, fmt.Sprintf("once-%d", n), runs, tally)
+						s.callIdempotent(t, fmt.Sprintf("look-%d", n), tally)
+					})
+				}
+				wg.Wait()
+				close(stop)
+				time.Sleep(time.Minute)
+				for n := range callers {
+					must.LessEq(t, 1, runs.get(fmt.Sprintf("once-%d", n)), must.Sprint("runs of one once request"))
+				}
+				t.Log(tally.counts)
+			})
+		})
+	}
+}
+
+// callOnce checks what each answer to a once request says.
+func (s *system) callOnce(t *testing.T, path, key string, runs, tally *counter) {
+	for try := range 3 {
+		before := runs.get(key)
+		res := s.call(http.MethodPost, path+"?token="+key, "5 EUR", onceKeyed(key))
+		if res.err != nil {
+			t.Errorf("%s: %v", key, res.err)
+			return
+		}
+		outcome := res.header.Get(HeaderOutcome)
+		tally.add("once " + outcome)
+		switch {
+		case outcome == "ran" && res.refusal.Kind == "":
+			must.Eq(t, key, res.body)
+			must.Eq(t, 1, runs.get(key))
+			return
+		case outcome == "not-run" && try == 0:
+			must.Eq(t, 0, before+runs.get(key), must.Sprintf("%s says not-run: %s", key, res.body))
+		}
+	}
+}
+
+func (s *system) callIdempotent(t *testing.T, token string, tally *counter) {
+	res := s.call(http.MethodGet, "/look?token="+token, "")
+	if res.err != nil || res.status != http.StatusOK {
+		tally.add("idempotent failed")
+		return
+	}
+	tally.add("idempotent ran")
+	must.Eq(t, token, res.body)
+}
+
+// failing is a target that answers with the token of the request, mostly.
+func failing(f *faults, runs *counter) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token := r.URL.Query().Get("token")
+		runs.add(token)
+		f.pause(300 * time.Millisecond)
+		if f.oneIn(12) {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Content-Length", fmt.Sprint(len(token)))
+		_, _ = io.WriteString(w, token[:1])
+		_ = http.NewResponseController(w).Flush()
+		if f.oneIn(12) {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, token[1:])
+	}
+}
+
+// silencing makes some connections between processes and to targets silent,
+// again and again.
+func silencing(s *system, f *faults, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(100+f.below(500)) * time.Millisecond):
+		}
+		n := s.nodes[f.below(len(s.nodes))]
+		if f.oneIn(2) {
+			s.network.Silence(n.peer())
+		} else {
+			s.network.Silence(n.target())
+		}
+	}
+}
+
+// counter counts by name.
+type counter struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (c *counter) add(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[name]++
+}
+
+func (c *counter) get(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[name]
+}
--- a/internal/request/hop/system_test.go
+++ b/internal/request/hop/system_test.go
@@ -40,6 +40,7 @@
     - {name: look, path: /look, service: tides, importance: high, retries: 2}
     - {name: open, path: /open, service: tides, access: open, retries: 2}
     - {name: pay, path: /pay, service: blagajna, importance: critical, mode: once, retries: 2}
+    - {name: charge, path: /charge, service: blagajna, importance: critical, mode: once, retries: 0}
     - {name: deep, path: /deep, service: oprema, access: internal, timeout: 30s, retries: 2}
     - {name: hold, path: /hold, service: raspored, access: internal, mode: once, retries: 2}
 `
