--- a/bench/report/summary.go
+++ b/bench/report/summary.go
@@ -48,6 +48,8 @@
 	// Retries is the number of extra attempts of hops for each attempt of a
 	// caller.
 	Retries float64 `json:"retries"`
+	// MaxExtra is the largest number of extra attempts of one request.
+	MaxExtra int `json:"max_extra"`
 	// Violations counts requests above what a cold target bears; Unseen counts
 	// those before the change could be seen from outside.
 	Violations int `json:"violations"`
@@ -76,6 +78,7 @@
 		retries += f.Retries
 		worked += f.Worked
 		wasted += f.Wasted
+		r.MaxExtra = max(r.MaxExtra, f.MaxExtra)
 		r.Violations += f.Violations
 		r.Unseen += f.Early
 	}
--- a/bench/report/write.go
+++ b/bench/report/write.go
@@ -11,14 +11,14 @@
 // Table writes one line for each summary.
 func Table(w io.Writer, rows []Summary) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, err := fmt.Fprintln(t, "deployment\tscenario\tversion\tgoodput/s\tsettled/s\trecovery\ttail\tworst team\twrongful\twasted\tretries\tcold\tunseen\tserved critical..low\t")
+	_, err := fmt.Fprintln(t, "deployment\tscenario\tversion\tgoodput/s\tsettled/s\trecovery\ttail\tworst team\twrongful\twasted\tretries\tmost\tcold\tunseen\tserved critical..low\t")
 	if err != nil {
 		return err
 	}
 	for _, r := range rows {
-		_, err = fmt.Fprintf(t, "%s\t%s\t%s\t%.0f\t%.0f\t%s\t%.3f\t%.3f\t%.4f\t%.3f\t%.3f\t%d\t%d\t%.2f\t\n",
+		_, err = fmt.Fprintf(t, "%s\t%s\t%s\t%.0f\t%.0f\t%s\t%.3f\t%.3f\t%.4f\t%.3f\t%.3f\t%d\t%d\t%d\t%.2f\t\n",
 			r.Deployment, r.Scenario, r.Version, r.Goodput, r.Settled, seconds(r.Recovery), r.Tail,
-			r.Worst, r.Wrongful, r.Wasted, r.Retries, r.Violations, r.Unseen, r.Served)
+			r.Worst, r.Wrongful, r.Wasted, r.Retries, r.MaxExtra, r.Violations, r.Unseen, r.Served)
 		if err != nil {
 			return err
 		}
--- a/bench/simulation/figures.go
+++ b/bench/simulation/figures.go
@@ -24,6 +24,8 @@
 	Attempts int
 	Hops     int
 	Retries  int
+	// MaxExtra is the largest number of extra attempts of one request.
+	MaxExtra int
 	// Worked and Wasted are target time, in all and for failed requests.
 	Worked time.Duration
 	Wasted time.Duration
--- a/bench/simulation/hop.go
+++ b/bench/simulation/hop.go
@@ -92,7 +92,7 @@
 		h.finish(err)
 		return
 	}
-	h.mesh.world.figures.Retries++
+	h.request.retried()
 	h.exclude = append(h.exclude, a.to.name)
 	trip := 2 * delay(h.from.target.domain, h.root.target.domain)
 	if h.from == h.root {
--- a/bench/simulation/naive.go
+++ b/bench/simulation/naive.go
@@ -62,7 +62,7 @@
 func (n *naive) call(r *Request, c *Call, tried int, done func(ok bool)) {
 	n.world.figures.Hops++
 	if tried > 0 {
-		n.world.figures.Retries++
+		r.retried()
 	}
 	over := false
 	end := func(ok bool) {
--- a/bench/simulation/request.go
+++ b/bench/simulation/request.go
@@ -14,7 +14,9 @@
 	figures  *Figures
 	// spent is the target time so far.
 	spent time.Duration
-	// onClose are called when the request ends.
+	// extra counts the extra attempts of hops.
+	extra int
+	// onClose is called when the request ends.
 	onClose func(ok bool)
 	cancel  func()
 }
@@ -31,6 +33,13 @@
 	r.spent += d
 }
 
+// retried counts one extra attempt of a hop.
+func (r *Request) retried() {
+	r.extra++
+	r.figures.Retries++
+	r.figures.MaxExtra = max(r.figures.MaxExtra, r.extra)
+}
+
 // close ends the request once.
 func (r *Request) close(ok bool) {
 	if r.closed {
--- a/internal/process/admission/learn.go
+++ b/internal/process/admission/learn.go
@@ -20,6 +20,9 @@
 	q.advance(now)
 	before := q.announce
 	fresh := q.gone || a.Incarnation != before.Incarnation
+	if fresh {
+		q.suspicion = suspicion{}
+	}
 	q.announce, q.gone = a, false
 	q.limit.announce(max(a.Slots, 0))
 	switch {
@@ -66,7 +69,7 @@
 func (q *Queue) restart(now time.Time, first, rounds int, reason string) {
 	q.limit = newLimit(now, q.limit.announced)
 	q.own, q.worked, q.held = latency{}, latency{}, latency{}
-	q.resets, q.suspect = 0, 0
+	q.resets, q.suspicion.left = 0, 0
 	q.cold.restart(first, rounds)
 	q.note(EventCold, reason)
 }
@@ -112,27 +115,46 @@
 }
 
 func (q *Queue) succeeded(now time.Time, t *Ticket, own, held time.Duration) {
-	if !q.own.slowNow(own) {
-		q.suspect = max(q.suspect-1, 0)
+	if !q.own.slowNow(float64(own)) {
+		q.suspicion.usualTime()
 	}
 	q.own.observe(own)
 	q.worked.observe(held - t.waited)
 	q.held.observe(held)
-	if q.own.jumped() {
-		q.restart(now, coldLimit, coldRounds, "latency jump")
+	if q.own.jumped(q.suspicion.streak()) {
+		q.jumped(now)
 		return
 	}
 	if q.cold.active {
-		q.warmed(now, t)
+		q.evidence(now, t, own)
 		return
 	}
 	q.limit.completed(now, own, false)
 }
 
-func (q *Queue) warmed(now time.Time, t *Ticket) {
-	if !q.cold.succeeded(t.stage, q.limit.current()) {
+// evidence takes a completion in cold start. The limit that the target did not
+// bear is kept as the learnt one.
+func (q *Queue) evidence(now time.Time, t *Ticket, own time.Duration) {
+	v := q.cold.succeeded(t.stage, own, q.limit.current())
+	if v == undecided {
 		return
 	}
+	if v == strained {
+		q.limit.value = float64(max(q.cold.limit/2, 1))
+	}
+	q.limit.base = float64(q.cold.best)
 	q.limit.restart(now)
 	q.note(EventWarm, "")
 }
+
+// jumped begins a cold start. A jump within one shows that the target may not
+// bear the limit that was reached: the next one stops below it.
+func (q *Queue) jumped(now time.Time) {
+	reached := q.cold.limit
+	strained := q.cold.active && reached >= strainLimit
+	q.suspicion.confirmed()
+	q.restart(now, coldLimit, coldRounds, "latency jump")
+	if strained {
+		q.limit.value = float64(reached / 2)
+	}
+}
--- a/internal/process/admission/limit.go
+++ b/internal/process/admission/limit.go
@@ -23,8 +23,6 @@
 	// busyShare is the part of the limit that must be in use for a window to
 	// say anything about it.
 	busyShare = 0.8
-	// baseDrift lets the best latency follow a target that became slower.
-	baseDrift = 1.005
 	// maxPause is the longest pause between trials, in windows.
 	maxPause = 64
 )
@@ -36,7 +34,8 @@
 type limit struct {
 	announced int
 	value     float64
-	// base is the best mean latency of a window, in nanoseconds.
+	// base is the best mean latency of a window, in nanoseconds, since a trial
+	// last showed that the target is slow at any limit.
 	base  float64
 	trial trial
 	pause int
@@ -70,7 +69,7 @@
 	l.trial = trial{}
 }
 
-// now returns the limit in concurrent requests, at least 1 where any slot is
+// current returns the limit in concurrent requests, at least 1 where any slot is
 // announced.
 func (l *limit) current() int {
 	return min(max(int(l.value), 1), l.announced)
@@ -106,8 +105,7 @@
 	}
 	mean := float64(l.total) / float64(l.completions)
 	rate := float64(l.completions) / age.Seconds()
-	l.base = min(max(l.base*baseDrift, 1), mean)
-	if l.base <= 1 {
+	if l.base == 0 || mean < l.base {
 		l.base = mean
 	}
 	busy := float64(l.peak) >= busyShare*l.value
--- a/internal/process/admission/queue.go
+++ b/internal/process/admission/queue.go
@@ -16,11 +16,6 @@
 	coldWaiting = 4
 	// minWaiting is the least bound of a queue.
 	minWaiting = 16
-	// suspectCount is how many usual times clear a target of the suspicion that
-	// it turned cold.
-	suspectCount = 3
-	// suspectLimit is the limit during the suspicion.
-	suspectLimit = 2
 	// judgedShare is the part of the known work that must be the target's own
 	// time for the target to be judged by requests that still run.
 	judgedShare = 0.9
@@ -58,9 +53,7 @@
 	worked latency
 	own    latency
 
-	// suspect is how many usual times must be seen before the target counts as
-	// well again, after too many requests were overdue.
-	suspect int
+	suspicion suspicion
 
 	resets    int
 	lastReset time.Time
@@ -182,10 +175,11 @@
 }
 
 func (q *Queue) allowed(now time.Time) int {
-	if q.judged() && q.working.overdue(now, &q.worked) {
-		q.suspect = suspectCount
+	need := q.suspicion.need(q.working.count)
+	if q.judged() && q.working.overdue(now, need, &q.worked) {
+		q.suspicion.raise()
 	}
-	if q.suspect > 0 {
+	if q.suspicion.active() {
 		return min(q.Limit(), suspectLimit)
 	}
 	return q.Limit()
--- /dev/null
+++ b/internal/process/admission/queue_test.go
@@ -0,0 +1,208 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func newTicket(now time.Time, team string, i version.Importance) *Ticket {
+	return &Ticket{Team: team, Importance: i, Deadline: now.Add(time.Second)}
+}
+
+// warm returns a queue whose target has shown that it bears its slots.
+func warm(t *testing.T, slots int) (*Queue, time.Time) {
+	t.Helper()
+	q := NewQueue(start, func(*Ticket) {}, nil)
+	q.Announce(start, announcement(protocol.Warm, slots))
+	now := start
+	for range 20 {
+		var running []*Ticket
+		for range slots {
+			k := newTicket(now, "obala", version.Normal)
+			q.Offer(now, k)
+			if k.Phase == Running {
+				running = append(running, k)
+			}
+		}
+		now = now.Add(time.Millisecond)
+		for _, k := range running {
+			q.Done(now, k, Result{Took: time.Millisecond})
+		}
+		now = drain(q, now)
+	}
+	must.False(t, q.Cold())
+	must.Eq(t, slots, q.Limit())
+	return q, now
+}
+
+// drain ends what still runs, one millisecond later.
+func drain(q *Queue, now time.Time) time.Time {
+	for q.InFlight() > 0 {
+		now = now.Add(time.Millisecond)
+		for n := q.InFlight(); n > 0; n-- {
+			q.Done(now, q.working.oldest, Result{Took: time.Millisecond})
+		}
+	}
+	return now
+}
+
+func TestQueueShedsLeastImportantFirst(t *testing.T) {
+	q, now := warm(t, 4)
+	now = now.Add(levelWindow)
+	q.Level(now)
+	var all []*Ticket
+	offer := func(i version.Importance, n int) {
+		for range n {
+			k := newTicket(now, "obala", i)
+			q.Offer(now, k)
+			all = append(all, k)
+		}
+	}
+	offer(version.Normal, 4)
+	offer(version.Low, 8)
+	offer(version.Normal, 8)
+	offer(version.Critical, 8)
+	offer(version.High, 8)
+	offer(version.Low, 1)
+	refused := make(map[version.Importance]int)
+	for _, k := range all {
+		if k.Phase == Refused {
+			must.Eq(t, fault.Overloaded, k.Kind)
+			refused[k.Importance]++
+		}
+	}
+	must.Eq(t, 16, q.Waiting())
+	must.MapEq(t, map[version.Importance]int{version.Low: 9, version.Normal: 8}, refused)
+
+	level := q.Level(now.Add(levelWindow))
+	must.Eq(t, version.Low, level.Importance)
+	must.Less(t, envelope.CohortCount, level.Cohort)
+}
+
+func TestQueueServesTeamsFairly(t *testing.T) {
+	q, now := warm(t, 2)
+	served := make(map[string]int)
+	q.settled = func(k *Ticket) {
+		if k.Phase == Running {
+			served[k.Team]++
+		}
+	}
+	for range 400 {
+		for range 5 {
+			q.Offer(now, newTicket(now, "large", version.Normal))
+		}
+		q.Offer(now, newTicket(now, "small", version.Normal))
+		for range 2 {
+			q.Offer(now, &Ticket{Team: "heavy", Weight: 2, Importance: version.Normal, Deadline: now.Add(time.Second)})
+		}
+		now = now.Add(time.Millisecond)
+		for n := q.InFlight(); n > 0; n-- {
+			q.Done(now, q.working.oldest, Result{Took: time.Millisecond})
+		}
+	}
+	total := float64(served["large"] + served["small"] + served["heavy"])
+	must.GreaterEq(t, 0.95*total/4, float64(served["small"]))
+	must.GreaterEq(t, 0.95*total/2, float64(served["heavy"]))
+}
+
+// TestQueueInvariants offers, ends, expires and announces at random: the target
+// never gets more than its limit, a leaving one nothing, each ticket is settled
+// once, and a more important ticket is displaced only by its equals.
+func TestQueueInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		settled := make(map[*Ticket]int)
+		var q *Queue
+		q = NewQueue(now, func(k *Ticket) {
+			settled[k]++
+			if k.Phase == Running && q.inFlight > q.Limit() {
+				t.Fatalf("dispatched %d with limit %d", q.inFlight, q.Limit())
+			}
+		}, nil)
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		q.Announce(now, announcement(protocol.Warm, slots))
+		var live []*Ticket
+		pick := func() *Ticket { return live[rapid.IntRange(0, len(live)-1).Draw(t, "ticket")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				k := newTicket(now, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"),
+					version.Importance(rapid.IntRange(1, 4).Draw(t, "importance")))
+				before := q.inFlight
+				q.Offer(now, k)
+				live = append(live, k)
+				if k.Phase == Running && (before >= q.Limit() || q.leaving) {
+					t.Fatalf("dispatched above %d, limit %d, leaving %v", before, q.Limit(), q.leaving)
+				}
+			},
+			"time": func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond) },
+			"done": func(t *rapid.T) {
+				if len(live) > 0 {
+					reset := rapid.IntRange(0, 9).Draw(t, "reset") == 0
+					q.Done(now, pick(), Result{Took: time.Millisecond, Reset: reset, Failed: reset})
+				}
+			},
+			"calling": func(t *rapid.T) {
+				if len(live) > 0 {
+					q.Calling(now, pick(), rapid.Bool().Draw(t, "began"))
+				}
+			},
+			"expire": func(*rapid.T) {
+				if len(live) > 0 {
+					q.Expire(now, pick())
+				}
+			},
+			"announce": func(t *rapid.T) {
+				state := rapid.SampledFrom([]protocol.TargetState{protocol.Warm, protocol.Cold, protocol.Leaving}).Draw(t, "state")
+				q.Announce(now, announcement(state, slots))
+			},
+			"": func(t *rapid.T) {
+				waiting, running := 0, 0
+				for _, k := range live {
+					waiting += btoi(k.Phase == Waiting)
+					running += btoi(k.Phase == Running)
+					if settled[k] > 1 {
+						t.Fatalf("settled %d times", settled[k])
+					}
+				}
+				if waiting != q.Waiting() || running != q.InFlight() || running > slots {
+					t.Fatalf("waiting %d of %d, running %d of %d", q.Waiting(), waiting, q.InFlight(), running)
+				}
+				if q.leaving && waiting > 0 {
+					t.Fatalf("%d wait for a leaving target", waiting)
+				}
+			},
+		})
+	})
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func TestQueueRefusesWhatCannotFinish(t *testing.T) {
+	q, now := warm(t, 2)
+	late := &Ticket{Importance: version.Critical, Deadline: now.Add(time.Millisecond / 2)}
+	q.Offer(now, late)
+	must.Eq(t, Refused, late.Phase)
+	must.Eq(t, fault.DeadlineNotRun, late.Kind)
+	for range 10 {
+		q.Offer(now, newTicket(now, "obala", version.Normal))
+	}
+	tight := &Ticket{Team: "obala", Importance: version.Normal, Deadline: now.Add(4 * time.Millisecond)}
+	q.Offer(now, tight)
+	must.Eq(t, Refused, tight.Phase)
+	must.Eq(t, fault.Overloaded, tight.Kind)
+}
--- a/internal/process/admission/running.go
+++ b/internal/process/admission/running.go
@@ -12,6 +12,8 @@
 	overdueSlack = 2 * time.Millisecond
 	// overdueSamples is how many times must be known.
 	overdueSamples = 24
+	// maxAlarms is how often false alarms double the number that is needed.
+	maxAlarms = 5
 )
 
 // running is the list of the tickets that the target works on itself, the one
@@ -48,14 +50,13 @@
 	t.older, t.newer = nil, nil
 }
 
-// overdue reports whether so many running requests take longer than nearly all
-// did before that the target may have turned cold. It shows this before the
+// overdue reports whether need running requests take longer than nearly all did
+// before, so that the target may have turned cold. It shows this before the
 // first slow completion can.
-func (r *running) overdue(now time.Time, usual *latency) bool {
-	if r.count < minOverdue || usual.samples < overdueSamples {
+func (r *running) overdue(now time.Time, need int, usual *latency) bool {
+	if r.count < need || usual.samples < overdueSamples {
 		return false
 	}
-	need := min(max(int(overdueShare*float64(r.count)+1), minOverdue), maxOverdue)
 	t := r.oldest
 	for range need - 1 {
 		t = t.newer
