--- a/internal/process/admission/queue_test.go
+++ b/internal/process/admission/queue_test.go
@@ -165,26 +165,28 @@
 				state := rapid.SampledFrom([]protocol.TargetState{protocol.Warm, protocol.Cold, protocol.Leaving}).Draw(t, "state")
 				q.Announce(now, announcement(state, slots))
 			},
-			"": func(t *rapid.T) {
-				waiting, running := 0, 0
-				for _, k := range live {
-					waiting += btoi(k.Phase == Waiting)
-					running += btoi(k.Phase == Running)
-					if settled[k] > 1 {
-						t.Fatalf("settled %d times", settled[k])
-					}
-				}
-				if waiting != q.Waiting() || running != q.InFlight() || running > slots {
-					t.Fatalf("waiting %d of %d, running %d of %d", q.Waiting(), waiting, q.InFlight(), running)
-				}
-				if q.leaving && waiting > 0 {
-					t.Fatalf("%d wait for a leaving target", waiting)
-				}
-			},
+			"": func(t *rapid.T) { checkQueue(t, q, live, settled, slots) },
 		})
 	})
 }
 
+func checkQueue(t *rapid.T, q *Queue, live []*Ticket, settled map[*Ticket]int, slots int) {
+	waiting, running := 0, 0
+	for _, k := range live {
+		waiting += btoi(k.Phase == Waiting)
+		running += btoi(k.Phase == Running)
+		if settled[k] > 1 {
+			t.Fatalf("settled %d times", settled[k])
+		}
+	}
+	if waiting != q.Waiting() || running != q.InFlight() || running > slots {
+		t.Fatalf("waiting %d of %d, running %d of %d", q.Waiting(), waiting, q.InFlight(), running)
+	}
+	if q.leaving && waiting > 0 {
+		t.Fatalf("%d wait for a leaving target", waiting)
+	}
+}
+
 func btoi(b bool) int {
 	if b {
 		return 1
--- a/internal/process/routing/peer.go
+++ b/internal/process/routing/peer.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
@@ -12,6 +13,9 @@
 	latencyShare = 1.0 / 8
 	// latencyFloor keeps a target that answers at once from drawing everything.
 	latencyFloor = 100 * time.Microsecond
+	// knownLife is how long what was learnt of a target counts in full; after
+	// it, it halves once in each knownLife.
+	knownLife = 500 * time.Millisecond
 	// failureShare is the weight of one answer in the share of failures.
 	failureShare = 1.0 / 8
 	// failureCost is how much a share of failures of 1 adds to the cost.
@@ -36,6 +40,8 @@
 	inFlight int
 	// latency is the mean time to the first byte, in nanoseconds.
 	latency float64
+	// heard is when the last answer came.
+	heard time.Time
 	// since is when the target was last taken into use.
 	since    time.Time
 	paused   time.Time
@@ -59,10 +65,21 @@
 // cost is the expected wait at the target of a request of importance i; the
 // lowest is best.
 func (p *peer) cost(now time.Time, i version.Importance) float64 {
-	latency := max(p.latency, float64(latencyFloor))
+	known := p.known(now)
+	latency := max(p.latency*known, float64(latencyFloor))
 	load := float64(p.inFlight+1) / p.weight(now)
 	shed := 1 - p.passing[i-version.Critical].current(now)
-	return latency * load * (1 + failureCost*p.ejection.failing) * (1 + shedCost*shed)
+	return latency * load * (1 + failureCost*p.ejection.failing*known) * (1 + shedCost*shed)
+}
+
+// known is how much of what was learnt still counts: a target that costs more
+// than the others is not chosen, so it must be tried again after a time.
+func (p *peer) known(now time.Time) float64 {
+	age := now.Sub(p.heard)
+	if age <= knownLife {
+		return 1
+	}
+	return math.Exp2(-float64(age-knownLife) / float64(knownLife))
 }
 
 // available reports whether the target may be chosen now.
@@ -70,14 +87,19 @@
 	return p.usable && !now.Before(p.paused) && !p.ejection.active(now)
 }
 
-// answered takes the latency of an answer.
-func (p *peer) answered(latency time.Duration) {
+// answered takes the end of an attempt. The longer nothing was heard, the more
+// it counts.
+func (p *peer) answered(now time.Time, latency time.Duration, failed bool) {
+	known := p.known(now)
+	p.heard = now
+	p.ejection.failing *= known
+	p.ejection.observe(failed)
 	v := float64(latency)
 	if p.latency == 0 {
 		p.latency = v
 		return
 	}
-	p.latency += (v - p.latency) * latencyShare
+	p.latency += (v - p.latency) * max(latencyShare, 1-known)
 }
 
 // pause leaves the target alone for d; it comes back by ramp.
--- a/internal/process/routing/router_test.go
+++ b/internal/process/routing/router_test.go
@@ -83,3 +83,136 @@
 	now = now.Add(recoveryTime)
 	must.Eq(t, envelope.CohortCount, send(version.Low, nil))
 }
+
+// batch is how many requests load sends at once.
+const batch = 30
+
+// load sends n requests and ends each as end says for its target.
+func load(t *testing.T, r *Router, n int, end func(instance string) error) map[string]int {
+	t.Helper()
+	got := make(map[string]int)
+	for range n / batch {
+		var choices []hop.Choice
+		for range batch {
+			c, err := r.Pick(&envelope.Envelope{Service: "tides", Team: "obala", Importance: version.Normal, Depth: 1}, nil)
+			must.NoError(t, err)
+			got[c.Target.Instance]++
+			choices = append(choices, c)
+		}
+		for _, c := range choices {
+			c.Done(time.Millisecond, end(c.Target.Instance), nil)
+		}
+	}
+	return got
+}
+
+func TestRouterEjectsFailingTargetsUpToACap(t *testing.T) {
+	now := time.Unix(0, 0)
+	var records []protocol.TargetRecord
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		records = append(records, record(name, "x"))
+	}
+	r := New(Options{
+		Clock:         func() time.Time { return now },
+		FailureDomain: "x",
+		Targets:       func(string) []protocol.TargetRecord { return records },
+		Rand:          func() uint64 { return 7 },
+	})
+	ok := func(string) error { return nil }
+	load(t, r, 600, ok)
+	now = now.Add(rampTime)
+	bad := func(instance string) error {
+		if instance == "a" {
+			return fault.New(fault.ConnectionLost, "broken")
+		}
+		return nil
+	}
+	failed, out := 0, false
+	for range 100 {
+		failed += load(t, r, 60, bad)["a"]
+		now = now.Add(100 * time.Millisecond)
+		out = out || r.shard("tides").peers["a"].ejection.active(now)
+	}
+	must.True(t, out)
+	must.LessEq(t, 60, failed)
+	now = now.Add(ejectTimeMax)
+	for range 100 {
+		load(t, r, 60, ok)
+		now = now.Add(100 * time.Millisecond)
+	}
+	must.GreaterEq(t, 60, load(t, r, 600, ok)["a"])
+
+	half := func(instance string) error {
+		if instance < "d" {
+			return fault.New(fault.ConnectionLost, "broken")
+		}
+		return nil
+	}
+	load(t, r, 600, half)
+	active := 0
+	for _, p := range r.shard("tides").all {
+		if p.ejection.active(now) {
+			active++
+		}
+	}
+	must.Eq(t, len(records)/ejectDivisor, active)
+}
+
+func TestRouterSpillsOnlyWhenTheOwnDomainIsSlow(t *testing.T) {
+	now := time.Unix(0, 0)
+	records := []protocol.TargetRecord{record("near", "x"), record("far", "y")}
+	slow := time.Millisecond
+	r := New(Options{
+		Clock:         func() time.Time { return now },
+		FailureDomain: "x",
+		Targets:       func(string) []protocol.TargetRecord { return records },
+	})
+	count := func() map[string]int {
+		got := make(map[string]int)
+		for range 200 {
+			c, err := r.Pick(&envelope.Envelope{Service: "tides", Importance: version.Normal, Depth: 1}, nil)
+			must.NoError(t, err)
+			got[c.Target.Instance]++
+			latency := time.Millisecond
+			if c.Target.Instance == "near" {
+				latency = slow
+			}
+			c.Done(latency, nil, nil)
+		}
+		return got
+	}
+	must.GreaterEq(t, 190, count()["near"])
+	slow = 20 * time.Millisecond
+	must.GreaterEq(t, 150, count()["far"])
+}
+
+func TestRouterGivesEachTeamItsShareAtTheRoot(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := New(Options{
+		Clock:   func() time.Time { return now },
+		Targets: func(string) []protocol.TargetRecord { return []protocol.TargetRecord{record("a", "x")} },
+		Rand:    func() uint64 { return 7 },
+	})
+	level := hop.Level{Importance: version.Normal, Cohort: envelope.CohortCount / 2}
+	passed := make(map[string]int)
+	for round := range 40 {
+		for n := range 600 {
+			team := "large"
+			if n%6 == 0 {
+				team = "small"
+			}
+			e := &envelope.Envelope{Service: "tides", Team: team, Importance: version.Normal, Cohort: uint8((7*n + round) % envelope.CohortCount), Depth: 1}
+			c, err := r.Pick(e, nil)
+			if err != nil {
+				continue
+			}
+			c.Done(time.Millisecond, nil, &level)
+			if round >= 20 {
+				passed[team]++
+			}
+		}
+		now = now.Add(refreshInterval)
+	}
+	must.GreaterEq(t, 95*20, passed["small"])
+	must.Between(t, 4*20*45, passed["small"]+passed["large"], 20*330)
+}
--- a/internal/process/routing/shard.go
+++ b/internal/process/routing/shard.go
@@ -231,11 +231,9 @@
 	}
 	switch effectOf(err) {
 	case succeeded:
-		p.answered(latency)
-		p.ejection.observe(false)
+		p.answered(now, latency, false)
 	case failed:
-		p.answered(latency)
-		p.ejection.observe(true)
+		p.answered(now, latency, true)
 		s.eject(now, p)
 	case leaving:
 		p.pause(now, leavingPause)
