--- a/internal/process/admission/learn_test.go
+++ b/internal/process/admission/learn_test.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -138,3 +140,46 @@
 	q.Offer(now, k)
 	must.Eq(t, Running, k.Phase)
 }
+
+// TestFewSlowRequestsHoldNothingBack serves a mix in which few requests take
+// far longer than the others: the target must stay nearly as busy as it can be.
+func TestFewSlowRequestsHoldNothingBack(t *testing.T) {
+	const slots, length = 20, 20 * time.Second
+	q, now := warm(t, slots)
+	random := rand.New(rand.NewPCG(1, 1))
+	ends := make(map[*Ticket]time.Time)
+	var order []*Ticket
+	began := func(k *Ticket) {
+		if k.Phase == Running {
+			ends[k] = now.Add(mixed(random))
+			order = append(order, k)
+		}
+	}
+	q.settled = began
+	var busy, steps int
+	for until := now.Add(length); now.Before(until); now = now.Add(time.Millisecond) {
+		for range slots {
+			k := newTicket(now, "obala", version.Normal)
+			q.Offer(now, k)
+			began(k)
+		}
+		for _, k := range slices.Clone(order) {
+			if end, ok := ends[k]; ok && !end.After(now) {
+				delete(ends, k)
+				q.Done(now, k, Result{Took: now.Sub(k.started)})
+			}
+		}
+		order = slices.DeleteFunc(order, func(k *Ticket) bool { _, ok := ends[k]; return !ok })
+		busy += q.InFlight()
+		steps++
+	}
+	must.GreaterEq(t, 0.9, float64(busy)/float64(steps*slots))
+}
+
+// mixed is 5 ms, and 100 ms for 3 of 100 requests.
+func mixed(r *rand.Rand) time.Duration {
+	if r.IntN(100) < 3 {
+		return 100 * time.Millisecond
+	}
+	return 5 * time.Millisecond
+}
