--- /dev/null
+++ b/internal/process/control/cluster_test.go
@@ -0,0 +1,284 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/process/configuration"
+	"github.com/teaselrack/teaselrack/internal/process/control"
+	"github.com/teaselrack/teaselrack/internal/process/ledger"
+	"github.com/teaselrack/teaselrack/internal/process/quota"
+	"github.com/teaselrack/teaselrack/internal/process/registry"
+	"github.com/teaselrack/teaselrack/internal/process/renewal"
+	"github.com/teaselrack/teaselrack/internal/process/storage"
+	"github.com/teaselrack/teaselrack/internal/process/storage/storagetest"
+)
+
+const (
+	operatorName = "operator"
+	replicaCount = 3
+	daemonCount  = 4
+)
+
+type nothing struct{}
+
+func (nothing) Record(protocol.Event) {}
+
+// cluster is a few control replicas and daemons on one network.
+type cluster struct {
+	t        *testing.T
+	net      *network
+	replicas []*replicaProcess
+	daemons  []*daemonProcess
+	operator *port
+}
+
+func (c *cluster) addresses() []string {
+	all := make([]string, len(c.replicas))
+	for i, r := range c.replicas {
+		all[i] = r.address
+	}
+	return all
+}
+
+// names returns every process.
+func (c *cluster) names() []string {
+	all := c.addresses()
+	for _, d := range c.daemons {
+		all = append(all, d.name)
+	}
+	return append(all, operatorName)
+}
+
+func newCluster(t *testing.T, seed uint64) *cluster {
+	c := &cluster{t: t, net: newNetwork(seed)}
+	c.operator = &port{c.net, operatorName, mesh.Peer{Name: operatorName, Role: mesh.Operator}}
+	for i := range replicaCount {
+		r := &replicaProcess{cluster: c, address: fmt.Sprintf("10.0.0.%d:1", i+1), disks: make(map[string]*storagetest.Disk)}
+		r.random = rand.New(rand.NewPCG(seed, uint64(i)))
+		c.replicas = append(c.replicas, r)
+	}
+	for _, r := range c.replicas {
+		r.start()
+	}
+	c.found()
+	for i := range daemonCount {
+		d := &daemonProcess{cluster: c, name: fmt.Sprintf("d%d", i)}
+		c.daemons = append(c.daemons, d)
+		d.start()
+	}
+	return c
+}
+
+func (c *cluster) found() {
+	must.NoError(c.t, c.operator.Call(c.t.Context(), c.replicas[0].address, protocol.MethodFound, protocol.FoundRequest{}, &protocol.FoundReply{}))
+	for _, r := range c.replicas[1:] {
+		c.admit(r.address)
+	}
+}
+
+// admit asks the replicas in turn until one has admitted address.
+func (c *cluster) admit(address string) {
+	for range 100 {
+		for _, r := range c.replicas {
+			err := c.operator.Call(c.t.Context(), r.address, protocol.MethodAdmit, protocol.AdmitRequest{Address: address}, &protocol.Empty{})
+			if err == nil {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.t.Fatalf("%s was not admitted", address)
+}
+
+// apply sends a note to the replicas in turn until one gives a final answer.
+func (c *cluster) apply(text string) (protocol.ApplyReply, error) {
+	var reply protocol.ApplyReply
+	var err error
+	for range 200 {
+		for _, r := range c.replicas {
+			err = c.operator.Call(c.t.Context(), r.address, protocol.MethodApply, protocol.ApplyRequest{Note: []byte(text)}, &reply)
+			if err == nil || final(err) {
+				return reply, err
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return reply, err
+}
+
+func (c *cluster) close() {
+	for _, d := range c.daemons {
+		d.stop()
+	}
+	for _, name := range c.names() {
+		c.net.thaw(name)
+	}
+	for _, r := range c.replicas {
+		r.stop()
+	}
+	// Calls that were given up end within their own time limits.
+	time.Sleep(time.Minute)
+	c.net.close()
+}
+
+// replicaProcess is one control replica with a data folder.
+type replicaProcess struct {
+	cluster *cluster
+	address string
+	disks   map[string]*storagetest.Disk
+	random  *rand.Rand
+	cancel  context.CancelFunc
+	ended   chan error
+	role    *control.Role
+}
+
+func (r *replicaProcess) openDisk(dir string) (storage.Disk, error) {
+	disk, ok := r.disks[dir]
+	if !ok {
+		disk = storagetest.New(r.random)
+		r.disks[dir] = disk
+	}
+	return disk, nil
+}
+
+func (r *replicaProcess) start() {
+	c := r.cluster
+	role, err := control.NewRole(control.RoleOptions{
+		Folder:       r.address,
+		OpenDisk:     r.openDisk,
+		Address:      r.address,
+		Replicas:     c.addresses(),
+		LedgerShards: 1,
+		Caller:       &port{c.net, r.address, mesh.Peer{Name: r.address, Role: mesh.Replica}},
+		Recorder:     nothing{},
+		Log:          zap.NewNop(),
+	})
+	must.NoError(c.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.role, r.cancel, r.ended = role, cancel, make(chan error, 1)
+	go func() { r.ended <- role.Run(ctx) }()
+	c.net.serve(r.address, role.Handlers())
+}
+
+// stop kills the replica: what its disks had not synced is lost or torn.
+func (r *replicaProcess) stop() {
+	if r.role == nil {
+		return
+	}
+	r.cluster.net.serve(r.address, nil)
+	r.cancel()
+	must.NoError(r.cluster.t, <-r.ended)
+	must.NoError(r.cluster.t, r.role.Close())
+	for _, name := range slices.Sorted(maps.Keys(r.disks)) {
+		r.disks[name].Crash()
+	}
+	r.role = nil
+}
+
+// replace starts the replica again with an empty data folder and admits it.
+func (r *replicaProcess) replace() {
+	r.stop()
+	clear(r.disks)
+	r.start()
+	r.cluster.admit(r.address)
+}
+
+// daemonProcess is the control side of one daemon.
+type daemonProcess struct {
+	cluster *cluster
+	name    string
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	floor   configuration.Floor
+	life    atomic.Pointer[daemonLife]
+
+	mu      sync.Mutex
+	targets []protocol.Announcement
+}
+
+// daemonLife is what one start of a daemon holds.
+type daemonLife struct {
+	session string
+	holder  *configuration.Holder
+	table   *registry.Table
+	quota   *quota.Holder
+	ledger  *ledger.Client
+	loop    *renewal.Loop
+}
+
+func (d *daemonProcess) start() {
+	c := d.cluster
+	l := &daemonLife{session: fmt.Sprint(d.name, "/", time.Now().UnixNano())}
+	l.holder = configuration.NewHolder(configuration.HolderOptions{Now: time.Now, Save: d.save, Floor: d.floor})
+	l.table = registry.NewTable(time.Now)
+	l.quota = quota.NewHolder(time.Now, func(ctx context.Context, asks []protocol.QuotaAsk) ([]protocol.QuotaGrant, time.Time, error) {
+		return l.loop.Ask(ctx, asks)
+	})
+	l.loop = renewal.New(renewal.Options{
+		Instance: d.name, Session: l.session, PeerAddress: d.name + ":1", FailureDomain: "a",
+		Replicas:      c.addresses(),
+		Subscriptions: func() []string { return []string{"tides"} },
+		Caller:        &port{c.net, d.name, mesh.Peer{Name: d.name, Role: mesh.Daemon}},
+		Holder:        l.holder, Table: l.table, Quota: l.quota,
+		Targets: d.announced, Leaving: func() bool { return false },
+		Clock: time.Now, Recorder: nothing{}, Log: zap.NewNop(),
+	})
+	l.ledger = ledger.NewClient(l.loop, 1)
+	d.life.Store(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	d.wg.Go(func() { _ = l.loop.Run(ctx) })
+	d.wg.Go(func() { _ = l.quota.Run(ctx) })
+}
+
+func (d *daemonProcess) stop() {
+	d.cancel()
+	d.wg.Wait()
+}
+
+func (d *daemonProcess) save(number uint64, digest string) error {
+	d.floor = configuration.Floor{Number: number, Digest: digest}
+	return nil
+}
+
+func (d *daemonProcess) announced() []protocol.Announcement {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.targets
+}
+
+func (d *daemonProcess) announce(targets ...protocol.Announcement) {
+	d.mu.Lock()
+	d.targets = targets
+	d.mu.Unlock()
+	d.life.Load().loop.Kick()
+}
+
+// callRole calls a method of a role as an operator, without a network.
+func callRole(role *control.Role, method string, params any) error {
+	encoded, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	_, err = role.Handlers()[method](context.Background(), mesh.Peer{Name: operatorName, Role: mesh.Operator}, encoded)
+	return err
+}
+
+func applyAt(t *testing.T, role *control.Role, text string) {
+	t.Helper()
+	must.NoError(t, callRole(role, protocol.MethodApply, protocol.ApplyRequest{Note: []byte(text)}))
+}
--- /dev/null
+++ b/internal/request/hop/dispatch.go
@@ -0,0 +1,90 @@
+package hop
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/meter"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/running"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// dispatch gives the attempt to the target. The slot and the handle are held
+// until the answer has been received, or has been passed on where it is too
+// large to be received whole before.
+func (h *beside) dispatch(ctx context.Context, work *work, slot Slot) (*answer, error) {
+	e := work.envelope
+	handle, remove := h.Running.Add(running.Request{Envelope: e, Context: ctx, Calling: slot.Calling})
+	start := time.Now()
+	record(h.Deps, "attempt.dispatched", e, h.Instance, "")
+	request := work.toTarget(ctx, slot.Address, handle)
+	resp, err := h.Targets.RoundTrip(slot.Address, request, e.Mode == version.Idempotent)
+	took := time.Since(start)
+	if err != nil {
+		remove()
+		slot.Done(took, verdict(err), isReset(err))
+		return nil, err
+	}
+	end := func(err error) {
+		remove()
+		slot.Done(took, targetError(resp, err), err != nil && ctx.Err() == nil)
+	}
+	a, err := receive(resp, work.request.Method)
+	if err != nil || a.rest == nil {
+		end(err)
+		return a, err
+	}
+	a.finish = end
+	return a, nil
+}
+
+// toTarget builds the request that the target sees.
+func (w *work) toTarget(ctx context.Context, address, handle string) *http.Request {
+	header := endToEnd(w.request.Header)
+	header[HeaderHandle] = []string{handle}
+	header[HeaderRequest] = []string{w.envelope.RequestID}
+	header[HeaderTeam] = []string{w.envelope.Team}
+	header[HeaderImportance] = []string{w.envelope.Importance.String()}
+	header[HeaderTimeout] = []string{milliseconds(time.Until(w.deadline))}
+	return newRequest(ctx, "http", address, w.request.Method, *pathAndQuery(w.request.URL), header, w.body)
+}
+
+func pathAndQuery(u *url.URL) *url.URL {
+	return &url.URL{Path: u.Path, RawPath: u.RawPath, RawQuery: u.RawQuery}
+}
+
+// targetError tells admission of an answer that broke off, and of a target
+// that sheds load by itself.
+func targetError(resp *http.Response, err error) error {
+	if err != nil {
+		return fault.Wrap(fault.AnswerBroken, err, "the answer broke off")
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		return fault.New(fault.Overloaded, "the target sheds load")
+	}
+	return nil
+}
+
+// verdict is what a failed request says about the target: nothing, where it was
+// given up on a silent connection.
+func verdict(err error) error {
+	if meter.IsSilent(err) {
+		return fault.Wrap(fault.CallerGone, err, "the request was given up")
+	}
+	return err
+}
+
+// isReset reports whether the target ended the connection.
+func isReset(err error) bool {
+	if meter.IsSilent(err) {
+		return false
+	}
+	switch fault.KindOf(err) {
+	case fault.ConnectionLost, fault.ConnectFailed, fault.AnswerBroken:
+		return true
+	}
+	return false
+}
