Admission tells slots of the target's own calls

Cause: hop.Slot has a Calling function and the daemon's running table calls it, but the controller left it empty, so the time of deeper calls counted as the target's own and a slow service below looked like a cold target.

Ruled out: finding the ticket by attempt id, which needs a map beside the queue; a closure on the slot needs one more allocation.

Change: slot sets Calling.

--- a/internal/process/admission/target.go
+++ b/internal/process/admission/target.go
@@ -85,7 +85,12 @@
 		defer g.mu.Unlock()
 		g.queue.Done(g.clock(), t, r)
 	}
-	return hop.Slot{Address: address, Done: done}
+	calling := func(began bool) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.queue.Calling(g.clock(), t, began)
+	}
+	return hop.Slot{Address: address, Done: done, Calling: calling}
 }
 
 // failed reports whether err speaks against the target.
