Quota: the property follows the order in which leaders confirm

Cause: the control service confirms its leadership after an ask has arrived and then grants; the property and the package comment described the other order.

Ruled out: confirming once more after the grant. A holder counts the life of tokens from the ask; the next leader is elected after the confirmation, so after the ask, and waits one life: that is enough, also where the old leader is frozen between the confirmation and the grant.

--- a/internal/process/quota/issuer.go
+++ b/internal/process/quota/issuer.go
@@ -6,11 +6,12 @@
 // when it granted them, which is later. So no clocks need agree, only move at
 // the rate of real time.
 //
-// Safety over a change of leader needs two things of the caller. It reads the
-// time passed to Issuer.Grant after the ask has arrived, and sends the grant
-// only if, after Grant returned, a quorum confirmed that this replica still
-// leads in the term of its last Reset. And it calls Reset with a time read
-// after the election was won.
+// Safety over a change of leader needs two things of the caller. It grants an
+// ask only where a quorum confirmed, after the ask had arrived, that this
+// replica leads in the term of its last Reset; the time passed to Issuer.Grant
+// is read after that. And it calls Reset with a time read after the election
+// was won. Then the next leader is elected after every such ask was sent, and
+// waits for as long as any of its tokens lives.
 package quota
 
 import (
