--- a/internal/process/registry/table_test.go
+++ b/internal/process/registry/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -135,3 +136,34 @@
 		})
 	}
 }
+
+// BenchmarkRenew measures an unchanged renewal at a replica, and the memory of
+// the registry for each daemon with one target.
+func BenchmarkRenew(b *testing.B) {
+	for _, daemons := range []int{150, 1500, 15000} {
+		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
+			before := heap()
+			r := New("epoch")
+			var requests []protocol.RenewRequest
+			for i := range daemons {
+				requests = append(requests, renewal(fmt.Sprint("i", i), fmt.Sprint("d", i%4), protocol.Warm, fmt.Sprint("s", i%260)))
+				r.Renew(epoch, requests[i])
+			}
+			used := heap() - before
+			b.ResetTimer()
+			for i := range b.N {
+				r.Renew(epoch, requests[i%daemons])
+			}
+			b.ReportMetric(float64(used)/float64(daemons), "heap-B/daemon")
+			runtime.KeepAlive(r)
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
