--- a/internal/request/hop/fakes_test.go
+++ b/internal/request/hop/fakes_test.go
@@ -114,7 +114,7 @@
 	during  func(e *envelope.Envelope) error
 	open    atomic.Int64 // slots not given back
 	resets  atomic.Int64 // slots given back with a reset
-	calling atomic.Int64 // calls of the target that run
+	running atomic.Int64 // calls of the target that run
 	called  atomic.Int64 // calls of the target so far
 }
 
@@ -125,27 +125,25 @@
 		}
 	}
 	f.open.Add(1)
-	return Slot{
-		Address: f.address,
-		Done:    f.done,
-		Calling: f.noteCall,
-	}, nil
+	return Slot{f.address, f}, nil
 }
 
-func (f *fakeAdmission) done(_ time.Duration, _ error, reset bool) {
+// Done implements Occupancy.
+func (f *fakeAdmission) Done(_ time.Duration, _ error, reset bool) {
 	f.open.Add(-1)
 	if reset {
 		f.resets.Add(1)
 	}
 }
 
-func (f *fakeAdmission) noteCall(began bool) {
+// Calling implements running.Watcher.
+func (f *fakeAdmission) Calling(began bool) {
 	if began {
 		f.called.Add(1)
-		f.calling.Add(1)
+		f.running.Add(1)
 		return
 	}
-	f.calling.Add(-1)
+	f.running.Add(-1)
 }
 
 func (f *fakeAdmission) Level(string) Level { return Level{version.Low, envelope.CohortCount - 1} }
@@ -173,6 +171,8 @@
 	err    error
 	// before is called with each command.
 	before func(r protocol.OnceRequest)
+	// lose says that the reply to a command is lost after it was taken.
+	lose func() bool
 }
 
 type fakeClaim struct {
@@ -189,18 +189,26 @@
 	if f.err != nil {
 		return protocol.OnceReply{}, f.err
 	}
+	reply := f.apply(r)
+	if f.lose != nil && f.lose() {
+		return protocol.OnceReply{}, fault.New(fault.LedgerUnknown, "the reply was lost")
+	}
+	return reply, nil
+}
+
+func (f *fakeLedger) apply(r protocol.OnceRequest) protocol.OnceReply {
 	claim := f.claims[r.Key]
 	switch {
 	case claim != nil && r.Digest != claim.digest:
-		return protocol.OnceReply{State: protocol.OnceMismatch}, nil
+		return protocol.OnceReply{State: protocol.OnceMismatch}
 	case claim != nil && claim.answer != nil:
-		return protocol.OnceReply{State: protocol.OnceDone, Holder: claim.holder, Answer: claim.answer}, nil
+		return protocol.OnceReply{State: protocol.OnceDone, Holder: claim.holder, Answer: claim.answer}
 	case claim == nil:
-		return protocol.OnceReply{State: f.take(r)}, nil
+		return protocol.OnceReply{State: f.take(r)}
 	case claim.holder != r.Attempt:
-		return protocol.OnceReply{State: protocol.OnceHeld, Holder: claim.holder}, nil
+		return protocol.OnceReply{State: protocol.OnceHeld, Holder: claim.holder}
 	}
-	return f.own(r, claim), nil
+	return f.own(r, claim)
 }
 
 // take is a command on a free key.
--- a/internal/request/hop/system_test.go
+++ b/internal/request/hop/system_test.go
@@ -40,6 +40,7 @@
     - {name: look, path: /look, service: tides, importance: high, retries: 2}
     - {name: open, path: /open, service: tides, access: open, retries: 2}
     - {name: pay, path: /pay, service: blagajna, importance: critical, mode: once, retries: 2}
+    - {name: charge, path: /charge, service: blagajna, importance: critical, mode: once, retries: 0}
     - {name: deep, path: /deep, service: oprema, access: internal, timeout: 30s, retries: 2}
     - {name: hold, path: /hold, service: raspored, access: internal, mode: once, retries: 2}
 `
@@ -160,7 +161,7 @@
 	time.Sleep(time.Minute) // whatever still runs ends
 	for _, n := range s.nodes {
 		must.Eq(s.t, 0, n.admission.open.Load(), must.Sprint("slots not given back"))
-		must.Eq(s.t, 0, n.admission.calling.Load(), must.Sprint("calls not ended"))
+		must.Eq(s.t, 0, n.admission.running.Load(), must.Sprint("calls not ended"))
 		must.Eq(s.t, 0, n.running.Len(), must.Sprint("handles not removed"))
 		n.peers.Close()
 		n.targets.Close()
