Quota asks are counted with all that they carry

Cause: the byte count of a daemon used asks without the waiting requests, the spent and the left tokens that real asks carry. With them TestControlBytesOfADaemon fails: 4,573 B/s against the limit of 4,096 (97 B for each team, 376 B for an ask for one team).

Ruled out: dropping a field; each was needed by the property or by the count of wrongful refusals.

Change: the test sends real asks, which is stricter; an ask takes up 170 ms plus 60 ms for each team in it, before 160 ms plus 40 ms.

--- a/internal/process/control/bytes_test.go
+++ b/internal/process/control/bytes_test.go
@@ -101,7 +101,7 @@
 	t.Helper()
 	asks := make([]protocol.QuotaAsk, teams)
 	for i := range asks {
-		asks[i] = protocol.QuotaAsk{Team: fmt.Sprint("team-", i), Want: 20, Sequence: uint64(sequence + 1)}
+		asks[i] = protocol.QuotaAsk{Team: fmt.Sprint("team-", i), Want: 20, Waiting: 3, Sequence: uint64(sequence + 1), Spent: 123456, Left: 12}
 	}
 	_, _, err := loop.Ask(t.Context(), asks)
 	must.NoError(t, err)
--- a/internal/process/quota/holder.go
+++ b/internal/process/quota/holder.go
@@ -15,8 +15,8 @@
 	// askInterval and askTeamInterval are the time that one ask beside the
 	// renewals takes up, and each team in it, so that the asks of a daemon
 	// stay within the bytes that it may send.
-	askInterval     = 160 * time.Millisecond
-	askTeamInterval = 40 * time.Millisecond
+	askInterval     = 170 * time.Millisecond
+	askTeamInterval = 60 * time.Millisecond
 	// askAhead is how much of that time asks may use in advance, so that a few
 	// can follow each other at once, and askKept the part of it that is kept
 	// for requests that wait.
