--- a/internal/process/admission/bench_test.go
+++ b/internal/process/admission/bench_test.go
@@ -10,8 +10,7 @@
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 )
 
-// maxAllocs bounds the allocations of one uncontended Admit and Done: the
-// ticket and the function that gives the slot back.
+// maxAllocs bounds the allocations of one uncontended Admit and Done.
 const maxAllocs = 2
 
 func warmController(t testing.TB) *Controller {
