Cold detection: quantile from few samples, first false alarms forgiven

All were at targets with 25 to 55 requests a second that had lived two seconds: their high quantile began at the largest of 16 samples, up to twice too high, and falls slowly.

Jump ratio 1.75 instead of 2: no change, reverted. Kept: the quantile begins at the second largest, and the first three alarms change nothing.

--- a/internal/process/admission/latency.go
+++ b/internal/process/admission/latency.go
@@ -30,6 +30,8 @@
 	fast    float64
 	slow    float64
 	tail    float64
+	// peak is the largest of the first samples.
+	peak float64
 	// share is the part of the last few times that were slow, and streak counts
 	// the last ones that all were.
 	share  float64
@@ -40,7 +42,7 @@
 	v := float64(d)
 	l.samples++
 	if l.samples == 1 {
-		l.fast, l.slow, l.tail = v, v, v
+		l.fast, l.slow, l.peak = v, v, v
 		return
 	}
 	l.fast += (v - l.fast) * max(fastShare, 1/float64(l.samples))
@@ -48,11 +50,12 @@
 	l.follow(v)
 }
 
-// follow moves tail towards its quantile; the largest of the first samples is
-// where it begins.
+// follow moves tail towards its quantile. It begins at the second largest of the
+// first samples, rather low, because it rises faster than it falls.
 func (l *latency) follow(v float64) {
 	if l.samples <= minSamples {
-		l.tail = max(l.tail, v)
+		l.tail = max(l.tail, min(l.peak, v))
+		l.peak = max(l.peak, v)
 		return
 	}
 	l.share -= l.share * fastShare
--- a/internal/process/admission/running.go
+++ b/internal/process/admission/running.go
@@ -12,8 +12,6 @@
 	overdueSlack = 2 * time.Millisecond
 	// overdueSamples is how many times must be known.
 	overdueSamples = 24
-	// maxAlarms is how often false alarms double the number that is needed.
-	maxAlarms = 5
 )
 
 // running is the list of the tickets that the target works on itself, the one
--- a/internal/process/admission/suspicion.go
+++ b/internal/process/admission/suspicion.go
@@ -8,6 +8,10 @@
 	suspectStreak = 3
 	// suspectLimit is the limit during the suspicion.
 	suspectLimit = 2
+	// forgiven is how many false alarms change nothing, and maxDoubt bounds what
+	// the others change.
+	forgiven = 3
+	maxDoubt = 5
 	// alarmLife is how many usual times make up for one false alarm.
 	alarmLife = 1 << 14
 )
@@ -30,9 +34,9 @@
 // streak is how many slow times in a row confirm that the target turned cold.
 func (s *suspicion) streak() int {
 	if s.active() {
-		return suspectStreak + s.alarms
+		return suspectStreak + s.doubt()
 	}
-	return jumpStreak + s.alarms
+	return jumpStreak + s.doubt()
 }
 
 // confirmed ends the suspicion with a cold start. Whether it was a false alarm
@@ -62,5 +66,10 @@
 // count for none.
 func (s *suspicion) need(count int) int {
 	n := int(overdueShare*float64(count) + 1)
-	return min(max(n, minOverdue), maxOverdue) << min(s.alarms, maxAlarms)
+	return min(max(n, minOverdue), maxOverdue) << s.doubt()
+}
+
+// doubt grows with the false alarms; the first few are forgiven.
+func (s *suspicion) doubt() int {
+	return min(max(s.alarms-forgiven, 0), maxDoubt)
 }
