Levels of deeper daemons reach the root

A root behind a healthy first service never learnt that a deep one sheds, so it could not shed whole requests before work was spent.

Ruled out: a header that targets pass on; a target could forge or drop it.

Change: levels are a type of package envelope; the egress listener notes the level of each answer at the request that the target's handle names, and the daemon beside the target sends back the strictest.

Seen failing first: TestDeepLevelsReachTheRoot without the note at the egress. Result: the tests of internal/request pass.

--- a/bench/simulation/attempt.go
+++ b/bench/simulation/attempt.go
@@ -6,7 +6,6 @@
 
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/admission"
-	"github.com/teaselrack/teaselrack/internal/process/routing"
 	productHop "github.com/teaselrack/teaselrack/internal/request/hop"
 )
 
@@ -156,7 +155,7 @@
 		a.level = level
 		return
 	}
-	l := routing.Stricter(*a.level, *level)
+	l := a.level.Stricter(*level)
 	a.level = &l
 }
 
--- a/bench/simulation/hop.go
+++ b/bench/simulation/hop.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/teaselrack/teaselrack/internal/fault"
-	"github.com/teaselrack/teaselrack/internal/process/routing"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
 	productHop "github.com/teaselrack/teaselrack/internal/request/hop"
 	"github.com/teaselrack/teaselrack/internal/version"
@@ -113,7 +112,7 @@
 		h.level = level
 		return
 	}
-	l := routing.Stricter(*h.level, *level)
+	l := h.level.Stricter(*level)
 	h.level = &l
 }
 
--- a/internal/process/routing/passing.go
+++ b/internal/process/routing/passing.go
@@ -68,16 +68,3 @@
 	}
 	return min(float64(l.Cohort)/envelope.CohortCount, 1)
 }
-
-// Stricter returns the level that sheds more. A daemon that passes on an answer
-// sends back the strictest of its own level and those of the deeper calls that
-// were made for the same request.
-func Stricter(a, b hop.Level) hop.Level {
-	if a.Importance < b.Importance {
-		return a
-	}
-	if a.Importance == b.Importance && a.Cohort < b.Cohort {
-		return a
-	}
-	return b
-}
--- a/internal/request/hop/beside.go
+++ b/internal/request/hop/beside.go
@@ -29,6 +29,8 @@
 	body     []byte
 	// deadline is when the attempt ends.
 	deadline time.Time
+	// levels are those of the target's own calls.
+	levels envelope.Levels
 }
 
 // ServeHTTP refuses the attempt or passes the answer of the target on.
@@ -41,8 +43,10 @@
 	deadline := time.Now().Add(e.Remaining)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
-	a, err := h.run(ctx, w, &work{envelope: e, request: r, deadline: deadline})
-	w.Header().Set(HeaderLevel, h.Admission.Level(e.Service).String())
+	attempt := &work{envelope: e, request: r, deadline: deadline}
+	a, err := h.run(ctx, w, attempt)
+	level := attempt.levels.Strictest(h.Admission.Level(e.Service))
+	w.Header().Set(HeaderLevel, level.String())
 	if err != nil {
 		record(h.Deps, "attempt.refused", e, h.Instance, string(fault.KindOf(err)))
 		WriteError(w, e.RequestID, err)
--- a/internal/request/hop/call.go
+++ b/internal/request/hop/call.go
@@ -28,6 +28,9 @@
 	header   http.Header
 	body     []byte
 	digest   string // of method, URL and body; set for once requests
+	// levels collects what deeper daemons report back; nil at a root, whose
+	// router learns it from each answer.
+	levels *envelope.Levels
 }
 
 // take copies from r what is passed on, without the key.
--- a/internal/request/hop/dispatch.go
+++ b/internal/request/hop/dispatch.go
@@ -17,7 +17,7 @@
 // large to be received whole before.
 func (h *beside) dispatch(ctx context.Context, work *work, slot Slot) (*answer, error) {
 	e := work.envelope
-	handle, remove := h.Running.Add(running.Request{Envelope: e, Context: ctx, Watcher: slot})
+	handle, remove := h.Running.Add(running.Request{Envelope: e, Context: ctx, Watcher: slot, Levels: &work.levels})
 	start := time.Now()
 	record(h.Deps, "attempt.dispatched", e, h.Instance, "")
 	request := work.toTarget(ctx, slot.Address, handle)
--- a/internal/request/hop/egress.go
+++ b/internal/request/hop/egress.go
@@ -38,6 +38,7 @@
 		return
 	}
 	c.envelope = *parent.Envelope
+	c.levels = parent.Levels
 	if err := h.check(r, c); err != nil {
 		h.refuse(w, c, err)
 		return
--- a/internal/request/hop/fakes_test.go
+++ b/internal/request/hop/fakes_test.go
@@ -93,6 +93,7 @@
 	mu      sync.Mutex
 	targets []protocol.TargetRecord
 	next    int
+	levels  map[string]Level // the last level from each instance
 }
 
 func (f *fakeRouter) Pick(e *envelope.Envelope, exclude []string) (Choice, error) {
@@ -102,12 +103,24 @@
 		t := f.targets[f.next%len(f.targets)]
 		f.next++
 		if t.Service == e.Service && !slices.Contains(exclude, t.Instance) {
-			return Choice{Target: t, Done: func(time.Duration, error, *Level) {}}, nil
+			return Choice{Target: t, Done: func(_ time.Duration, _ error, level *Level) { f.note(t.Instance, level) }}, nil
 		}
 	}
 	return Choice{}, fault.New(fault.NoTarget, "no target")
 }
 
+func (f *fakeRouter) note(instance string, level *Level) {
+	if level == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.levels == nil {
+		f.levels = make(map[string]Level)
+	}
+	f.levels[instance] = *level
+}
+
 // fakeAdmission admits everything, after during has run.
 type fakeAdmission struct {
 	address string
@@ -115,6 +128,7 @@
 	open    atomic.Int64 // slots not given back
 	resets  atomic.Int64 // slots given back with a reset
 	running atomic.Int64 // calls of the target that run
+	level   Level        // zero passes everything
 	called  atomic.Int64 // calls of the target so far
 }
 
@@ -146,7 +160,12 @@
 	f.running.Add(-1)
 }
 
-func (f *fakeAdmission) Level(string) Level { return Level{version.Low, envelope.CohortCount - 1} }
+func (f *fakeAdmission) Level(string) Level {
+	if f.level != (Level{}) {
+		return f.level
+	}
+	return Level{Importance: version.Low, Cohort: envelope.CohortCount - 1}
+}
 
 type fakeAnnounced struct{ err error }
 
--- a/internal/request/hop/headers.go
+++ b/internal/request/hop/headers.go
@@ -5,8 +5,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/teaselrack/teaselrack/internal/version"
 )
 
 // Headers of the data path, in canonical form.
@@ -62,28 +60,6 @@
 	return out
 }
 
-// String writes the level as it stands in HeaderLevel.
-func (l Level) String() string {
-	return strconv.Itoa(int(l.Importance)) + "." + strconv.Itoa(int(l.Cohort))
-}
-
-// parseLevel returns nil for anything that String did not write.
-func parseLevel(text string) *Level {
-	importance, cohort, ok := strings.Cut(text, ".")
-	if !ok {
-		return nil
-	}
-	i, err := strconv.ParseUint(importance, 10, 8)
-	if err != nil {
-		return nil
-	}
-	c, err := strconv.ParseUint(cohort, 10, 8)
-	if err != nil {
-		return nil
-	}
-	return &Level{Importance: version.Importance(i), Cohort: uint8(c)}
-}
-
 func milliseconds(d time.Duration) string {
 	return strconv.FormatInt(max(d.Milliseconds(), 0), 10)
 }
--- a/internal/request/hop/hop_test.go
+++ b/internal/request/hop/hop_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
+	"github.com/teaselrack/teaselrack/internal/version"
 )
 
 var chain = []string{"tides", "oprema", "raspored"}
@@ -52,6 +53,29 @@
 	})
 }
 
+// TestDeepLevelsReachTheRoot checks that the root learns the strictest level of
+// the whole chain from the first daemon, so that it sheds whole requests.
+func TestDeepLevelsReachTheRoot(t *testing.T) {
+	run(t, chain, func(t *testing.T, s *system) {
+		s.handle(0, func(w http.ResponseWriter, r *http.Request) {
+			switch r.URL.Path {
+			case "/look":
+				s.next(r.Context(), r, http.MethodGet, "/deep/a")
+			case "/deep/a":
+				s.next(r.Context(), r, http.MethodPost, "/hold/b", onceKeyed("k"))
+			}
+			_, _ = w.Write([]byte("whole"))
+		})
+		deepest := Level{Importance: version.High, Cohort: 40}
+		s.nodes[2].admission.level = deepest
+		must.NoError(t, s.call(http.MethodGet, "/look", "").err)
+		must.Eq(t, deepest, s.router.levels["i1"])
+		s.nodes[2].admission.level = Level{}
+		must.NoError(t, s.call(http.MethodGet, "/look", "").err)
+		must.NotEq(t, deepest, s.router.levels["i1"])
+	})
+}
+
 // TestKeyIsSeenNowhere puts the key in each place where one can stand.
 func TestKeyIsSeenNowhere(t *testing.T) {
 	places := map[string]func(r *http.Request){
--- a/internal/request/hop/ports.go
+++ b/internal/request/hop/ports.go
@@ -35,12 +35,8 @@
 	Do(ctx context.Context, request protocol.OnceRequest) (protocol.OnceReply, error)
 }
 
-// Level is a threshold of importance and cohort: work is shed where its
-// importance is above Importance, or equal with a cohort at or above Cohort.
-type Level struct {
-	Importance version.Importance
-	Cohort     uint8
-}
+// Level is the threshold of load shedding.
+type Level = envelope.Level
 
 // Router chooses targets for outgoing hops.
 type Router interface {
--- a/internal/request/hop/sender.go
+++ b/internal/request/hop/sender.go
@@ -94,7 +94,8 @@
 		choice.Done(latency, err, nil)
 		return s.settle(ctx, c, e, err, false)
 	}
-	level := parseLevel(resp.Header.Get(HeaderLevel))
+	level := envelope.ParseLevel(resp.Header.Get(HeaderLevel))
+	c.levels.Observe(level)
 	if resp.Header.Get(HeaderKind) != "" {
 		err = readRefusal(resp)
 		choice.Done(latency, err, level)
--- a/internal/request/running/table.go
+++ b/internal/request/running/table.go
@@ -22,6 +22,8 @@
 	// Context ends when the request ends, its sender leaves or its deadline
 	// passes.
 	Context context.Context
+	// Levels collects what deeper services report back; it may be nil.
+	Levels *envelope.Levels
 	// Watcher is told of the calls of the target; it may be nil.
 	Watcher Watcher
 }
