Known failures name their package first

Cause: the entry of the cold-start bound names package and test; the reader took both for the test's name, so the run was not passed over. Ruled out: changing the entry; the package is useful to who mends it.

--- a/tools/results/event.go
+++ b/tools/results/event.go
@@ -112,7 +112,8 @@
 const testField = "test: "
 
 // ReadKnown reads the list of known failures: entries of lines, each beginning
-// with "test: " and a name, apart from each other by an empty line. A file that
+// with "test: ", the package and the name, apart from each other by an empty
+// line. The package may be left out. A file that
 // does not exist is an empty list.
 func ReadKnown(file string) ([]Known, error) {
 	text, err := os.ReadFile(file)
@@ -126,8 +127,9 @@
 	for _, entry := range strings.Split(string(text), "\n\n") {
 		entry = strings.TrimSpace(entry)
 		first, _, _ := strings.Cut(entry, "\n")
-		if test, ok := strings.CutPrefix(first, testField); ok {
-			known = append(known, Known{Test: strings.TrimSpace(test), Text: entry})
+		if names, ok := strings.CutPrefix(first, testField); ok {
+			fields := strings.Fields(names)
+			known = append(known, Known{Test: fields[len(fields)-1], Text: entry})
 		}
 	}
 	return known, nil
