The daemon collects garbage less often

Cause: the added p99 of a hop (trials on a machine at load 13) stood at 1.5 ms to 2.7 ms with p50 at 0.11 ms; the direct call's p99 was 0.35 ms. The heap of a hop is small, so collections follow each other quickly.

Ruled out: pools for buffers; most of the 294 allocations of a request are in net/http.

--- a/cmd/teaselrackd/main.go
+++ b/cmd/teaselrackd/main.go
@@ -57,6 +57,7 @@
 		fmt.Println("the settings are valid")
 		return nil
 	}
+	tuneMemory(s)
 	log, err := newLogger(s.Log)
 	if err != nil {
 		return err
