The emulator is a module of its own

Cause: stand-in targets, the layout of a whole system and the demo's load stood among the end-to-end tests, though operators and the demo use them too. Ruled out: keeping them in e2e; the tests are one user of them. Change: emulator/ holds cmd/standin, cmd/layout, cmd/demo, system and the demo's scripts; e2e keeps tests only.

--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,14 @@
 BIN := build/bin
 TOOLS := build/tools
 LINT_VERSION := v2.15.0
-MODULES := . ./bench ./e2e ./tools
+MODULES := . ./bench ./e2e ./emulator ./tools
 PROOF := $(GO) run github.com/teaselrack/teaselrack/tools/proof --results build/unit.jsonl --results build/bench.jsonl --results build/e2e.jsonl
 VERDICT := $(GO) run github.com/teaselrack/teaselrack/tools/verdict
 
 .PHONY: build test test-race test-bench test-e2e proof proof-check demo up down bench capacity lint fmt clean
 
 build:
-	$(GO) build -o $(BIN)/ ./cmd/... ./e2e/cmd/...
+	$(GO) build -o $(BIN)/ ./cmd/... ./emulator/cmd/...
 
 # test runs every test, and checks that the page of proofs names tests that ran.
 test: test-race test-bench test-e2e proof-check
@@ -38,15 +38,15 @@
 
 # demo runs the whole system once and leaves no process behind.
 demo: build
-	@e2e/demo/demo.sh
+	@emulator/demo/demo.sh
 
 # up leaves the demo system running; see build/demo/endpoints.env.
 up: build
-	@e2e/demo/up.sh
+	@emulator/demo/up.sh
 
 # down stops what up started.
 down:
-	@e2e/demo/down.sh
+	@emulator/demo/down.sh
 
 # bench measures added latency on loopback, single operations, and the policy
 # beside a naive version.
--- a/e2e/failures_test.go
+++ b/e2e/failures_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 // lease is the longest time that a daemon may act on what it knew.
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 const (
--- a/e2e/input_test.go
+++ b/e2e/input_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 // rawLimit bounds one exchange over a raw connection.
--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 // load sends requests one after the other from several callers, and keeps what
--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -27,7 +27,7 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "./cmd/...", "./e2e/cmd/...")
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "./cmd/...", "./emulator/cmd/...")
 	build.Dir = ".."
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build the programs: %v\n%s", err, out)
--- a/e2e/notes_test.go
+++ b/e2e/notes_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 // TestRacingOperators has operators who send different notes with one number
--- a/e2e/quota_test.go
+++ b/e2e/quota_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 var errFewRuns = errors.New("too few requests ran")
--- a/e2e/silent_test.go
+++ b/e2e/silent_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 // TestLinkThatAcceptsAndForgets has open peer links that go silent while new
--- a/e2e/cmd/demo/driver.go
+++ b/emulator/cmd/demo/driver.go
@@ -6,7 +6,7 @@
 	"io"
 	"strings"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 // driver runs the steps of the demo one after the other. After a failed step
--- a/e2e/cmd/demo/main.go
+++ b/emulator/cmd/demo/main.go
@@ -8,7 +8,7 @@
 	"log"
 	"os"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 func main() {
--- a/e2e/cmd/demo/steps.go
+++ b/emulator/cmd/demo/steps.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 const (
--- a/e2e/cmd/layout/main.go
+++ b/emulator/cmd/layout/main.go
@@ -10,7 +10,7 @@
 	"path/filepath"
 	"strings"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 const (
--- a/e2e/cmd/standin/admin.go
+++ b/emulator/cmd/standin/admin.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 // adminHandler serves the record and takes changes of behaviour and state.
--- a/e2e/cmd/standin/target.go
+++ b/emulator/cmd/standin/target.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/teaselrack/teaselrack/e2e/system"
+	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
 // target answers requests and records them.
--- a/e2e/demo/demo.sh
+++ b/emulator/demo/demo.sh
@@ -2,7 +2,7 @@
 # Runs the whole demo and leaves no process behind.
 set -u
 cd "$(dirname "$0")/../.." || exit 1
-. e2e/demo/lib.sh
+. emulator/demo/lib.sh
 trap 'stop_all; exit 1' INT TERM HUP
 start_all || exit 1
 "$BIN/demo" -dir "$DIR"
--- a/e2e/demo/down.sh
+++ b/emulator/demo/down.sh
@@ -2,5 +2,5 @@
 # Stops what up.sh started, by the recorded process ids.
 set -u
 cd "$(dirname "$0")/../.." || exit 1
-. e2e/demo/lib.sh
+. emulator/demo/lib.sh
 stop_all
--- a/e2e/demo/up.sh
+++ b/emulator/demo/up.sh
@@ -2,7 +2,7 @@
 # Starts the demo system and leaves it running.
 set -u
 cd "$(dirname "$0")/../.." || exit 1
-. e2e/demo/lib.sh
+. emulator/demo/lib.sh
 start_all || exit 1
 if ! "$BIN/demo" -dir "$DIR" -found; then
 	echo "the logs are in $DIR/log" >&2
