--- a/bench/report/bounds_test.go
+++ b/bench/report/bounds_test.go
@@ -45,6 +45,8 @@
 	}
 }
 
+// TestGoodputAtTenTimesTheLoad compares the goodput after the first second of
+// the surge, in which the levels reach the roots; the log shows the whole too.
 func TestGoodputAtTenTimesTheLoad(t *testing.T) {
 	each(t, func(t *testing.T, d *simulation.Deployment) {
 		rows := run(t, d, scenario.Surge(10), scenario.Steady(1), scenario.Steady(2), scenario.Steady(3), scenario.Steady(5), scenario.Steady(10))
--- a/internal/process/admission/level.go
+++ b/internal/process/admission/level.go
@@ -12,7 +12,8 @@
 const (
 	// levelWindow is the time between two adjustments of the level.
 	levelWindow = 50 * time.Millisecond
-	// levelGain is the part of the refused volume that is cut at once.
+	// levelGain is the least part of the excess that one window cuts; where more
+	// is refused, that share of it is cut.
 	levelGain = 0.5
 	// refusedShare is the share of refusals that keeps a target busy and needs
 	// no cut.
