Cluster tests: workers end by a channel of their own

Cause: the race detector saw the close of the job channel beside a send of a call that had been given up. Ruled out: a fault of the product; the network is a test's. Change: workers end when a second channel is closed. Result: go test -race ./internal/process/control passes.

--- a/internal/process/control/network_test.go
+++ b/internal/process/control/network_test.go
@@ -31,6 +31,7 @@
 	// jobs are taken by idle workers. A bubble that starts tens of thousands of
 	// goroutines crashes the race detector, so calls share a few.
 	jobs chan func()
+	stop chan struct{}
 }
 
 func newNetwork(seed uint64) *network {
@@ -40,6 +41,7 @@
 		frozen:   make(map[string]chan struct{}),
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		jobs:     make(chan func()),
+		stop:     make(chan struct{}),
 	}
 }
 
@@ -133,17 +135,24 @@
 	select {
 	case n.jobs <- job:
 	default:
-		go func() {
-			job()
-			for next := range n.jobs {
-				next()
-			}
-		}()
+		go n.work(job)
+	}
+}
+
+// work runs job and then others, until close.
+func (n *network) work(job func()) {
+	for {
+		job()
+		select {
+		case job = <-n.jobs:
+		case <-n.stop:
+			return
+		}
 	}
 }
 
 // close ends the workers.
-func (n *network) close() { close(n.jobs) }
+func (n *network) close() { close(n.stop) }
 
 type answer struct {
 	result []byte
