--- a/internal/process/replica/node_test.go
+++ b/internal/process/replica/node_test.go
@@ -90,6 +90,8 @@
 func TestNodeFoundsAdmitsAndReplaces(t *testing.T) {
 	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
 		l := &links{nodes: make(map[string]*Node)}
 		machines := make(map[string]*counter)
 		nodes := make(map[string]*Node)
@@ -98,19 +100,19 @@
 			machines[address] = new(counter)
 			nodes[address], stops[address] = runNode(t, l, dir, address, machines[address])
 		}
-		_, err := nodes["b"].Propose(t.Context(), nil)
+		_, err := nodes["b"].Propose(ctx, nil)
 		must.Eq(t, fault.NotFounded, fault.KindOf(err))
-		must.Eq(t, fault.NotFounded, fault.KindOf(nodes["b"].Confirm(t.Context())))
-		must.NoError(t, nodes["a"].Found(t.Context()))
-		must.Eq(t, fault.AlreadyFounded, fault.KindOf(nodes["a"].Found(t.Context())))
+		must.Eq(t, fault.NotFounded, fault.KindOf(nodes["b"].Confirm(ctx)))
+		must.NoError(t, nodes["a"].Found(ctx))
+		must.Eq(t, fault.AlreadyFounded, fault.KindOf(nodes["a"].Found(ctx)))
 		propose(t, nodes["a"], 300)
-		must.NoError(t, nodes["a"].Admit(t.Context(), "b"))
-		must.NoError(t, nodes["a"].Admit(t.Context(), "c"))
-		must.Eq(t, fault.AlreadyFounded, fault.KindOf(nodes["b"].Found(t.Context())))
-		_, err = nodes["b"].Propose(t.Context(), nil)
+		must.NoError(t, nodes["a"].Admit(ctx, "b"))
+		must.NoError(t, nodes["a"].Admit(ctx, "c"))
+		must.Eq(t, fault.AlreadyFounded, fault.KindOf(nodes["b"].Found(ctx)))
+		_, err = nodes["b"].Propose(ctx, nil)
 		must.Eq(t, fault.NotLeader, fault.KindOf(err))
 		propose(t, nodes["a"], 100)
-		must.NoError(t, nodes["c"].Confirm(t.Context()))
+		must.NoError(t, nodes["c"].Confirm(ctx))
 		must.Eq(t, *machines["a"], *machines["c"])
 
 		// The folder of c is lost: it comes back as a new replica, takes the
@@ -119,26 +121,26 @@
 		stops["c"]()
 		machines["c2"] = new(counter)
 		nodes["c"], stops["c"] = runNode(t, l, filepath.Join(dir, "second"), "c", machines["c2"])
-		must.NoError(t, nodes["a"].Admit(t.Context(), "c"))
+		must.NoError(t, nodes["a"].Admit(ctx, "c"))
 		for _, m := range nodes["a"].Status().Members {
 			must.NotEq(t, lost, m.ID)
 		}
 		before := *machines["a"]
 		stops["a"]()
 		at := time.Now()
-		for _, self := nodes["b"].Leader(); !self; _, self = nodes["b"].Leader() {
+		for _, self := nodes["b"].Leader(); !self && ctx.Err() == nil; _, self = nodes["b"].Leader() {
 			if _, self := nodes["c"].Leader(); self {
 				break
 			}
 			time.Sleep(DefaultHeartbeat)
 		}
-		must.NoError(t, nodes["c"].Confirm(t.Context()))
+		must.NoError(t, nodes["c"].Confirm(ctx))
 		t.Logf("a new leader confirmed %s after the old one ended", time.Since(at))
 		must.Eq(t, before, *machines["c2"])
 
 		machines["a2"] = new(counter)
 		nodes["a"], stops["a"] = runNode(t, l, dir, "a", machines["a2"])
-		must.NoError(t, nodes["a"].Confirm(t.Context()))
+		must.NoError(t, nodes["a"].Confirm(ctx))
 		must.Eq(t, before, *machines["a2"])
 		for _, stop := range stops {
 			stop()
--- a/internal/process/replica/scenario_test.go
+++ b/internal/process/replica/scenario_test.go
@@ -119,7 +119,7 @@
 		for i := range 3 {
 			s.runUntil(s.now + s.between(0, 2*time.Second))
 			s.loseData(s.hosts[(seed+uint64(i))%3])
-			for s.operator.busy && s.check.err == nil {
+			for end := s.now + time.Minute; s.operator.busy && s.check.err == nil && s.now < end; {
 				s.runUntil(s.now + time.Millisecond)
 			}
 		}
