--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -31,6 +31,9 @@
 	operatorName = "operator"
 	replicaCount = 3
 	daemonCount  = 4
+	// applyRounds bounds how often an operator sends a note again; all rounds
+	// together last longer than any fault.
+	applyRounds = 3000
 )
 
 type nothing struct{}
@@ -65,6 +68,7 @@
 
 func newCluster(t *testing.T, seed uint64) *cluster {
 	c := &cluster{t: t, net: newNetwork(seed)}
+	t.Cleanup(c.close)
 	c.operator = &port{c.net, operatorName, mesh.Peer{Name: operatorName, Role: mesh.Operator}}
 	for i := range replicaCount {
 		r := &replicaProcess{cluster: c, address: fmt.Sprintf("10.0.0.%d:1", i+1), disks: make(map[string]*storagetest.Disk)}
@@ -108,7 +112,7 @@
 func (c *cluster) apply(text string) (protocol.ApplyReply, error) {
 	var reply protocol.ApplyReply
 	var err error
-	for range 200 {
+	for range applyRounds {
 		for _, r := range c.replicas {
 			err = c.operator.Call(c.t.Context(), r.address, protocol.MethodApply, protocol.ApplyRequest{Note: []byte(text)}, &reply)
 			if err == nil || final(err) {
--- a/internal/process/control/faults_test.go
+++ b/internal/process/control/faults_test.go
@@ -273,7 +273,6 @@
 		f.mu.Lock()
 		must.Nil(t, f.problems)
 		f.mu.Unlock()
-		c.close()
 	})
 }
 
--- a/internal/process/control/once_test.go
+++ b/internal/process/control/once_test.go
@@ -126,7 +126,6 @@
 		o.wg.Wait()
 		must.Positive(t, len(o.runs))
 		must.Nil(t, o.problems)
-		c.close()
 	})
 }
 
--- a/internal/process/control/pairs_test.go
+++ b/internal/process/control/pairs_test.go
@@ -86,7 +86,6 @@
 	must.Nil(t, f.problems)
 	must.Nil(t, o.problems)
 	must.LessEq(t, 0.0, tokens.excess())
-	c.close()
 }
 
 // pairsNote adds the team whose quota is used; the notes that follow change
--- a/internal/process/control/quota_test.go
+++ b/internal/process/control/quota_test.go
@@ -83,6 +83,5 @@
 		wg.Wait()
 		must.Positive(t, len(record.times))
 		must.LessEq(t, 0.0, record.excess())
-		c.close()
 	})
 }
--- a/internal/process/control/registry_test.go
+++ b/internal/process/control/registry_test.go
@@ -39,7 +39,6 @@
 		close(stop)
 		must.Eq(t, 0, <-missing)
 		c.net.isolate(c.daemons[1].name, c.names(), false)
-		c.close()
 	})
 }
 
@@ -81,6 +80,5 @@
 		for _, d := range c.daemons {
 			must.SliceEmpty(t, d.life.Load().table.Targets("tides"))
 		}
-		c.close()
 	})
 }
