--- a/bench/cmd/capacity/report.go
+++ b/bench/cmd/capacity/report.go
@@ -17,9 +17,12 @@
 	// onceShare is the assumed part of calls that run once.
 	onceShare = 0.01
 	// teams is the assumed number of teams, each with a key and a route.
-	teams    = 400
-	mebibyte = 1 << 20
-	kibibyte = 1 << 10
+	teams = 400
+	// longestPass is how long a replica's loop may be busy before its followers
+	// miss heartbeats.
+	longestPass = 300 * time.Millisecond
+	mebibyte    = 1 << 20
+	kibibyte    = 1 << 10
 )
 
 // report measures everything and writes the tables.
@@ -104,7 +107,8 @@
 	if err != nil {
 		return err
 	}
-	records, snapshot := ledgerHeap(), ledgerSnapshot()
+	records := ledgerHeap()
+	snapshot, encode := ledgerSnapshot()
 	once := callsPerSecond * onceShare
 	shards := 2 * once / c.perSecond
 	hour := records.each * once * 3600
@@ -114,8 +118,9 @@
 | commands a second, %d callers, synced | %.0f | %.1f shards for 2 commands a call |
 | CPU of a command, all replicas and the caller | %s | %.1f cores over all replicas |
 | heap of a record with an answer of %d B | %.0f B | %.1f GiB for each hour kept, over all shards |
-| snapshot of a record | %.0f B | |`,
+| snapshot of a record | %.0f B, %.0f ns | %.0f records until a snapshot takes %s |`,
 		replicas, once, ledgerCallers, c.perSecond, shards,
 		c.cpuEach, 2*once*c.cpuEach.Seconds(),
-		answerBytes, records.each, hour/(kibibyte*mebibyte), snapshot.each)
+		answerBytes, records.each, hour/(kibibyte*mebibyte),
+		snapshot.each, encode.each, float64(longestPass)/encode.each, longestPass)
 }
--- a/bench/cmd/capacity/state.go
+++ b/bench/cmd/capacity/state.go
@@ -111,17 +111,21 @@
 	return heapSlope([]int{5000, 20000, 80000}, func(size int) any { return fillLedger(size) })
 }
 
-// ledgerSnapshot returns the size of a shard's snapshot by records.
-func ledgerSnapshot() slope {
-	var samples []sample
-	for _, size := range []int{5000, 20000} {
-		b, err := fillLedger(size).Snapshot()
+// ledgerSnapshot returns the size of a shard's snapshot by records, and the
+// processor time that encoding one takes by records.
+func ledgerSnapshot() (size, took slope) {
+	var sizes, times []sample
+	for _, records := range []int{5000, 20000, 80000} {
+		m := fillLedger(records)
+		before := cpu()
+		b, err := m.Snapshot()
 		if err != nil {
 			panic(err)
 		}
-		samples = append(samples, sample{size, float64(len(b))})
+		times = append(times, sample{records, float64(cpu() - before)})
+		sizes = append(sizes, sample{records, float64(len(b))})
 	}
-	return fit(samples)
+	return fit(sizes), fit(times)
 }
 
 // issuerHeap returns the heap of the quota issuer by pairs of team and holder.
