Notes and settings are read by one strict YAML reader

Cause: strict reading of YAML stood twice, in internal/version and in internal/process/settings, each with its own rules and words. Ruled out: the library's own strict decoder, which stops at its first error. A check of our own for duplicate keys: the parser refuses them, also when one of them is quoted, so the branch for them in version was never reached. Change: internal/strictyaml reads both. Types with UnmarshalText name their own problem, so Importance says what it must be. Settings now refuse anchors, aliases, tags, complex keys, deep nesting and null list items as notes do, and a syntax problem hides the others. An empty second document (a trailing ---) is let through in settings, as in notes. Both say what was found, as settings did; the line is that of the value, as in notes. Settings put a missing field without a section before other problems of line 1. The new tests were seen failing with each of unknown fields, null items, anchors, both bounds of nesting, the count of documents, presence and failed fields broken.

--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"reflect"
 	"regexp"
 	"strings"
 
@@ -13,6 +12,7 @@
 
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/strictyaml"
 )
 
 // electionHeartbeats is the least number of heartbeats in an election timeout.
@@ -24,7 +24,7 @@
 
 func newRules() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("yaml") })
+	v.RegisterTagNameFunc(strictyaml.FieldName)
 	register(v, "name", namePattern.MatchString)
 	register(v, "ipport", isAddress)
 	register(v, "loopback", isLoopback)
@@ -53,7 +53,7 @@
 	"unique":   "must hold no value twice",
 }
 
-func (s *Settings) validate(d *document) {
+func (s *Settings) validate(d *strictyaml.Document) {
 	s.checkRules(d)
 	s.checkListeners(d)
 	s.checkAdvertised(d)
@@ -61,22 +61,22 @@
 	s.checkIdentity(d)
 }
 
-func (s *Settings) checkRules(d *document) {
+func (s *Settings) checkRules(d *strictyaml.Document) {
 	var failed validator.ValidationErrors
 	if !errors.As(rules.Struct(s), &failed) {
 		return
 	}
 	for _, f := range failed {
 		_, path, _ := strings.Cut(f.Namespace(), ".")
-		if d.failed(path) {
+		if d.Failed(path) {
 			continue
 		}
-		d.add(path, "%s", strings.Replace(advice[f.Tag()], "%s", f.Param(), 1))
+		d.Add(path, "%s", strings.Replace(advice[f.Tag()], "%s", f.Param(), 1))
 	}
 }
 
 // checkListeners refuses two listeners with one address.
-func (s *Settings) checkListeners(d *document) {
+func (s *Settings) checkListeners(d *strictyaml.Document) {
 	l := s.Listen
 	listeners := []struct{ path, address string }{
 		{"listen.ingress", l.Ingress},
@@ -89,7 +89,7 @@
 	seen := make(map[string]string)
 	for _, one := range listeners {
 		if first, taken := seen[one.address]; taken && one.address != "" {
-			d.add(one.path, "has the same address as %s", first)
+			d.Add(one.path, "has the same address as %s", first)
 			continue
 		}
 		seen[one.address] = one.path
@@ -97,70 +97,70 @@
 }
 
 // checkAdvertised refuses an advertised address that no other process can use.
-func (s *Settings) checkAdvertised(d *document) {
+func (s *Settings) checkAdvertised(d *strictyaml.Document) {
 	advertised := []struct{ path, address string }{
 		{"advertise.peer", s.Advertise.Peer},
 		{"advertise.control", s.Advertise.Control},
 	}
 	for _, one := range advertised {
 		if a, err := netip.ParseAddrPort(one.address); err == nil && a.Addr().IsUnspecified() {
-			d.add(one.path, "%s cannot be reached by others; set a plain address", one.address)
+			d.Add(one.path, "%s cannot be reached by others; set a plain address", one.address)
 		}
 	}
 }
 
-func (s *Settings) checkControl(d *document) {
+func (s *Settings) checkControl(d *strictyaml.Document) {
 	if !s.Control.Enabled {
 		if s.Listen.Control != "" {
-			d.add("listen.control", "is set, but control.enabled is false")
+			d.Add("listen.control", "is set, but control.enabled is false")
 		}
 		return
 	}
-	if s.Listen.Control == "" && !d.failed("listen.control") {
-		d.add("listen.control", "is missing; the control role needs it")
+	if s.Listen.Control == "" && !d.Failed("listen.control") {
+		d.Add("listen.control", "is missing; the control role needs it")
 	}
 	if s.Control.Election < electionHeartbeats*s.Control.Heartbeat {
-		d.add("control.election", "must be at least %d times control.heartbeat", electionHeartbeats)
+		d.Add("control.election", "must be at least %d times control.heartbeat", electionHeartbeats)
 	}
 	s.checkData(d)
 }
 
-func (s *Settings) checkData(d *document) {
+func (s *Settings) checkData(d *strictyaml.Document) {
 	if s.Data == "" {
-		if !d.failed("data") {
-			d.add("data", "is missing; the control role needs a data folder")
+		if !d.Failed("data") {
+			d.Add("data", "is missing; the control role needs a data folder")
 		}
 		return
 	}
 	info, err := os.Stat(s.Data)
 	switch {
 	case err == nil && !info.IsDir():
-		d.add("data", "%s is not a folder", s.Data)
+		d.Add("data", "%s is not a folder", s.Data)
 	case err != nil && !isFolder(filepath.Dir(s.Data)):
-		d.add("data", "%s does not exist, nor does the folder around it", s.Data)
+		d.Add("data", "%s does not exist, nor does the folder around it", s.Data)
 	}
 }
 
 // checkIdentity compares the mesh certificate with instance and role. Missing
 // files have been reported before.
-func (s *Settings) checkIdentity(d *document) {
+func (s *Settings) checkIdentity(d *strictyaml.Document) {
 	if !isFile(s.Mesh.Authority) || !isFile(s.Mesh.Certificate) || !isFile(s.Mesh.Key) {
 		return
 	}
 	id, err := mesh.LoadIdentity(s.Mesh.Authority, s.Mesh.Certificate, s.Mesh.Key)
 	if err != nil {
-		d.add("mesh", "%s", fault.Message(err))
+		d.Add("mesh", "%s", fault.Message(err))
 		return
 	}
 	if s.Instance != "" && id.Peer.Name != s.Instance {
-		d.add("instance", "is %q, but the mesh certificate was issued to %q", s.Instance, id.Peer.Name)
+		d.Add("instance", "is %q, but the mesh certificate was issued to %q", s.Instance, id.Peer.Name)
 	}
 	want := mesh.Daemon
 	if s.Control.Enabled {
 		want = mesh.Replica
 	}
 	if err := id.Peer.Allow(want, mesh.Replica); err != nil {
-		d.add("mesh.certificate", "has the role %q, this process needs %q", id.Peer.Role, want)
+		d.Add("mesh.certificate", "has the role %q, this process needs %q", id.Peer.Role, want)
 	}
 }
 
--- a/internal/version/importance.go
+++ b/internal/version/importance.go
@@ -26,5 +26,5 @@
 			return nil
 		}
 	}
-	return fault.New(fault.NoteInvalid, "importance %q is none of critical, high, normal, low", b)
+	return fault.New(fault.NoteInvalid, "must be critical, high, normal or low, not %q", b)
 }
--- a/internal/version/problems.go
+++ b/internal/version/problems.go
@@ -1,12 +1,11 @@
 package version
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
 	"strings"
 
 	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/strictyaml"
 )
 
 // maxProblems bounds the problems that one error names.
@@ -15,42 +14,37 @@
 // problems collects everything that is wrong with a note, so that an operator
 // sees all of it at once.
 type problems struct {
-	list []problem
-}
-
-// problem is one message; line is 0 where it belongs to no line.
-type problem struct {
-	line int
-	text string
+	list []string
 }
 
 func (p *problems) add(format string, args ...any) {
-	p.list = append(p.list, problem{text: fmt.Sprintf(format, args...)})
-}
-
-// addAt adds a message about one field at one line.
-func (p *problems) addAt(line int, path, message string) {
-	text := fmt.Sprintf("line %d: %s", line, message)
-	if path != "" {
-		text = fmt.Sprintf("line %d: %s: %s", line, path, message)
-	}
-	p.list = append(p.list, problem{line, text})
+	p.list = append(p.list, fmt.Sprintf(format, args...))
 }
 
-// asError returns all problems as one NoteInvalid error, in the order of their
-// lines, or nil.
+// asError returns all problems as one NoteInvalid error, or nil.
 func (p *problems) asError() error {
 	if len(p.list) == 0 {
 		return nil
 	}
-	slices.SortStableFunc(p.list, func(a, b problem) int { return cmp.Compare(a.line, b.line) })
-	shown := p.list[:min(len(p.list), maxProblems)]
-	lines := make([]string, 0, len(shown)+1)
-	for _, one := range shown {
-		lines = append(lines, one.text)
-	}
-	if more := len(p.list) - len(shown); more > 0 {
-		lines = append(lines, fmt.Sprintf("and %d more", more))
+	lines := p.list
+	if more := len(lines) - maxProblems; more > 0 {
+		lines = append(lines[:maxProblems:maxProblems], fmt.Sprintf("and %d more", more))
 	}
 	return fault.New(fault.NoteInvalid, "%s", strings.Join(lines, "\n"))
 }
+
+// problemsOf returns all problems of d as one NoteInvalid error, or nil.
+func problemsOf(d *strictyaml.Document) error {
+	var errs problems
+	for _, p := range d.Problems() {
+		text := p.Message
+		if p.Path != "" {
+			text = p.Path + ": " + text
+		}
+		if p.Line > 0 {
+			text = fmt.Sprintf("line %d: %s", p.Line, text)
+		}
+		errs.add("%s", text)
+	}
+	return errs.asError()
+}
--- a/internal/version/validate.go
+++ b/internal/version/validate.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+
+	"github.com/teaselrack/teaselrack/internal/strictyaml"
 )
 
 var (
@@ -31,7 +33,7 @@
 
 func newValidation() *validator.Validate {
 	v := validator.New()
-	v.RegisterTagNameFunc(yamlName)
+	v.RegisterTagNameFunc(strictyaml.FieldName)
 	checks := map[string]func(string) bool{
 		"name":      namePattern.MatchString,
 		"keyhash":   keyHashPattern.MatchString,
@@ -73,47 +75,26 @@
 // Validate checks everything that can be told from the note alone, for a note
 // that did not come from ParseNote. The NoteInvalid error names every problem.
 func (n *Note) Validate() error {
-	var errs problems
-	n.validate(&errs, nil, nil)
-	return errs.asError()
+	d := new(strictyaml.Document)
+	n.validate(d)
+	return problemsOf(d)
 }
 
-// validate adds the problems of n. lines holds the line of each field that was
-// read from YAML, failed the fields that have a problem already.
-func (n *Note) validate(errs *problems, lines map[string]int, failed map[string]bool) {
+// validate adds the problems of n to d, apart from those of fields that have
+// one already.
+func (n *Note) validate(d *strictyaml.Document) {
 	var broken validator.ValidationErrors
 	if err := validation.Struct(n); errors.As(err, &broken) {
 		for _, f := range broken {
 			_, path, _ := strings.Cut(f.Namespace(), ".")
-			if !failed[path] {
-				addAt(errs, lines, path, ruleOf(f))
+			if !d.Failed(path) {
+				d.Add(path, "%s", ruleOf(f))
 			}
 		}
 	}
-	for _, d := range n.duplicates() {
-		addAt(errs, lines, d.path, d.message)
-	}
-}
-
-// addAt adds a problem with the line of its field, or of the nearest one
-// around it.
-func addAt(errs *problems, lines map[string]int, path, message string) {
-	for at := path; at != ""; at = outer(at) {
-		if line, ok := lines[at]; ok {
-			errs.addAt(line, path, message)
-			return
-		}
-	}
-	errs.add("%s: %s", path, message)
-}
-
-// outer returns the path of the field around path.
-func outer(path string) string {
-	i := strings.LastIndexAny(path, ".[")
-	if i < 0 {
-		return ""
+	for _, twice := range n.duplicates() {
+		d.Add(twice.path, "%s", twice.message)
 	}
-	return path[:i]
 }
 
 func ruleOf(f validator.FieldError) string {
