Whole configurations as orders, and membership without an operator

Cause: configurations that are sent as a whole and built on a base version, and core machines that nobody admits, had no place beside numbered notes and the operator's found/admit/remove. Ruled out: a second log for whole configurations (two orders of truth); removing a lost member before its successor votes (a merely silent member would lose its vote).

--- a/internal/connection/mesh/identity.go
+++ b/internal/connection/mesh/identity.go
@@ -14,8 +14,21 @@
 	Peer Peer
 	cert tls.Certificate
 	pool *x509.CertPool
+	// plain is true where links carry no certificate.
+	plain bool
 }
 
+// NewPlainIdentity returns an identity for links without certificates. Whoever
+// can reach such a link may do all that a replica may; it is for networks that
+// only the processes of the mesh can reach.
+func NewPlainIdentity(name string) *Identity {
+	return &Identity{Peer: Peer{Name: name, Role: Replica}, plain: true}
+}
+
+// Plain reports whether links carry no certificate, so that the name of the
+// other end is not known.
+func (id *Identity) Plain() bool { return id.plain }
+
 // LoadIdentity reads the authority's certificate and the certificate and key
 // of this process from PEM files.
 func LoadIdentity(caFile, certFile, keyFile string) (*Identity, error) {
--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -19,6 +19,8 @@
 	MethodFound   = "control.found"
 	MethodAdmit   = "control.admit"
 	MethodRemove  = "control.remove"
+	MethodOrder   = "control.order"
+	MethodJoin    = "control.join"
 	MethodOnce    = "once.command"
 	MethodReplica = "replica.message"
 	MethodSync    = "registry.sync"
@@ -59,6 +61,8 @@
 	FailureDomain string      `json:"d"`
 	State         TargetState `json:"t"`
 	Slots         int         `json:"n"`
+	// Incarnation is that of the target process.
+	Incarnation string `json:"x,omitempty"`
 	// Leaving daemons keep their record until it expires.
 	DaemonLeaving bool `json:"l,omitempty"`
 }
@@ -148,6 +152,22 @@
 	Snapshot []byte         `json:"s,omitempty"`
 	Registry *RegistryDelta `json:"r,omitempty"`
 	Quota    []QuotaGrant   `json:"q,omitempty"`
+	// Replicas are the control addresses of the members, as far as the replica
+	// knows them.
+	Replicas []string `json:"m,omitempty"`
+}
+
+// OrderRequest carries one order in its canonical CBOR form.
+type OrderRequest struct {
+	Order []byte `json:"order"`
+}
+
+// JoinRequest asks to become a member of the replica groups.
+type JoinRequest struct {
+	// Address is the control address of the asking replica, IP:port.
+	Address string `json:"address"`
+	// ID is the id of the asking replica in the configuration group.
+	ID string `json:"id"`
 }
 
 // ApplyRequest carries one release note.
@@ -212,6 +232,9 @@
 	Address string `json:"address"`
 	Learner bool   `json:"learner"`
 	Match   uint64 `json:"match"`
+	// Silent is how long the member has not replied, as far as the leader
+	// knows; 0 on other replicas.
+	Silent time.Duration `json:"silent,omitempty"`
 }
 
 // StatusReply is the answer of one control replica.
--- a/internal/connection/rpc/client.go
+++ b/internal/connection/rpc/client.go
@@ -22,14 +22,22 @@
 func Dial(ctx context.Context, address string, id *mesh.Identity) (*Client, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	dialer := tls.Dialer{NetDialer: &net.Dialer{}, Config: id.ClientTLS()}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := dial(ctx, address, id)
 	if err != nil {
 		return nil, fault.Wrap(fault.ConnectFailed, err, "connect to %s", address)
 	}
 	return newClient(conn), nil
 }
 
+func dial(ctx context.Context, address string, id *mesh.Identity) (net.Conn, error) {
+	var dialer net.Dialer
+	if id.Plain() {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	secure := tls.Dialer{NetDialer: &dialer, Config: id.ClientTLS()}
+	return secure.DialContext(ctx, "tcp", address)
+}
+
 func newClient(conn net.Conn) *Client {
 	stream := jsonrpc2.NewBufferedStream(deadlineConn{conn}, frameCodec{})
 	refuse := jsonrpc2.HandlerWithError(refuseCalls)
--- a/internal/connection/rpc/server.go
+++ b/internal/connection/rpc/server.go
@@ -129,6 +129,9 @@
 }
 
 func (s *Server) handshake(conn net.Conn) (mesh.Peer, net.Conn, error) {
+	if s.id.Plain() {
+		return mesh.Peer{Role: mesh.Replica}, conn, nil
+	}
 	link := tls.Server(conn, s.id.ServerTLS())
 	ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
 	defer cancel()
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -85,6 +85,9 @@
 	// NoteConflict is a release note whose number was accepted with other
 	// content.
 	NoteConflict Kind = "note_conflict"
+	// RevisionConflict is a whole configuration that builds on another revision
+	// than the one in force.
+	RevisionConflict Kind = "revision_conflict"
 	// NoLeader is a replica group without a reachable leader; the command may
 	// or may not have been accepted, and may be sent again.
 	NoLeader Kind = "no_leader"
--- a/internal/process/configuration/machine.go
+++ b/internal/process/configuration/machine.go
@@ -72,6 +72,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if n.Order != nil {
+		return m.applyOrder(n)
+	}
 	if n.Number <= m.state.Number() {
 		return m.answerAgain(n)
 	}
@@ -83,6 +86,26 @@
 	return Result{Number: n.Number, Digest: next.NoteDigest()}
 }
 
+// applyOrder gives an order the next number and carries it out. An order that
+// was carried out before is answered as accepted and changes nothing.
+func (m *Machine) applyOrder(n *version.Note) Result {
+	if m.state.Holds(n.Order) {
+		return Result{Number: m.state.Number(), Digest: m.state.NoteDigest(), Repeated: true}
+	}
+	numbered := *n
+	numbered.Number = m.state.Number() + 1
+	next, err := m.state.Apply(&numbered)
+	if err != nil {
+		return Result{Kind: fault.KindOf(err), Message: fault.Message(err)}
+	}
+	command, err := numbered.Encode()
+	if err != nil {
+		return Result{Kind: fault.KindOf(err), Message: fault.Message(err)}
+	}
+	m.accept(next, command)
+	return Result{Number: next.Number(), Digest: next.NoteDigest()}
+}
+
 // answerAgain answers a note whose number was accepted before.
 func (m *Machine) answerAgain(n *version.Note) Result {
 	digest, kept := m.acceptedDigest(n.Number)
--- a/internal/process/control/bytes_test.go
+++ b/internal/process/control/bytes_test.go
@@ -116,7 +116,7 @@
 	address := ln.Addr().String()
 	pool := rpc.NewPool(identity(t, ca, "replica", mesh.Replica))
 	role, err := control.NewRole(control.RoleOptions{
-		Folder: t.TempDir(), Address: address, Replicas: []string{address}, LedgerShards: 1,
+		Folder: t.TempDir(), Address: address, Replicas: func() []string { return []string{address} }, LedgerShards: 1,
 		Caller: pool, Recorder: nothing{}, Log: zap.NewNop(),
 	})
 	must.NoError(t, err)
--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -165,7 +165,7 @@
 		Folder:       r.address,
 		OpenDisk:     r.openDisk,
 		Address:      r.address,
-		Replicas:     c.addresses(),
+		Replicas:     c.addresses,
 		LedgerShards: 1,
 		Caller:       &port{c.net, r.address, mesh.Peer{Name: r.address, Role: mesh.Replica}},
 		Recorder:     nothing{},
--- a/internal/process/control/renew.go
+++ b/internal/process/control/renew.go
@@ -14,7 +14,7 @@
 func (s *Service) Renew(ctx context.Context, peer mesh.Peer, req protocol.RenewRequest) (protocol.RenewReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	if !wasForwarded(ctx) && peer.Name != req.Instance {
+	if !wasForwarded(ctx) && peer.Name != "" && peer.Name != req.Instance {
 		return protocol.RenewReply{}, fault.New(fault.Forbidden, "the certificate of %q cannot renew for %q", peer.Name, req.Instance)
 	}
 	if req.QuotaOnly {
@@ -27,6 +27,9 @@
 	}
 	reply.Registry = s.o.Registry.Delta(req.Instance, req.Subscriptions, req.RegistryEpoch, req.RegistryVersion)
 	reply.Quota = s.quota(ctx, req)
+	if s.keeper != nil {
+		reply.Replicas = s.addresses()
+	}
 	return reply, nil
 }
 
--- a/internal/process/control/role.go
+++ b/internal/process/control/role.go
@@ -30,8 +30,10 @@
 	OpenDisk func(dir string) (storage.Disk, error)
 	// Address is the control address as other replicas reach it.
 	Address string
-	// Replicas are the control addresses of all replicas.
-	Replicas []string
+	// Replicas returns the control addresses at which replicas may be found.
+	Replicas func() []string
+	// Membership, where set, keeps the members without an operator.
+	Membership *Membership
 	// LedgerShards is the number of groups of the once ledger.
 	LedgerShards int
 	// Heartbeat and Election are passed to each group; see replica.Options.
@@ -73,17 +75,19 @@
 		return err
 	}
 	r.service = New(Options{
-		Address:  r.o.Address,
-		Replicas: r.o.Replicas,
-		Group:    group,
-		Machine:  machine,
-		Shards:   shards,
-		Registry: registry.New(envelope.NewID()),
-		Issuer:   quota.NewIssuer(),
-		Caller:   r.o.Caller,
-		Receive:  r.receive,
-		Clock:    time.Now,
-		Recorder: r.o.Recorder,
+		Address:    r.o.Address,
+		Replicas:   r.o.Replicas,
+		Membership: r.o.Membership,
+		Log:        r.o.Log,
+		Group:      group,
+		Machine:    machine,
+		Shards:     shards,
+		Registry:   registry.New(envelope.NewID()),
+		Issuer:     quota.NewIssuer(),
+		Caller:     r.o.Caller,
+		Receive:    r.receive,
+		Clock:      time.Now,
+		Recorder:   r.o.Recorder,
 	})
 	return nil
 }
@@ -145,9 +149,18 @@
 		r.service.Watch(ctx)
 		return nil
 	})
+	if keeper := r.service.keeper; keeper != nil {
+		g.Go(func() error {
+			keeper.Keep(ctx)
+			return nil
+		})
+	}
 	return g.Wait()
 }
 
+// Service returns the service of the role.
+func (r *Role) Service() *Service { return r.service }
+
 // Close gives the data folder up. Run must have returned.
 func (r *Role) Close() error {
 	errs := []error{r.transport.Close()}
--- a/internal/process/control/service.go
+++ b/internal/process/control/service.go
@@ -5,8 +5,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/connection/rpc"
@@ -47,10 +50,14 @@
 type Options struct {
 	// Address is the control address of this replica.
 	Address string
-	// Replicas are the control addresses of all replicas, this one included.
-	Replicas []string
-	Group    replica.Group
-	Machine  *configuration.Machine
+	// Replicas returns the control addresses at which replicas may be found,
+	// beside those of the members.
+	Replicas func() []string
+	// Membership, where set, keeps the members without an operator.
+	Membership *Membership
+	Log        *zap.Logger
+	Group      replica.Group
+	Machine    *configuration.Machine
 	// Shards are the groups of the once ledger, by shard number.
 	Shards   []Shard
 	Registry *registry.Registry
@@ -68,11 +75,34 @@
 	o        Options
 	tokens   *tokens
 	accepted acceptance
+	// keeper is nil where operators admit and remove members.
+	keeper *keeper
 }
 
 // New returns a service over its parts.
 func New(o Options) *Service {
-	return &Service{o: o, tokens: newTokens(o)}
+	s := &Service{o: o, tokens: newTokens(o)}
+	if o.Membership != nil {
+		s.keeper = newKeeper(s, *o.Membership, o.Log)
+	}
+	return s
+}
+
+// addresses returns where replicas may be found: the members of the group, and
+// the addresses of the settings.
+func (s *Service) addresses() []string {
+	var all []string
+	for _, m := range s.o.Group.Status().Members {
+		all = append(all, m.Address)
+	}
+	all = append(all, s.o.Replicas()...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// others returns the addresses without that of this replica.
+func (s *Service) others() []string {
+	return slices.DeleteFunc(s.addresses(), func(a string) bool { return a == s.o.Address })
 }
 
 // Handlers returns the methods of the service with the roles that may call
@@ -90,9 +120,11 @@
 		protocol.MethodFound:   rpc.Method(s.Found, mesh.Operator),
 		protocol.MethodAdmit:   rpc.Method(s.Admit, operators...),
 		protocol.MethodRemove:  rpc.Method(s.Remove, operators...),
+		protocol.MethodOrder:   rpc.Method(s.Order, operators...),
+		protocol.MethodJoin:    rpc.Method(s.Join, mesh.Replica),
 		protocol.MethodReplica: rpc.Method(s.Receive, mesh.Replica),
 		protocol.MethodSync:    rpc.Method(s.Sync, mesh.Replica),
 	}
-	addForwarded(handlers, protocol.MethodRenew, protocol.MethodOnce, protocol.MethodApply, protocol.MethodAdmit, protocol.MethodRemove)
+	addForwarded(handlers, protocol.MethodRenew, protocol.MethodOnce, protocol.MethodApply, protocol.MethodAdmit, protocol.MethodRemove, protocol.MethodOrder, protocol.MethodJoin)
 	return handlers
 }
--- a/internal/process/control/sync.go
+++ b/internal/process/control/sync.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
@@ -24,21 +26,32 @@
 // RunSync learns of the daemons that renew with the other replicas, and drops
 // those that no longer renew, until ctx ends.
 func (s *Service) RunSync(ctx context.Context) {
-	done := make(chan struct{})
-	others := 0
-	for _, address := range s.o.Replicas {
-		if address == s.o.Address {
-			continue
+	var wg sync.WaitGroup
+	running := make(map[string]context.CancelFunc)
+	every(ctx, syncInterval, func() {
+		s.o.Registry.Expire(s.o.Clock())
+		s.follow(ctx, &wg, running)
+	})
+	wg.Wait()
+}
+
+// follow begins to exchange with replicas that are new, and ends it with those
+// that are gone.
+func (s *Service) follow(ctx context.Context, wg *sync.WaitGroup, running map[string]context.CancelFunc) {
+	others := s.others()
+	for address, stop := range running {
+		if !slices.Contains(others, address) {
+			stop()
+			delete(running, address)
 		}
-		others++
-		go func() {
-			s.syncWith(ctx, address)
-			done <- struct{}{}
-		}()
 	}
-	every(ctx, syncInterval, func() { s.o.Registry.Expire(s.o.Clock()) })
-	for range others {
-		<-done
+	for _, address := range others {
+		if running[address] != nil {
+			continue
+		}
+		exchanging, stop := context.WithCancel(ctx)
+		running[address] = stop
+		wg.Go(func() { s.syncWith(exchanging, address) })
 	}
 }
 
--- a/internal/process/daemon/controlrole.go
+++ b/internal/process/daemon/controlrole.go
@@ -18,7 +18,7 @@
 	role, err := control.NewRole(control.RoleOptions{
 		Folder:       s.Data,
 		Address:      s.Advertise.Control,
-		Replicas:     s.Replicas,
+		Replicas:     func() []string { return s.Replicas },
 		LedgerShards: s.Control.LedgerShards,
 		Heartbeat:    s.Control.Heartbeat,
 		Election:     s.Control.Election,
--- a/internal/process/registry/record.go
+++ b/internal/process/registry/record.go
@@ -77,6 +77,7 @@
 			FailureDomain: r.FailureDomain,
 			State:         a.State,
 			Slots:         a.Slots,
+			Incarnation:   a.Incarnation,
 			DaemonLeaving: r.Leaving,
 		}
 	}
--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -158,6 +158,7 @@
 	}
 	l.o.Table.Apply(reply.Registry)
 	l.o.Quota.Granted(sentAt, reply.Quota)
+	l.pick.set(reply.Replicas)
 	return reply.Confirmed && l.o.Holder.Fresh() == nil
 }
 
--- a/internal/process/renewal/replica_list.go
+++ b/internal/process/renewal/replica_list.go
@@ -1,6 +1,7 @@
 package renewal
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 
@@ -23,7 +24,23 @@
 	return l
 }
 
-func (l *replicaList) size() int { return len(l.addresses) }
+func (l *replicaList) size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.addresses)
+}
+
+// set replaces the addresses; the current one stays where it is still listed.
+func (l *replicaList) set(addresses []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(addresses) == 0 || slices.Equal(addresses, l.addresses) {
+		return
+	}
+	at := slices.Index(addresses, l.addresses[l.index])
+	l.addresses = slices.Clone(addresses)
+	l.index = max(at, 0)
+}
 
 func (l *replicaList) current() string {
 	l.mu.Lock()
--- a/internal/process/replica/status.go
+++ b/internal/process/replica/status.go
@@ -1,11 +1,15 @@
 package replica
 
-import "github.com/teaselrack/teaselrack/internal/connection/protocol"
+import (
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+)
 
 // Roles in a status, besides those of the algorithm.
 const (
-	roleLearner   = "learner"
-	roleUnfounded = "unfounded"
+	RoleLearner   = "learner"
+	RoleUnfounded = "unfounded"
 )
 
 func (e *engine) status() protocol.ReplicaStatus {
@@ -16,7 +20,7 @@
 	}
 	for _, m := range c.members() {
 		s.Members = append(s.Members, protocol.MemberStatus{
-			ID: m.ID, Address: m.Address, Learner: m.Learner, Match: c.matchOf(m.ID),
+			ID: m.ID, Address: m.Address, Learner: m.Learner, Match: c.matchOf(m.ID), Silent: c.silentFor(m.ID),
 		})
 	}
 	return s
@@ -26,15 +30,23 @@
 	m, ok := c.members().find(c.state.ID)
 	switch {
 	case !ok:
-		return roleUnfounded
+		return RoleUnfounded
 	case m.Learner:
-		return roleLearner
+		return RoleLearner
 	case c.role == preCandidate:
 		return string(candidate)
 	}
 	return string(c.role)
 }
 
+// silentFor returns how long a leader has not heard from a member.
+func (c *core) silentFor(id string) time.Duration {
+	if p := c.peers[id]; p != nil {
+		return c.now - p.heard
+	}
+	return 0
+}
+
 // matchOf returns the last entry that a member is known to hold; 0 where this
 // replica cannot know.
 func (c *core) matchOf(id string) uint64 {
--- a/internal/version/apply.go
+++ b/internal/version/apply.go
@@ -10,6 +10,9 @@
 // the number in force; s itself does not change. Errors: NoteGap, NoteConflict
 // and NoteInvalid; nothing is half applied.
 func (s *State) Apply(n *Note) (*State, error) {
+	if n.Order != nil {
+		return s.applyOrder(n)
+	}
 	digest := n.Digest()
 	switch {
 	case n.Number == s.number && digest == s.noteDigest:
@@ -22,6 +25,14 @@
 	return s.merge(n, digest)
 }
 
+// applyOrder carries out an order that was numbered.
+func (s *State) applyOrder(n *Note) (*State, error) {
+	if n.Number != s.number+1 {
+		return nil, fault.New(fault.NoteGap, "the order has number %d, the number in force is %d", n.Number, s.number)
+	}
+	return s.Carry(n.Order)
+}
+
 func (s *State) merge(n *Note, digest string) (*State, error) {
 	e := s.Entries()
 	w := n.Withdrawn
@@ -31,11 +42,24 @@
 	e.Routes = mergeSection(&errs, "route", e.Routes, n.Added.Routes, n.Changed.Routes, w.Routes, func(r Route) []string { return []string{r.Name} })
 	e.FailureDomains = mergeSection(&errs, "failure domain", e.FailureDomains, n.Added.FailureDomains, n.Changed.FailureDomains, w.FailureDomains, func(d FailureDomain) []string { return []string{d.Name} })
 	e.Targets = mergeSection(&errs, "target", e.Targets, n.Added.Targets, n.Changed.Targets, w.Targets, func(t Target) []string { return []string{targetID(t.Service, t.Name)} })
+	e.Services = mergeSection(&errs, "service", e.Services, n.Added.Services, n.Changed.Services, w.Services, func(v Service) []string { return []string{v.Name} })
+	e.Limits = mergeLimits(e.Limits, n.Added.Limits, n.Changed.Limits)
 	checkReferences(&errs, e)
 	if err := errs.asError(); err != nil {
 		return nil, err
 	}
-	return fromEntries(n.Number, digest, e), nil
+	return fromEntries(s, n.Number, digest, e), nil
+}
+
+// mergeLimits returns the last of the limits that are set.
+func mergeLimits(all ...*Limits) *Limits {
+	var last *Limits
+	for _, l := range all {
+		if l != nil {
+			last = l
+		}
+	}
+	return last
 }
 
 // mergeSection applies the three lists of one sort of entry. names returns all
@@ -106,12 +130,16 @@
 func checkRoutes(errs *problems, routes []Route) {
 	byPath := make(map[string][]Route, len(routes))
 	for _, r := range routes {
-		for _, other := range byPath[r.Path] {
+		place := r.Host + r.Path
+		for _, other := range byPath[place] {
 			if shareMethod(r.Methods, other.Methods) {
-				errs.add("routes %q and %q have the same path %s and a method in common", other.Name, r.Name, r.Path)
+				errs.add("routes %q and %q have the same path %s and a method in common", other.Name, r.Name, place)
 			}
 		}
-		byPath[r.Path] = append(byPath[r.Path], r)
+		byPath[place] = append(byPath[place], r)
+		if len(r.Split) > 0 && totalWeight(r.Split) <= 0 {
+			errs.add("the weights of route %q add up to 0", r.Name)
+		}
 	}
 }
 
@@ -122,3 +150,11 @@
 	}
 	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
 }
+
+func totalWeight(split []Share) float64 {
+	sum := 0.0
+	for _, part := range split {
+		sum += part.Weight
+	}
+	return sum
+}
--- a/internal/version/change.go
+++ b/internal/version/change.go
@@ -13,7 +13,7 @@
 // Change is one line of the difference that a note makes.
 type Change struct {
 	Action Action `json:"action"`
-	// Sort is team, key, route, failure domain or target.
+	// Sort is team, key, route, failure domain, target, service or limits.
 	Sort string `json:"sort"`
 	Name string `json:"name"`
 	// Before and After are the entries as YAML, empty where there is none.
--- a/internal/version/diff.go
+++ b/internal/version/diff.go
@@ -16,9 +16,18 @@
 	changes = append(changes, diffSort("route", a.Routes, b.Routes, func(r Route) string { return r.Name })...)
 	changes = append(changes, diffSort("failure domain", a.FailureDomains, b.FailureDomains, func(d FailureDomain) string { return d.Name })...)
 	changes = append(changes, diffSort("target", a.Targets, b.Targets, func(t Target) string { return targetID(t.Service, t.Name) })...)
+	changes = append(changes, diffSort("service", a.Services, b.Services, func(v Service) string { return v.Name })...)
+	changes = append(changes, diffSort("limits", limitsList(a), limitsList(b), func(Limits) string { return "limits" })...)
 	return changes
 }
 
+func limitsList(e Entries) []Limits {
+	if e.Limits == nil {
+		return nil
+	}
+	return []Limits{*e.Limits}
+}
+
 func diffSort[V any](sort string, before, after []V, name func(V) string) []Change {
 	old := textByName(before, name)
 	now := textByName(after, name)
--- a/internal/version/model.go
+++ b/internal/version/model.go
@@ -65,6 +65,9 @@
 	Burst float64 `yaml:"burst" cbor:"3,keyasint" validate:"gte=1,lte=1000000"`
 	// Weight is the share of the team within one importance. Default 1.
 	Weight uint32 `yaml:"weight,omitempty" cbor:"4,keyasint,omitempty" validate:"lte=1000"`
+	// Rank, where set, replaces the rank of the route for the team's requests;
+	// 0 is shed last.
+	Rank *int `yaml:"rank,omitempty" cbor:"5,keyasint,omitempty" validate:"omitempty,gte=0,lte=1000"`
 }
 
 // Key is a caller's key, kept only as a hash.
@@ -84,7 +87,7 @@
 	Path string `yaml:"path" cbor:"2,keyasint" validate:"required,routepath"`
 	// Methods are the HTTP methods; empty means all.
 	Methods []string `yaml:"methods,omitempty" cbor:"3,keyasint,omitempty" validate:"unique,dive,oneof=GET HEAD POST PUT PATCH DELETE OPTIONS"`
-	Service string   `yaml:"service" cbor:"4,keyasint" validate:"required,name"`
+	Service string   `yaml:"service,omitempty" cbor:"4,keyasint" validate:"required_without=Split,omitempty,name"`
 	// Importance is critical, high, normal or low. Default normal.
 	Importance Importance `yaml:"importance,omitempty" cbor:"5,keyasint" validate:"gte=1,lte=4"`
 	// Mode is idempotent or once. Default idempotent.
@@ -95,6 +98,49 @@
 	Timeout time.Duration `yaml:"timeout,omitempty" cbor:"8,keyasint" validate:"gte=1ms,lte=60s"`
 	// Retries bounds the extra attempts over the whole call chain. Default 2.
 	Retries int `yaml:"retries" cbor:"9,keyasint" validate:"gte=0,lte=10"`
+	// Host limits the route to requests for one host; empty means any.
+	Host string `yaml:"host,omitempty" cbor:"10,keyasint,omitempty" validate:"lte=253"`
+	// Split divides the requests over several services by weight, in place of
+	// Service.
+	Split []Share `yaml:"split,omitempty" cbor:"11,keyasint,omitempty" validate:"dive"`
+	// Objective is the latency within which an answer has its full worth; 0
+	// means that none is stated.
+	Objective time.Duration `yaml:"objective,omitempty" cbor:"12,keyasint,omitempty" validate:"gte=0,lte=2m"`
+	// Rank orders relayed requests under overload; 0 is shed last.
+	Rank int `yaml:"rank,omitempty" cbor:"13,keyasint,omitempty" validate:"gte=0,lte=1000"`
+}
+
+// Share is the part of a split route that one service gets.
+type Share struct {
+	Service string `yaml:"service" cbor:"1,keyasint" validate:"required,name"`
+	// Weight is the part of the service in the sum of all weights.
+	Weight float64 `yaml:"weight" cbor:"2,keyasint" validate:"gte=0,lte=1000000"`
+}
+
+// Service holds what operators state about the targets of one service.
+type Service struct {
+	Name string `yaml:"name" cbor:"1,keyasint" validate:"required,name"`
+	// HealthPath is where targets answer health checks.
+	HealthPath string `yaml:"health_path,omitempty" cbor:"2,keyasint,omitempty"`
+	// Connections is the number of connections that one target accepts; 0
+	// means that none is stated.
+	Connections int `yaml:"connections,omitempty" cbor:"3,keyasint,omitempty" validate:"gte=0"`
+	// ColdFor is how long a target is cold after its start.
+	ColdFor time.Duration `yaml:"cold_for,omitempty" cbor:"4,keyasint,omitempty" validate:"gte=0"`
+	// ColdRate is the number of requests a second that a cold target bears; 0
+	// means that none is stated.
+	ColdRate float64 `yaml:"cold_rate,omitempty" cbor:"5,keyasint,omitempty" validate:"gte=0"`
+}
+
+// Limits bounds what one caller may send. A zero field sets no bound.
+type Limits struct {
+	// HeaderBytes and BodyBytes bound one request.
+	HeaderBytes int   `yaml:"header_bytes,omitempty" cbor:"1,keyasint,omitempty" validate:"gte=0"`
+	BodyBytes   int64 `yaml:"body_bytes,omitempty" cbor:"2,keyasint,omitempty" validate:"gte=0"`
+	// HeaderTimeout bounds the time in which a header block must come.
+	HeaderTimeout time.Duration `yaml:"header_timeout,omitempty" cbor:"3,keyasint,omitempty" validate:"gte=0"`
+	// IdleTimeout is how long a connection without requests is kept.
+	IdleTimeout time.Duration `yaml:"idle_timeout,omitempty" cbor:"4,keyasint,omitempty" validate:"gte=0"`
 }
 
 // FailureDomain is a set of instances that fail together.
@@ -122,6 +168,9 @@
 	Routes         []Route         `yaml:"routes,omitempty" cbor:"3,keyasint,omitempty" validate:"dive"`
 	FailureDomains []FailureDomain `yaml:"failure_domains,omitempty" cbor:"4,keyasint,omitempty" validate:"dive"`
 	Targets        []Target        `yaml:"targets,omitempty" cbor:"5,keyasint,omitempty" validate:"dive"`
+	Services       []Service       `yaml:"services,omitempty" cbor:"6,keyasint,omitempty" validate:"dive"`
+	// Limits, where set, replaces the limits in force.
+	Limits *Limits `yaml:"limits,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Names lists what a release note withdraws.
@@ -132,7 +181,8 @@
 	Routes         []string `yaml:"routes,omitempty" cbor:"3,keyasint,omitempty" validate:"dive,name"`
 	FailureDomains []string `yaml:"failure_domains,omitempty" cbor:"4,keyasint,omitempty" validate:"dive,name"`
 	// Targets are service/instance pairs.
-	Targets []string `yaml:"targets,omitempty" cbor:"5,keyasint,omitempty" validate:"dive,target"`
+	Targets  []string `yaml:"targets,omitempty" cbor:"5,keyasint,omitempty" validate:"dive,target"`
+	Services []string `yaml:"services,omitempty" cbor:"6,keyasint,omitempty" validate:"dive,name"`
 }
 
 // Note is one release note: the change from the State with the number before.
@@ -144,4 +194,7 @@
 	Added     Entries `yaml:"added,omitempty" cbor:"3,keyasint,omitempty"`
 	Changed   Entries `yaml:"changed,omitempty" cbor:"4,keyasint,omitempty"`
 	Withdrawn Names   `yaml:"withdrawn,omitempty" cbor:"5,keyasint,omitempty"`
+	// Order is set where the change came as an order, whose number the control
+	// replicas assign.
+	Order *Order `yaml:"-" cbor:"6,keyasint,omitempty"`
 }
--- a/internal/version/state.go
+++ b/internal/version/state.go
@@ -28,6 +28,15 @@
 	byPath  []Route // longest path first
 	domains map[string]FailureDomain
 	targets map[string]Target // by service/name
+
+	services map[string]Service
+	limits   Limits
+	// hosted are the routes of one host, longest path first.
+	hosted map[string][]Route
+
+	revision uint64
+	source   []byte
+	accepted []AcceptedRevision // oldest first
 }
 
 // image is the canonical stored form of a State.
@@ -35,6 +44,11 @@
 	Number     uint64  `cbor:"1,keyasint"`
 	NoteDigest string  `cbor:"2,keyasint"`
 	Entries    Entries `cbor:"3,keyasint"`
+	// Revision, Source and Accepted are set once a whole configuration was
+	// accepted.
+	Revision uint64             `cbor:"4,keyasint,omitempty"`
+	Source   []byte             `cbor:"5,keyasint,omitempty"`
+	Accepted []AcceptedRevision `cbor:"6,keyasint,omitempty"`
 }
 
 var canonical = mustCanonical()
@@ -49,7 +63,7 @@
 
 // Initial returns the state before the first note.
 func Initial() *State {
-	return fromEntries(0, "", Entries{})
+	return build(image{})
 }
 
 // Number is the number of the last note; 0 before the first.
@@ -112,12 +126,54 @@
 		Routes:         sortedValues(s.routes),
 		FailureDomains: sortedValues(s.domains),
 		Targets:        sortedValues(s.targets),
+		Services:       sortedValues(s.services),
+		Limits:         s.limitsEntry(),
+	}
+}
+
+// limitsEntry is nil where no limits are stated, so that such a state has the
+// digest that it had before limits existed.
+func (s *State) limitsEntry() *Limits {
+	if s.limits == (Limits{}) {
+		return nil
+	}
+	l := s.limits
+	return &l
+}
+
+func (s *State) image() image {
+	return image{
+		Number: s.number, NoteDigest: s.noteDigest, Entries: s.Entries(),
+		Revision: s.revision, Source: s.source, Accepted: s.accepted,
 	}
 }
 
+// Service returns what operators stated about a service.
+func (s *State) Service(name string) (Service, bool) {
+	v, ok := s.services[name]
+	return v, ok
+}
+
+// Limits returns what one caller may send.
+func (s *State) Limits() Limits { return s.limits }
+
+// HasTeams reports whether any team is declared.
+func (s *State) HasTeams() bool { return len(s.teams) > 0 }
+
+// HostedRoute returns the route of host with the longest path that begins the
+// path. The second result is false where none does.
+func (s *State) HostedRoute(host, path string) (Route, bool) {
+	for _, r := range s.hosted[host] {
+		if matchPath(r.Path, path) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
 // Encode returns the canonical CBOR form of the state.
 func (s *State) Encode() ([]byte, error) {
-	b, err := canonical.Marshal(image{s.number, s.noteDigest, s.Entries()})
+	b, err := canonical.Marshal(s.image())
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "encode the state")
 	}
@@ -130,7 +186,7 @@
 	if err := cbor.Unmarshal(b, &img); err != nil {
 		return nil, fault.Wrap(fault.Damaged, err, "decode the state")
 	}
-	return fromEntries(img.Number, img.NoteDigest, img.Entries), nil
+	return build(img), nil
 }
 
 // HashKey returns the stored form of a caller's key.
@@ -153,6 +209,9 @@
 	if prefix == "/" || path == prefix {
 		return true
 	}
+	if strings.HasSuffix(prefix, "/") {
+		return strings.HasPrefix(path, prefix)
+	}
 	return strings.HasPrefix(path, prefix) && path[len(prefix)] == '/'
 }
 
@@ -173,41 +232,58 @@
 	return values
 }
 
-// fromEntries builds a state from its whole content.
-func fromEntries(number uint64, noteDigest string, e Entries) *State {
+// fromEntries builds the state of a note from its whole content; what orders
+// have set stays as it is in before.
+func fromEntries(before *State, number uint64, noteDigest string, e Entries) *State {
+	return build(image{
+		Number: number, NoteDigest: noteDigest, Entries: e,
+		Revision: before.revision, Source: before.source, Accepted: before.accepted,
+	})
+}
+
+// build indexes the content of an image.
+func build(img image) *State {
+	e := img.Entries
 	s := &State{
-		number:     number,
-		noteDigest: noteDigest,
-		teams:      make(map[string]Team, len(e.Teams)),
+		number:     img.Number,
+		noteDigest: img.NoteDigest,
+		revision:   img.Revision,
+		source:     img.Source,
+		accepted:   img.Accepted,
+		teams:      index(e.Teams, func(t Team) string { return t.Name }),
 		keys:       make(map[string]Key, len(e.Keys)),
 		keyByID:    make(map[string]Key, len(e.Keys)),
-		routes:     make(map[string]Route, len(e.Routes)),
-		domains:    make(map[string]FailureDomain, len(e.FailureDomains)),
-		targets:    make(map[string]Target, len(e.Targets)),
-	}
-	for _, t := range e.Teams {
-		s.teams[t.Name] = t
+		routes:     index(e.Routes, func(r Route) string { return r.Name }),
+		domains:    index(e.FailureDomains, func(d FailureDomain) string { return d.Name }),
+		targets:    index(e.Targets, func(t Target) string { return targetID(t.Service, t.Name) }),
+		services:   index(e.Services, func(v Service) string { return v.Name }),
+		hosted:     make(map[string][]Route),
 	}
 	for _, k := range e.Keys {
 		k.ID = KeyID(k.Hash)
 		s.keys[k.Hash] = k
 		s.keyByID[k.ID] = k
 	}
-	for _, r := range e.Routes {
-		s.routes[r.Name] = r
-	}
-	for _, d := range e.FailureDomains {
-		s.domains[d.Name] = d
-	}
-	for _, t := range e.Targets {
-		s.targets[targetID(t.Service, t.Name)] = t
+	if e.Limits != nil {
+		s.limits = *e.Limits
 	}
 	s.byPath = sortedValues(s.routes)
 	slices.SortStableFunc(s.byPath, func(a, b Route) int { return len(b.Path) - len(a.Path) })
-	s.digest = digestOf(image{number, noteDigest, s.Entries()})
+	for _, r := range s.byPath {
+		s.hosted[r.Host] = append(s.hosted[r.Host], r)
+	}
+	s.digest = digestOf(s.image())
 	return s
 }
 
+func index[V any](values []V, name func(V) string) map[string]V {
+	m := make(map[string]V, len(values))
+	for _, v := range values {
+		m[name(v)] = v
+	}
+	return m
+}
+
 // digestOf returns the SHA-256 of the canonical form of v, in hexadecimal.
 func digestOf(v any) string {
 	b, err := canonical.Marshal(v)
--- a/internal/version/validate.go
+++ b/internal/version/validate.go
@@ -171,6 +171,9 @@
 	{"target", namedIn(
 		func(e Entries) []Target { return e.Targets }, func(t Target) string { return targetID(t.Service, t.Name) },
 		func(w Names) []string { return w.Targets }, "targets")},
+	{"service", namedIn(
+		func(e Entries) []Service { return e.Services }, func(v Service) string { return v.Name },
+		func(w Names) []string { return w.Services }, "services")},
 }
 
 func keyIDs(names []string) []string {
--- /dev/null
+++ b/internal/version/whole.go
@@ -0,0 +1,90 @@
+package version
+
+import (
+	"strings"
+	"time"
+)
+
+// maxObjectiveExcess is how far the objective of a route may lie above its
+// timeout: a minute or more is taken for a mistake in the unit.
+const maxObjectiveExcess = time.Minute
+
+// Check returns a NoteInvalid error that lists every problem of a whole
+// configuration which can be told from its content alone.
+func (w *Whole) Check() error {
+	var errs problems
+	if w.Revision == 0 {
+		errs.add("the configuration has no version")
+	}
+	services := index(w.Entries.Services, func(v Service) string { return v.Name })
+	for _, r := range w.Entries.Routes {
+		checkWholeRoute(&errs, r, services)
+	}
+	checkKeys(&errs, w.Entries)
+	checkSharedKeys(&errs, w.Entries.Keys)
+	checkRoutes(&errs, w.Entries.Routes)
+	return errs.asError()
+}
+
+func checkWholeRoute(errs *problems, r Route, services map[string]Service) {
+	if !strings.HasPrefix(r.Path, "/") {
+		errs.add("the prefix %q of route %q does not begin with a slash", r.Path, r.Name)
+	}
+	if r.Timeout <= 0 {
+		errs.add("route %q has no timeout", r.Name)
+	}
+	if r.Objective-r.Timeout >= maxObjectiveExcess {
+		errs.add("the objective %s of route %q lies %s or more above its timeout %s", r.Objective, r.Name, maxObjectiveExcess, r.Timeout)
+	}
+	names := r.Services()
+	if len(names) == 0 {
+		errs.add("route %q names no service", r.Name)
+	}
+	for _, name := range names {
+		if _, ok := services[name]; !ok {
+			errs.add("route %q names the service %q, which does not exist", r.Name, name)
+		}
+	}
+}
+
+// checkSharedKeys refuses one key for two teams, or twice for one.
+func checkSharedKeys(errs *problems, keys []Key) {
+	teams := make(map[string]string, len(keys))
+	for _, k := range keys {
+		if other, ok := teams[k.Hash]; ok && other != k.Team {
+			errs.add("teams %q and %q share the key %s", other, k.Team, KeyID(k.Hash))
+		}
+		teams[k.Hash] = k.Team
+	}
+}
+
+// Services returns the services that requests of the route may go to.
+func (r Route) Services() []string {
+	if len(r.Split) == 0 {
+		if r.Service == "" {
+			return nil
+		}
+		return []string{r.Service}
+	}
+	names := make([]string, 0, len(r.Split))
+	for _, part := range r.Split {
+		names = append(names, part.Service)
+	}
+	return names
+}
+
+// ServiceFor chooses the service of one request by weight. draw is uniform in
+// [0, 1).
+func (r Route) ServiceFor(draw float64) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	at := draw * totalWeight(r.Split)
+	for _, part := range r.Split {
+		if at < part.Weight {
+			return part.Service
+		}
+		at -= part.Weight
+	}
+	return r.Split[len(r.Split)-1].Service
+}
