The platform path: relay, gate, placement, node and the adapter

Cause: the users' platform has calls without handles, whole configurations and targets that are reached only beside themselves; the product had no path for them. Change: packages link, relay, gate, local, placement, budget, node and the folder platform/, deploy/system.toml.

--- a/cmd/teaselrackd/main.go
+++ b/cmd/teaselrackd/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/teaselrack/teaselrack/internal/process/daemon"
 	"github.com/teaselrack/teaselrack/internal/process/settings"
+	"github.com/teaselrack/teaselrack/platform"
 )
 
 const (
@@ -45,10 +46,27 @@
 	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
 		return nil, nil
 	}
+	if err == nil && o.Settings == "" && !o.Platform {
+		fmt.Fprintln(os.Stderr, "the required flag `-s, --settings' was not specified")
+		return nil, errUsage
+	}
 	return o, err
 }
 
+var errUsage = errors.New("no settings")
+
+// servePlatform serves with the settings that the platform wrote.
+func servePlatform() error {
+	log := newPlatformLogger()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	return platform.Run(ctx, platform.Path(), log)
+}
+
 func serve(o *options) error {
+	if o.Platform {
+		return servePlatform()
+	}
 	s, err := settings.Load(o.Settings)
 	if err != nil {
 		return err
--- a/cmd/teaselrackd/options.go
+++ b/cmd/teaselrackd/options.go
@@ -2,6 +2,7 @@
 
 // options are the command line of teaselrackd.
 type options struct {
-	Settings string `short:"s" long:"settings" required:"true" value-name:"FILE" description:"YAML settings of this daemon"`
+	Settings string `short:"s" long:"settings" value-name:"FILE" description:"YAML settings of this daemon"`
+	Platform bool   `long:"platform" description:"take the settings from the platform that starts this process"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 }
--- /dev/null
+++ b/internal/request/relay/entry.go
@@ -0,0 +1,401 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/connection/link"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/budget"
+	"github.com/teaselrack/teaselrack/internal/process/placement"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+const (
+	// defaultRemaining is the time of a request that states none.
+	defaultRemaining = 30 * time.Second
+	// answerMargin is kept back from the caller's own time, so that the final
+	// answer still reaches it.
+	answerMargin = 20 * time.Millisecond
+	// startRetry is the advised wait where this process knows no configuration.
+	startRetry = 500 * time.Millisecond
+	// quotaRetry is the advised wait of a team that is at its limit.
+	quotaRetry = time.Second
+	// failedFor is how long a target is passed over that cannot be reached.
+	failedFor = 500 * time.Millisecond
+	// maxOffers bounds the daemons that one request is offered to.
+	maxOffers = 4
+)
+
+// Configuration gives the state that this process holds.
+type Configuration interface {
+	// Current is never nil; its number is 0 before any state is known.
+	Current() *version.State
+}
+
+// Quota limits teams.
+type Quota interface {
+	// Take takes one token of the team. Errors: QuotaExceeded, QuotaUnavailable.
+	Take(ctx context.Context, team string) error
+}
+
+// Entry serves the callers and the target of its own machine.
+type Entry struct {
+	Names         HeaderNames
+	Instance      string
+	Service       string
+	Configuration Configuration
+	Quota         Quota
+	Directory     *placement.Directory
+	Budget        *budget.Budget
+	Beside        *Beside
+	Peers         *link.Client
+	Log           *zap.Logger
+	Stats         *Stats
+}
+
+// arrival is one request at its entry.
+type arrival struct {
+	began   time.Time
+	id      string
+	route   version.Route
+	service string
+	team    string
+	rank    int
+	// call is true for a request without a team: those of targets.
+	call     bool
+	deadline time.Time
+	useful   time.Time
+	request  *http.Request
+	header   http.Header
+	content  content
+	version  uint64
+}
+
+// ServeHTTP answers one request.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a := &arrival{began: time.Now(), id: r.Header.Get(e.Names.RequestID), request: r}
+	answer, err := e.serve(w, a)
+	if err != nil {
+		e.fail(w, a, err)
+		return
+	}
+	h := w.Header()
+	for name, values := range answer.Header {
+		h[name] = values
+	}
+	e.Stats.Answered(answer.Status, time.Since(a.began))
+	if err := passOn(w, answer); err != nil {
+		e.Log.Info("answer broke off", zap.String("request", a.id), zap.String("route", a.route.Name), zap.String("reason", err.Error()))
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// fail gives the final answer to a request that was given up.
+func (e *Entry) fail(w http.ResponseWriter, a *arrival, err error) {
+	kind := fault.KindOf(err)
+	after := fault.AnswerFor(kind).RetryAfter
+	var refusal *Refusal
+	if errors.As(err, &refusal) && refusal.After > 0 {
+		after = refusal.After
+	}
+	e.Stats.Failed(kind, time.Since(a.began))
+	e.Log.Info("request refused", zap.String("request", a.id), zap.String("route", a.route.Name), zap.String("service", a.service),
+		zap.String("team", a.team), zap.Int("rank", a.rank), zap.Bool("call", a.call), zap.Duration("age", time.Since(a.began)),
+		zap.Uint64("configuration", a.version), zap.String("kind", string(kind)), zap.String("outcome", string(fault.OutcomeOf(err))),
+		zap.Duration("retry_after", after), zap.String("reason", fault.Message(err)))
+	if kind == fault.CallerGone {
+		panic(http.ErrAbortHandler)
+	}
+	writeFailure(w, err, after)
+}
+
+func (e *Entry) serve(w http.ResponseWriter, a *arrival) (*Answer, error) {
+	state := e.Configuration.Current()
+	if state.Number() == 0 {
+		return nil, refuse(fault.New(fault.LeaseExpired, "no configuration is known here yet"), startRetry)
+	}
+	if err := e.identify(a, state); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(a.request.Context(), a.deadline)
+	defer cancel()
+	if err := e.readBody(ctx, w, a, state.Limits()); err != nil {
+		return nil, err
+	}
+	if t, ok := state.Team(a.team); ok && t.Rate > 0 {
+		if err := e.Quota.Take(ctx, a.team); err != nil {
+			return nil, refuse(err, quotaRetry)
+		}
+	}
+	e.Budget.Request(a.began, a.service)
+	return e.send(ctx, a)
+}
+
+// identify finds the route and the team of a request.
+func (e *Entry) identify(a *arrival, state *version.State) error {
+	r := a.request
+	a.version = state.Revision()
+	route, ok := state.HostedRoute(r.Host, r.URL.EscapedPath())
+	if !ok {
+		return fault.New(fault.UnknownRoute, "no route serves %s%s", r.Host, r.URL.Path)
+	}
+	a.route = route
+	a.rank = route.Rank
+	a.call = route.Access != version.Keyed
+	if state.HasTeams() && route.Access == version.Keyed {
+		key, known := state.Key(r.Header.Get(e.Names.Key))
+		if !known {
+			return fault.New(fault.Unauthenticated, "the key is not in force")
+		}
+		a.team = key.Team
+		if t, ok := state.Team(key.Team); ok && t.Rank != nil {
+			a.rank = *t.Rank
+		}
+	}
+	a.service = route.ServiceFor(rand.Float64())
+	a.header = passedOn(r.Header)
+	delete(a.header, e.Names.Key)
+	delete(a.header, e.Names.Team)
+	e.setTimes(a)
+	return nil
+}
+
+// setTimes fixes when the final answer is due and until when it has its full
+// worth.
+func (e *Entry) setTimes(a *arrival) {
+	remaining := defaultRemaining
+	if text := a.request.Header.Get(e.Names.Deadline); text != "" {
+		if ms, err := strconv.ParseInt(text, 10, 64); err == nil && ms > 0 {
+			remaining = min(remaining, time.Duration(ms)*time.Millisecond)
+		}
+	}
+	remaining = max(remaining-answerMargin, remaining/2)
+	if a.route.Timeout > 0 {
+		remaining = min(remaining, a.route.Timeout)
+	}
+	a.deadline = a.began.Add(remaining)
+	a.useful = a.deadline
+	if a.route.Objective > 0 && a.route.Objective < remaining {
+		a.useful = a.began.Add(a.route.Objective)
+	}
+}
+
+func (e *Entry) readBody(ctx context.Context, w http.ResponseWriter, a *arrival, limits version.Limits) error {
+	r := a.request
+	if limits.BodyBytes > 0 {
+		if r.ContentLength > limits.BodyBytes {
+			return fault.New(fault.TooLarge, "the body has %d bytes, the limit is %d", r.ContentLength, limits.BodyBytes)
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+	}
+	c, err := readContent(r.Body, r.ContentLength)
+	if err != nil {
+		if ctx.Err() != nil {
+			return fault.Wrap(fault.CallerGone, err, "the caller left before the body had come")
+		}
+		return fault.Wrap(fault.BadRequest, err, "the body ended before it was whole")
+	}
+	a.content = c
+	return nil
+}
+
+// tries is the state of one request over the targets that it was sent to.
+type tries struct {
+	excluded []string
+	// offers counts the daemons that had the request, given the targets that
+	// were given it.
+	offers, given int
+	// mayHaveRun is set once a target may have run the request.
+	mayHaveRun bool
+	last       error
+}
+
+// send offers the request to targets until one answers, or it must be given up.
+func (e *Entry) send(ctx context.Context, a *arrival) (*Answer, error) {
+	var t tries
+	for {
+		choice, ok := e.Directory.Choose(time.Now(), a.service, t.excluded)
+		if !ok {
+			return nil, t.result(fault.New(fault.NoTarget, "no target of service %s is left", a.service))
+		}
+		answer, err := e.attempt(ctx, a, choice)
+		if err == nil && !answer.NotRun {
+			return answer, nil
+		}
+		t.add(choice.Record.Instance, answer, err)
+		if !e.again(ctx, a, &t, answer, err) {
+			return e.conclude(a, &t, answer)
+		}
+		if answer != nil {
+			answer.Close(nil)
+		}
+		e.Log.Debug("request sent again", zap.String("request", a.id), zap.String("after", choice.Record.Instance), zap.Int("offers", t.offers))
+	}
+}
+
+func (t *tries) add(instance string, answer *Answer, err error) {
+	t.excluded = append(t.excluded, instance)
+	t.offers++
+	t.last = err
+	if err == nil {
+		t.given++
+		t.last = refuse(fault.New(fault.Overloaded, "the target turned the request away with status %d", answer.Status), 0)
+		return
+	}
+	if fault.OutcomeOf(err) != fault.NotRun {
+		t.given++
+		t.mayHaveRun = true
+	}
+}
+
+// again reports whether the request may be offered to another target.
+func (e *Entry) again(ctx context.Context, a *arrival, t *tries, answer *Answer, err error) bool {
+	if ctx.Err() != nil || t.offers >= maxOffers || a.content.rest != nil {
+		return false
+	}
+	if err != nil && fault.OutcomeOf(err) == fault.NotRun {
+		return fault.AnswerFor(fault.KindOf(err)).Retry
+	}
+	repeatable := a.route.Mode == version.Idempotent
+	if answer == nil && !repeatable {
+		return false
+	}
+	attempts := max(a.route.Retries+1, 1)
+	return t.given < attempts && e.Budget.Take(time.Now(), a.service)
+}
+
+// conclude returns the final answer to a request that is not sent again.
+func (e *Entry) conclude(a *arrival, t *tries, answer *Answer) (*Answer, error) {
+	if answer != nil {
+		answer.Close(nil)
+	}
+	return nil, t.result(t.last)
+}
+
+// result is the failure to answer with. A request that a target may have run is
+// never said to be not run.
+func (t *tries) result(err error) error {
+	if t.last != nil {
+		err = t.last
+	}
+	if t.mayHaveRun && fault.OutcomeOf(err) == fault.NotRun {
+		return fault.Wrap(fault.ConnectionLost, err, "a target may have run the request before: %s", fault.Message(err))
+	}
+	return err
+}
+
+// attempt sends the request to one target.
+func (e *Entry) attempt(ctx context.Context, a *arrival, choice placement.Choice) (*Answer, error) {
+	answer, err := e.pass(ctx, a, choice)
+	now := time.Now()
+	choice.Update(func(t *placement.Target) {
+		if answer != nil && answer.Load >= 0 {
+			t.Report(now, answer.Load)
+		}
+		judge(now, t, answer, err)
+	})
+	if err != nil {
+		choice.Ended()
+		return nil, err
+	}
+	answer.onEnd(func(error) { choice.Ended() })
+	return answer, nil
+}
+
+// judge takes the result of one request into the view of its target.
+func judge(now time.Time, t *placement.Target, answer *Answer, err error) {
+	switch fault.KindOf(err) {
+	case "":
+		t.Result(now, answer.NotRun || answer.Status == http.StatusInternalServerError || answer.Status == http.StatusBadGateway)
+	case fault.ConnectFailed, fault.NoTarget:
+		t.Down(now, failedFor)
+	case fault.Overloaded, fault.TargetCold, fault.TargetLeaving, fault.OutOfService:
+		t.Refused(now)
+	case fault.ConnectionLost, fault.AnswerBroken:
+		t.Result(now, true)
+	}
+}
+
+func (e *Entry) pass(ctx context.Context, a *arrival, choice placement.Choice) (*Answer, error) {
+	now := time.Now()
+	p := &Passage{
+		RequestID: a.id, Service: a.service, Team: a.team, Origin: e.Service, Rank: a.rank, Call: a.call,
+		Repeatable: a.route.Mode == version.Idempotent, Remaining: a.deadline.Sub(now), Useful: a.useful.Sub(now),
+	}
+	if p.Remaining <= 0 {
+		return nil, fault.New(fault.DeadlineNotRun, "the deadline passed before the request was sent")
+	}
+	if p.Useful <= 0 {
+		p.Useful = p.Remaining
+	}
+	header := make(http.Header, len(a.header)+6)
+	for name, values := range a.header {
+		header[name] = values
+	}
+	request := requestOf(a.request, header, a.content)
+	if choice.Record.Instance == e.Instance && e.Beside != nil {
+		return e.Beside.Serve(ctx, p, request)
+	}
+	return e.remote(ctx, p, request, choice.Record.PeerAddress)
+}
+
+// remote hands the request to the daemon at an address.
+func (e *Entry) remote(ctx context.Context, p *Passage, r *link.Request, address string) (*Answer, error) {
+	r.Header[headerPassage] = []string{p.Encode()}
+	r.Repeatable = p.Repeatable
+	resp, err := e.Peers.Do(ctx, address, r)
+	if err != nil {
+		return nil, err
+	}
+	load, after := reported(resp.Header)
+	if kind := fault.Kind(resp.Header.Get(headerKind)); kind != "" {
+		return nil, readRefusal(resp, kind, after)
+	}
+	notRun := resp.Header.Get(e.Names.NotRun) != ""
+	a, err := newAnswer(resp)
+	if err != nil {
+		return nil, err
+	}
+	a.Load = load
+	a.NotRun = notRun
+	return a, nil
+}
+
+// reported returns the load that a daemon states, -1 where it states none, and
+// the advised wait.
+func reported(h http.Header) (load float64, after time.Duration) {
+	load, err := strconv.ParseFloat(h.Get(headerLoad), 64)
+	if err != nil {
+		load = -1
+	}
+	us, err := strconv.ParseInt(h.Get(headerWait), 10, 64)
+	if err != nil {
+		us = 0
+	}
+	return load, time.Duration(us) * time.Microsecond
+}
+
+// readRefusal turns the refusal of a daemon back into its error.
+func readRefusal(resp *http.Response, kind fault.Kind, after time.Duration) error {
+	c, err := readContent(resp.Body, resp.ContentLength)
+	_ = resp.Body.Close()
+	text := string(c.body)
+	if err != nil {
+		text = "refused by the daemon beside the target"
+	}
+	return refuse(fault.New(kind, "%s", trimLine(text)), after)
+}
+
+func trimLine(s string) string {
+	for len(s) > 0 && s[len(s)-1] == '\n' {
+		s = s[:len(s)-1]
+	}
+	return s
+}
