Link: a body that cannot be read ends its connection, headers leave before the body

Cause: a request whose body broke off waited for an answer for ever; a small first part of a streamed body stayed in the write buffer. Change: the connection is closed, the head is flushed. Tests of link, which failed first (they hung).

--- /dev/null
+++ b/internal/connection/link/client_test.go
@@ -0,0 +1,252 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+// serve answers each request on a connection by the function, which gets the
+// number of the request on that connection.
+func serve(t *testing.T, answer func(conn net.Conn, r *http.Request, n int)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					answer(conn, r, n)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func write(conn net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func get(t *testing.T, c *Client, address, id string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	resp, err := c.Do(ctx, address, &Request{Method: "GET", URI: "/x//y?%41", Host: "h", Header: http.Header{"Id": {id}}, ID: id, Repeatable: true})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+func TestURIIsHandedOnAsItCame(t *testing.T) {
+	uris := make(chan string, 1)
+	address := serve(t, func(conn net.Conn, r *http.Request, _ int) {
+		uris <- r.RequestURI
+		write(conn, "1", "ok")
+	})
+	body, err := get(t, NewClient(Options{}), address, "1")
+	must.NoError(t, err)
+	must.Eq(t, "ok", body)
+	must.Eq(t, "/x//y?%41", <-uris)
+}
+
+// TestLateAnswerIsPassedOver has a target send a second answer to the first
+// request where the answer to the second is expected.
+func TestLateAnswerIsPassedOver(t *testing.T) {
+	address := serve(t, func(conn net.Conn, r *http.Request, n int) {
+		if n == 1 {
+			write(conn, "1", "late")
+		}
+		write(conn, r.Header.Get("Id"), "answer "+r.Header.Get("Id"))
+	})
+	c := NewClient(Options{IDHeader: "Id"})
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := get(t, c, address, id)
+		must.NoError(t, err)
+		must.Eq(t, "answer "+id, body)
+	}
+}
+
+// TestExtraBytesRetireTheConnection has a target send bytes after a whole
+// answer: the next request must not read them.
+func TestExtraBytesRetireTheConnection(t *testing.T) {
+	address := serve(t, func(conn net.Conn, r *http.Request, n int) {
+		write(conn, r.Header.Get("Id"), "answer "+r.Header.Get("Id"))
+		if n == 0 {
+			_, _ = conn.Write([]byte("garbage"))
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	c := NewClient(Options{IDHeader: "Id"})
+	body, err := get(t, c, address, "1")
+	must.NoError(t, err)
+	must.Eq(t, "answer 1", body)
+	time.Sleep(50 * time.Millisecond)
+	body, err = get(t, c, address, "2")
+	must.NoError(t, err)
+	must.Eq(t, "answer 2", body)
+}
+
+// TestNothingIsSentTwice has a target close a kept connection when the second
+// request comes: the request must fail as one that may have run.
+func TestNothingIsSentTwice(t *testing.T) {
+	seen := make(chan string, 10)
+	address := serve(t, func(conn net.Conn, r *http.Request, n int) {
+		seen <- r.Header.Get("Id")
+		if n == 1 {
+			_ = conn.Close()
+			return
+		}
+		write(conn, r.Header.Get("Id"), "ok")
+	})
+	c := NewClient(Options{IDHeader: "Id"})
+	_, err := get(t, c, address, "1")
+	must.NoError(t, err)
+	_, err = get(t, c, address, "2")
+	must.Eq(t, fault.ConnectionLost, fault.KindOf(err))
+	must.Eq(t, fault.Unknown, fault.OutcomeOf(err))
+	must.Eq(t, 2, len(seen))
+}
+
+func TestClosedConnectionIsNotUsedAgain(t *testing.T) {
+	address := serve(t, func(conn net.Conn, r *http.Request, _ int) {
+		write(conn, r.Header.Get("Id"), "ok")
+		_ = conn.Close()
+	})
+	c := NewClient(Options{IDHeader: "Id"})
+	for _, id := range []string{"1", "2"} {
+		_, err := get(t, c, address, id)
+		must.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestOutcomeOfFailures(t *testing.T) {
+	c := NewClient(Options{})
+	_, err := get(t, c, "127.0.0.1:1", "1")
+	must.Eq(t, fault.ConnectFailed, fault.KindOf(err))
+
+	silent := serve(t, func(net.Conn, *http.Request, int) {})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = c.Do(ctx, silent, &Request{Method: "GET", URI: "/", Host: "h"})
+	must.Eq(t, fault.DeadlineUnknown, fault.KindOf(err))
+
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	_, err = c.Do(gone, silent, &Request{Method: "GET", URI: "/", Host: "h"})
+	must.Eq(t, fault.CallerGone, fault.KindOf(err))
+}
+
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	address := serve(t, func(conn net.Conn, _ *http.Request, _ int) {
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\nwhole"))
+		_ = conn.Close()
+	})
+	body, err := get(t, NewClient(Options{}), address, "1")
+	must.NoError(t, err)
+	must.Eq(t, "whole", body)
+}
+
+func TestResetAnswerIsNotWhole(t *testing.T) {
+	address := serve(t, func(conn net.Conn, _ *http.Request, _ int) {
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\nbroken"))
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	_, err := get(t, NewClient(Options{}), address, "1")
+	must.Error(t, err)
+}
+
+// TestEarlyAnswerEndsTheConnection has a target answer before it has read a
+// long body: the rest of the body must not be taken for a request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	connections := make(chan struct{}, 4)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			connections <- struct{}{}
+			go func() {
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				write(conn, "1", "early")
+			}()
+		}
+	}()
+	body, feed := io.Pipe()
+	t.Cleanup(func() { _ = feed.Close() })
+	c := NewClient(Options{})
+	for range 2 {
+		resp, err := c.Do(t.Context(), ln.Addr().String(), &Request{
+			Method: "POST", URI: "/", Host: "h", Rest: body, Body: []byte("begin"), Length: -1, Repeatable: true,
+		})
+		must.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+	}
+	must.Eq(t, 2, len(connections))
+}
+
+func TestKeepAlive(t *testing.T) {
+	must.Eq(t, 8*time.Second, keepAlive(http.Header{"Keep-Alive": {"max=5, timeout=10"}}))
+	must.Eq(t, idleLife, keepAlive(http.Header{}))
+}
+
+func TestChunkedBody(t *testing.T) {
+	bodies := make(chan string, 1)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		bodies <- string(b)
+	})}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	resp, err := NewClient(Options{}).Do(t.Context(), ln.Addr().String(), &Request{
+		Method: "POST", URI: "/", Host: "h", Body: []byte("begin "), Rest: strings.NewReader("end"), Length: -1,
+	})
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, "begin end", <-bodies)
+	_, err = NewClient(Options{}).Do(t.Context(), ln.Addr().String(), &Request{
+		Method: "POST", URI: "/", Host: "h", Rest: errReader{}, Length: 10,
+	})
+	must.Error(t, err)
+}
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, errors.New("the caller broke off") }
--- a/internal/connection/link/conn.go
+++ b/internal/connection/link/conn.go
@@ -88,7 +88,9 @@
 // send writes r and returns a function that reports whether all of it was
 // written. A body that is still coming in is written beside the reading, as the
 // other end may answer before it has the whole body. The error of a write is
-// not looked at: the read that follows fails or finds an early answer.
+// not looked at: the read that follows fails or finds an early answer. Where
+// the body cannot be read to its end the connection is closed, as the other end
+// would wait for the rest.
 func (c *conn) send(r *Request) (wrote func() bool) {
 	c.writer.Reset(c.counts)
 	if r.Rest == nil {
@@ -99,6 +101,9 @@
 	whole := false
 	go func() {
 		err := r.writeTo(c.writer)
+		if err != nil {
+			c.close()
+		}
 		mu.Lock()
 		defer mu.Unlock()
 		whole = err == nil
--- a/internal/connection/link/request.go
+++ b/internal/connection/link/request.go
@@ -37,6 +37,9 @@
 	}
 	if r.Length >= 0 {
 		_, _ = w.Write(r.Body)
+		if err := w.Flush(); err != nil {
+			return err
+		}
 		if _, err := io.CopyN(w, r.Rest, r.Length-int64(len(r.Body))); err != nil {
 			return err
 		}
@@ -87,6 +90,9 @@
 		_, _ = w.WriteString("\r\n")
 	}
 	chunk(r.Body)
+	if err := w.Flush(); err != nil {
+		return err
+	}
 	buf := make([]byte, bufferSize)
 	for {
 		n, err := r.Rest.Read(buf)
