--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -14,6 +14,7 @@
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/gate"
+	"github.com/teaselrack/teaselrack/internal/process/shedding"
 )
 
 const (
@@ -61,9 +62,10 @@
 	// cold until it speaks.
 	suspect bool
 	// resets counts the connections that broke since the last answer.
-	resets int
-	gate   *gate.Gate
-	cold   gate.Cold
+	resets   int
+	gate     *gate.Gate
+	cold     gate.Cold
+	shedding shedding.Controller
 }
 
 // New returns a target that has not announced itself.
@@ -215,7 +217,9 @@
 	if err := t.check(now); err != nil {
 		return nil, err
 	}
+	_, waiting, _ := t.gate.Load()
 	ticket, verdict := t.gate.Offer(now, ask)
+	t.shedding.Offered(now, waiting > 0, verdict == gate.Refuse)
 	if verdict == gate.Run {
 		close(ticket.Ready)
 	}
@@ -300,6 +304,13 @@
 	}
 }
 
+// Level returns the level at which requests for the target are shed.
+func (t *Target) Level() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.shedding.Level(t.o.Now())
+}
+
 // Load returns the requests that run or wait for each slot.
 func (t *Target) Load() float64 {
 	t.mu.Lock()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/renewal"
+	"github.com/teaselrack/teaselrack/internal/process/shedding"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
 	"github.com/teaselrack/teaselrack/internal/request/relay"
 	"github.com/teaselrack/teaselrack/internal/version"
@@ -137,7 +138,13 @@
 	n.buildRenewal(t)
 	n.peers = link.NewClient(link.Options{Trusted: true})
 	n.locals = link.NewClient(link.Options{IDHeader: t.Names.RequestID})
+	levels := new(shedding.Levels)
+	calls := new(relay.Calls)
 	n.beside = &relay.Beside{
+		Below: func() float64 {
+			now := time.Now()
+			return levels.Highest(now, calls.Services(now))
+		},
 		Names: t.Names, Service: t.Service, Address: t.Target, Target: n.target,
 		Links: n.locals, Log: n.log, Stats: n.stats,
 	}
@@ -148,6 +155,7 @@
 		Budget: budget.New(budget.Options{
 			Ratio: t.RetryRatio, Window: t.RetryWindow, Slack: t.RetrySlack, Processes: n.processes,
 		}),
+		Levels: levels, Calls: calls, Returns: new(shedding.Returns),
 		Beside: n.beside, Peers: n.peers, Log: n.log, Stats: n.stats,
 	}
 }
--- a/internal/process/placement/placement.go
+++ b/internal/process/placement/placement.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// spillLoad is the load of the own failure domain's best target from which
-	// other failure domains are considered.
-	spillLoad = 0.9
+	// spillLoad is the load of the own failure domain's target from which other
+	// failure domains are considered, and spillGain how much less loaded their
+	// target must be.
+	spillLoad = 1.0
+	spillGain = 0.4
 	// reportHalfLife is the time in which a reported load loses half of its
 	// weight.
 	reportHalfLife = 300 * time.Millisecond
@@ -44,6 +46,8 @@
 	failures    float64 // 0 to 1
 	failedAt    time.Time
 	downUntil   time.Time
+	// common is the share of failures that all targets of the service have.
+	common float64
 }
 
 // Sent notes that a request is on its way to the target.
@@ -86,7 +90,7 @@
 func (t *Target) Load(now time.Time) float64 {
 	slots := float64(max(t.Slots, 1))
 	load := max(float64(t.outstanding)/slots, t.reported*decay(now.Sub(t.reportedAt), reportHalfLife))
-	load += failureWeight * t.Failures(now)
+	load += failureWeight * max(t.Failures(now)-t.common, 0)
 	if t.Cold {
 		load++
 	}
@@ -103,6 +107,10 @@
 // Choose returns the index of the target to use, -1 where there is none. draw
 // returns a uniform number in [0, n). excluded targets are not used.
 func Choose(now time.Time, targets []*Target, excluded func(i int) bool, draw func(n int) int) int {
+	common := commonFailures(now, targets)
+	for _, t := range targets {
+		t.common = common
+	}
 	own := pick(now, targets, func(i int) bool { return excluded(i) || !targets[i].Own }, draw)
 	if own >= 0 && targets[own].Load(now) < spillLoad {
 		return own
@@ -113,12 +121,22 @@
 		return other
 	case other < 0:
 		return own
-	case targets[other].Load(now) < targets[own].Load(now):
+	case targets[other].Load(now)+spillGain < targets[own].Load(now):
 		return other
 	}
 	return own
 }
 
+// commonFailures is the share of requests that fail at the best target: what
+// fails everywhere is no reason to go elsewhere.
+func commonFailures(now time.Time, targets []*Target) float64 {
+	common := 1.0
+	for _, t := range targets {
+		common = min(common, t.Failures(now))
+	}
+	return common
+}
+
 // pick returns the better of two targets drawn at random, so that processes
 // that share a view of the load do not all choose the same one.
 func pick(now time.Time, targets []*Target, excluded func(i int) bool, draw func(n int) int) int {
--- a/internal/request/relay/beside.go
+++ b/internal/request/relay/beside.go
@@ -13,6 +13,7 @@
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/gate"
 	"github.com/teaselrack/teaselrack/internal/process/local"
+	"github.com/teaselrack/teaselrack/internal/process/shedding"
 )
 
 // Beside gives requests to the target beside this process.
@@ -21,9 +22,11 @@
 	Service string
 	Address string
 	Target  *local.Target
-	Links   *link.Client
-	Log     *zap.Logger
-	Stats   *Stats
+	// Below returns the highest level of the services that the target calls.
+	Below func() float64
+	Links *link.Client
+	Log   *zap.Logger
+	Stats *Stats
 }
 
 // ServeHTTP serves the requests that other daemons hand on.
@@ -63,6 +66,12 @@
 
 func (b *Beside) writeLoad(h http.Header) {
 	h.Set(headerLoad, strconv.FormatFloat(b.Target.Load(), 'f', 3, 64))
+	h.Set(headerLevel, b.Level().String())
+}
+
+// Level returns the level that answers state.
+func (b *Beside) Level() shedding.Stated {
+	return shedding.Stated{Direct: b.Target.Level(), Below: b.Below()}
 }
 
 func (b *Beside) writeAnswer(w http.ResponseWriter, a *Answer) {
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -8,12 +8,14 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/teaselrack/teaselrack/internal/connection/link"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/budget"
 	"github.com/teaselrack/teaselrack/internal/process/placement"
+	"github.com/teaselrack/teaselrack/internal/process/shedding"
 	"github.com/teaselrack/teaselrack/internal/version"
 )
 
@@ -29,6 +31,9 @@
 	quotaRetry = time.Second
 	// failedFor is how long a target is passed over that cannot be reached.
 	failedFor = 500 * time.Millisecond
+	// shedRetry is the advised wait of a request that was shed: the time in
+	// which a level sinks by about half a rank.
+	shedRetry = time.Second
 	// maxOffers bounds the daemons that one request is offered to.
 	maxOffers = 4
 )
@@ -56,8 +61,14 @@
 	Budget        *budget.Budget
 	Beside        *Beside
 	Peers         *link.Client
-	Log           *zap.Logger
-	Stats         *Stats
+	// Levels holds what answers state; Calls remembers the services that the
+	// target of this machine calls.
+	Levels *shedding.Levels
+	Calls  *Calls
+	// Returns remembers the callers that were turned away.
+	Returns *shedding.Returns
+	Log     *zap.Logger
+	Stats   *Stats
 }
 
 // arrival is one request at its entry.
@@ -69,7 +80,9 @@
 	team    string
 	rank    int
 	// call is true for a request without a team: those of targets.
-	call     bool
+	call bool
+	// returned is true where the caller was turned away a short time ago.
+	returned bool
 	deadline time.Time
 	useful   time.Time
 	request  *http.Request
@@ -110,6 +123,9 @@
 		zap.String("team", a.team), zap.Int("rank", a.rank), zap.Bool("call", a.call), zap.Duration("age", time.Since(a.began)),
 		zap.Uint64("configuration", a.version), zap.String("kind", string(kind)), zap.String("outcome", string(fault.OutcomeOf(err))),
 		zap.Duration("retry_after", after), zap.String("reason", fault.Message(err)))
+	if !a.call && after > 0 && fault.OutcomeOf(err) == fault.NotRun {
+		e.Returns.TurnedAway(time.Now(), a.key(), after)
+	}
 	if kind == fault.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
@@ -135,9 +151,33 @@
 		}
 	}
 	e.Budget.Request(a.began, a.service)
+	if err := e.shed(a, state); err != nil {
+		return nil, err
+	}
 	return e.send(ctx, a)
 }
 
+// shed turns a request away that would load a service without room. A caller
+// that was turned away before goes in, where any of its rank does.
+func (e *Entry) shed(a *arrival, state *version.State) error {
+	if a.call {
+		e.Calls.Add(a.began, a.service)
+		return nil
+	}
+	a.returned = e.Returns.Returned(a.began, a.key())
+	level := e.Levels.Service(a.began, a.service)
+	share := level.Share(state.RankPosition(a.rank))
+	if share <= 0 || a.returned && share < 1 || rand.Float64() >= share {
+		return nil
+	}
+	return refuse(fault.New(fault.Overloaded, "service %s has no room for rank %d at level %s", a.service, a.rank, level), shedRetry)
+}
+
+// key names the request apart from the attempt.
+func (a *arrival) key() uint64 {
+	return xxhash.Sum64String(a.team + " " + a.request.Method + " " + a.request.Host + a.request.RequestURI)
+}
+
 // identify finds the route and the team of a request.
 func (e *Entry) identify(a *arrival, state *version.State) error {
 	r := a.request
@@ -182,7 +222,7 @@
 	}
 	a.deadline = a.began.Add(remaining)
 	a.useful = a.deadline
-	if a.route.Objective > 0 && a.route.Objective < remaining {
+	if !a.call && a.route.Objective > 0 && a.route.Objective < remaining {
 		a.useful = a.began.Add(a.route.Objective)
 	}
 }
@@ -326,7 +366,7 @@
 func (e *Entry) pass(ctx context.Context, a *arrival, choice placement.Choice) (*Answer, error) {
 	now := time.Now()
 	p := &Passage{
-		RequestID: a.id, Service: a.service, Team: a.team, Origin: e.Service, Rank: a.rank, Call: a.call,
+		RequestID: a.id, Service: a.service, Team: a.team, Origin: e.Service, Rank: a.rank, Call: a.call, Returned: a.returned,
 		Repeatable: a.route.Mode == version.Idempotent, Remaining: a.deadline.Sub(now), Useful: a.useful.Sub(now),
 	}
 	if p.Remaining <= 0 {
@@ -341,7 +381,12 @@
 	}
 	request := requestOf(a.request, header, a.content)
 	if choice.Record.Instance == e.Instance && e.Beside != nil {
-		return e.Beside.Serve(ctx, p, request)
+		answer, err := e.Beside.Serve(ctx, p, request)
+		e.Levels.Observe(time.Now(), p.Service, e.Beside.Level())
+		if answer != nil {
+			answer.Load = e.Beside.Target.Load()
+		}
+		return answer, err
 	}
 	return e.remote(ctx, p, request, choice.Record.PeerAddress)
 }
@@ -354,7 +399,7 @@
 	if err != nil {
 		return nil, err
 	}
-	load, after := reported(resp.Header)
+	load, after := e.reported(p.Service, resp.Header)
 	if kind := fault.Kind(resp.Header.Get(headerKind)); kind != "" {
 		return nil, readRefusal(resp, kind, after)
 	}
@@ -368,9 +413,12 @@
 	return a, nil
 }
 
-// reported returns the load that a daemon states, -1 where it states none, and
-// the advised wait.
-func reported(h http.Header) (load float64, after time.Duration) {
+// reported takes in the level that a daemon states. It returns its load, -1
+// where it states none, and the advised wait.
+func (e *Entry) reported(service string, h http.Header) (load float64, after time.Duration) {
+	if stated, err := shedding.ParseStated(h.Get(headerLevel)); err == nil {
+		e.Levels.Observe(time.Now(), service, stated)
+	}
 	load, err := strconv.ParseFloat(h.Get(headerLoad), 64)
 	if err != nil {
 		load = -1
--- a/internal/request/relay/names.go
+++ b/internal/request/relay/names.go
@@ -41,5 +41,6 @@
 	headerKind    = "Teaselrack-Kind"
 	headerLoad    = "Teaselrack-Load"
 	headerWait    = "Teaselrack-Wait"
+	headerLevel   = "Teaselrack-Level"
 	ownPrefix     = "Teaselrack-"
 )
--- a/internal/version/state.go
+++ b/internal/version/state.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"sort"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -33,6 +34,8 @@
 	limits   Limits
 	// hosted are the routes of one host, longest path first.
 	hosted map[string][]Route
+	// ranks are those of routes and teams, ascending.
+	ranks []int
 
 	revision uint64
 	source   []byte
@@ -272,10 +275,33 @@
 	for _, r := range s.byPath {
 		s.hosted[r.Host] = append(s.hosted[r.Host], r)
 	}
+	s.ranks = ranksOf(e)
 	s.digest = digestOf(s.image())
 	return s
 }
 
+// ranksOf returns the ranks that requests of callers can have, ascending.
+func ranksOf(e Entries) []int {
+	var ranks []int
+	for _, r := range e.Routes {
+		if r.Access == Keyed {
+			ranks = append(ranks, r.Rank)
+		}
+	}
+	for _, t := range e.Teams {
+		if t.Rank != nil {
+			ranks = append(ranks, *t.Rank)
+		}
+	}
+	slices.Sort(ranks)
+	return slices.Compact(ranks)
+}
+
+// RankPosition counts the ranks in use that are less urgent than rank.
+func (s *State) RankPosition(rank int) int {
+	return len(s.ranks) - 1 - max(sort.SearchInts(s.ranks, rank+1)-1, 0)
+}
+
 func index[V any](values []V, name func(V) string) map[string]V {
 	m := make(map[string]V, len(values))
 	for _, v := range values {
