Levels by route, learnt calls, and teams that outlast a quota outage

Cause: invoices were shed for the calls of another route of the same service, and without an issuer of tokens (a split or restarted control group) every request of a team was refused for seconds. Ruled out: levels by service; shares of the rate for each daemon (small teams have less than one request for each daemon). Change: a call is attributed to the requests that expire when it does, less the matches by chance; while no issuer answers a daemon goes on at the rate that it was granted before.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -49,6 +49,9 @@
 	closeMargin = 800 * time.Millisecond
 	// pruneInterval is the time between two looks for idle connections.
 	pruneInterval = 2 * time.Second
+	// quotaOutage is how long teams go on at their rate while no issuer of
+	// tokens answers: longer than a control group takes to recover.
+	quotaOutage = 15 * time.Second
 	// ringCapacity is the number of events kept for the time line.
 	ringCapacity = 2048
 	// heartbeat and election are those of the replica group: an election must
@@ -139,12 +142,9 @@
 	n.peers = link.NewClient(link.Options{Trusted: true})
 	n.locals = link.NewClient(link.Options{IDHeader: t.Names.RequestID})
 	levels := new(shedding.Levels)
-	calls := new(relay.Calls)
+	calls := new(shedding.Calls)
 	n.beside = &relay.Beside{
-		Below: func() float64 {
-			now := time.Now()
-			return levels.Highest(now, calls.Services(now))
-		},
+		Levels: levels, Calls: calls,
 		Names: t.Names, Service: t.Service, Address: t.Target, Target: n.target,
 		Links: n.locals, Log: n.log, Stats: n.stats,
 	}
@@ -164,6 +164,7 @@
 	n.quota = quota.NewHolder(time.Now, func(ctx context.Context, asks []protocol.QuotaAsk) ([]protocol.QuotaGrant, time.Time, error) {
 		return n.renewal.Ask(ctx, asks)
 	})
+	n.quota.OutlastOutages(quotaOutage)
 	n.renewal = renewal.New(renewal.Options{
 		Instance:      n.o.Instance,
 		Session:       envelope.NewID(),
--- a/internal/process/quota/holder.go
+++ b/internal/process/quota/holder.go
@@ -41,6 +41,8 @@
 	urgent chan struct{}
 	low    chan struct{}
 	shards [holderShards]holderShard
+	// outageBound is how long teams go on spending while no issuer answers.
+	outageBound time.Duration
 }
 
 type holderShard struct {
@@ -58,6 +60,11 @@
 	return h
 }
 
+// OutlastOutages lets teams go on spending at the rate of the time before, for
+// at most bound, while no issuer answers. Without it they are refused then. It
+// is called before the holder is used.
+func (h *Holder) OutlastOutages(bound time.Duration) { h.outageBound = bound }
+
 // Take spends one token of the team. Where none is held it asks the issuer and
 // waits for the answer, no longer than ctx allows. Errors: QuotaExceeded where
 // the issuer said that the team is at its limit, QuotaUnavailable where no
@@ -67,7 +74,7 @@
 	p.mu.Lock()
 	now := h.now()
 	p.count(now)
-	ok := p.spend(now)
+	ok := p.spend(now) || p.outage.take(now, h.outageBound)
 	low := p.low(now) && !p.paused(now)
 	p.mu.Unlock()
 	if ok {
@@ -104,7 +111,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := h.now()
-	if p.spend(now) {
+	if p.spend(now) || p.outage.take(now, h.outageBound) {
 		return nil, true, nil
 	}
 	if p.paused(now) && (now.Sub(began) >= patience || p.waiting > patient) {
@@ -218,7 +225,7 @@
 	for _, a := range asks {
 		p := h.purse(a.Team)
 		p.mu.Lock()
-		p.fail(a.Sequence)
+		p.fail(h.now(), a.Sequence)
 		p.mu.Unlock()
 	}
 	return len(asks)
--- a/internal/process/quota/purse.go
+++ b/internal/process/quota/purse.go
@@ -55,6 +55,9 @@
 	demand  float64
 	surge   float64
 	counted time.Time
+
+	// outage is what the team may still spend while no issuer answers.
+	outage outage
 }
 
 // batch is a number of tokens that expire together.
@@ -95,6 +98,7 @@
 		p.batches = p.batches[1:]
 	}
 	p.spent++
+	p.outage.spent(now)
 	return true
 }
 
@@ -214,13 +218,21 @@
 	if grant.Final {
 		p.refused = now
 	}
+	if grant.Tokens > 0 || grant.Final {
+		p.outage.end()
+	} else if p.wanted > 0 {
+		p.outage.begin(now)
+	}
 	p.wake()
 }
 
 // fail ends the ask with this sequence without an answer.
-func (p *purse) fail(sequence uint64) {
+func (p *purse) fail(now time.Time, sequence uint64) {
 	if sequence == p.sequence && !p.asked.IsZero() {
 		p.asked = time.Time{}
+		if p.wanted > 0 {
+			p.outage.begin(now)
+		}
 		p.wake()
 	}
 }
--- a/internal/process/shedding/levels.go
+++ b/internal/process/shedding/levels.go
@@ -8,26 +8,26 @@
 	"time"
 )
 
-// Levels holds what this process knows of the levels of services. Its methods
-// may be called from any goroutine.
+// Levels holds what this process knows of the levels of routes. Its methods may
+// be called from any goroutine.
 type Levels struct {
-	mu       sync.Mutex
-	services map[string]*known
+	mu     sync.Mutex
+	routes map[string]*known
 }
 
-// known is the level of one service, as the answers of its targets state it.
+// known is the level of one route, as the answers of its targets state it.
 type known struct {
-	// direct is that of the service itself, below that of the services which it
-	// calls.
+	// direct is that of the targets themselves, below that of the routes which
+	// they call for it.
 	direct, below float64
 	at            time.Time
 }
 
 // smoothing is the part of a newly stated level in the one that is kept:
-// several targets of a service state levels of their own.
+// several targets of a route state levels of their own.
 const smoothing = 0.2
 
-// Stated is the level of one service as an answer carries it.
+// Stated is the level of one route as an answer carries it.
 type Stated struct {
 	Direct float64
 	Below  float64
@@ -52,25 +52,25 @@
 	return Stated{Direct: d, Below: b}, nil
 }
 
-// Observe takes the level that an answer of the service states.
-func (l *Levels) Observe(now time.Time, service string, s Stated) {
+// Observe takes the level that an answer to a request of the route states.
+func (l *Levels) Observe(now time.Time, route string, s Stated) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k := l.known(service)
+	k := l.known(route)
 	k.settle(now)
 	k.direct += smoothing * (s.Direct - k.direct)
 	k.below += smoothing * (s.Below - k.below)
 	k.at = now
 }
 
-func (l *Levels) known(service string) *known {
-	if l.services == nil {
-		l.services = make(map[string]*known)
+func (l *Levels) known(route string) *known {
+	if l.routes == nil {
+		l.routes = make(map[string]*known)
 	}
-	k, ok := l.services[service]
+	k, ok := l.routes[route]
 	if !ok {
 		k = &known{}
-		l.services[service] = k
+		l.routes[route] = k
 	}
 	return k
 }
@@ -88,11 +88,11 @@
 	k.at = now.Add(-decayAfter)
 }
 
-// Service returns the level of a service.
-func (l *Levels) Service(now time.Time, service string) Stated {
+// Route returns the level of a route.
+func (l *Levels) Route(now time.Time, route string) Stated {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k, ok := l.services[service]
+	k, ok := l.routes[route]
 	if !ok {
 		return Stated{}
 	}
@@ -100,12 +100,12 @@
 	return Stated{Direct: k.direct, Below: k.below}
 }
 
-// Highest returns the highest level of several services, each with what lies
+// Highest returns the highest level of several routes, each with what lies
 // below it.
-func (l *Levels) Highest(now time.Time, services []string) float64 {
+func (l *Levels) Highest(now time.Time, routes []string) float64 {
 	highest := 0.0
-	for _, name := range services {
-		s := l.Service(now, name)
+	for _, name := range routes {
+		s := l.Route(now, name)
 		highest = max(highest, s.Direct, s.Below)
 	}
 	return highest
@@ -113,8 +113,8 @@
 
 // Share returns the share of the requests to turn away. position counts the
 // ranks from the least urgent, which is 0. A level of 2 sheds all requests of
-// the least urgent rank: first those that load the service by calls, then those
-// that go to it directly.
+// the least urgent rank: first those that load the deep service by calls, then
+// those that go to it directly.
 func (s Stated) Share(position int) float64 {
 	base := 2 * float64(position)
 	below := clamp(s.Below - base)
--- a/internal/request/relay/beside.go
+++ b/internal/request/relay/beside.go
@@ -22,25 +22,26 @@
 	Service string
 	Address string
 	Target  *local.Target
-	// Below returns the highest level of the services that the target calls.
-	Below func() float64
-	Links *link.Client
-	Log   *zap.Logger
-	Stats *Stats
+	// Levels and Calls tell the level of what the target calls.
+	Levels *shedding.Levels
+	Calls  *shedding.Calls
+	Links  *link.Client
+	Log    *zap.Logger
+	Stats  *Stats
 }
 
 // ServeHTTP serves the requests that other daemons hand on.
 func (b *Beside) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p, err := DecodePassage(r.Header.Get(headerPassage))
 	if err != nil {
-		b.writeRefusal(w, err, 0)
+		b.writeRefusal(w, &Passage{}, err, 0)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), p.Remaining)
 	defer cancel()
 	c, err := readContent(r.Body, r.ContentLength)
 	if err != nil {
-		b.writeRefusal(w, fault.Wrap(fault.BadRequest, err, "the body ended before it was whole"), 0)
+		b.writeRefusal(w, p, fault.Wrap(fault.BadRequest, err, "the body ended before it was whole"), 0)
 		return
 	}
 	a, err := b.Serve(ctx, p, requestOf(r, passedOn(r.Header), c))
@@ -50,36 +51,37 @@
 		if errors.As(err, &refusal) {
 			after = refusal.After
 		}
-		b.writeRefusal(w, err, after)
+		b.writeRefusal(w, p, err, after)
 		return
 	}
-	b.writeAnswer(w, a)
+	b.writeAnswer(w, p, a)
 }
 
-func (b *Beside) writeRefusal(w http.ResponseWriter, err error, after time.Duration) {
+func (b *Beside) writeRefusal(w http.ResponseWriter, p *Passage, err error, after time.Duration) {
 	h := w.Header()
 	h.Set(headerKind, string(fault.KindOf(err)))
 	h.Set(headerWait, strconv.FormatInt(after.Microseconds(), 10))
-	b.writeLoad(h)
+	b.writeLoad(h, p)
 	writeFailure(w, err, after)
 }
 
-func (b *Beside) writeLoad(h http.Header) {
+func (b *Beside) writeLoad(h http.Header, p *Passage) {
 	h.Set(headerLoad, strconv.FormatFloat(b.Target.Load(), 'f', 3, 64))
-	h.Set(headerLevel, b.Level().String())
+	h.Set(headerLevel, b.Level(p.Route).String())
 }
 
-// Level returns the level that answers state.
-func (b *Beside) Level() shedding.Stated {
-	return shedding.Stated{Direct: b.Target.Level(), Below: b.Below()}
+// Level returns the level that answers to requests of a route state.
+func (b *Beside) Level(route string) shedding.Stated {
+	now := time.Now()
+	return shedding.Stated{Direct: b.Target.Level(), Below: b.Levels.Highest(now, b.Calls.CalledBy(now, route))}
 }
 
-func (b *Beside) writeAnswer(w http.ResponseWriter, a *Answer) {
+func (b *Beside) writeAnswer(w http.ResponseWriter, p *Passage, a *Answer) {
 	h := w.Header()
 	for name, values := range a.Header {
 		h[name] = values
 	}
-	b.writeLoad(h)
+	b.writeLoad(h, p)
 	if err := passOn(w, a); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -126,6 +128,8 @@
 	}
 	b.address(ctx, p, r, slot.ID)
 	began := time.Now()
+	deadline, _ := ctx.Deadline()
+	defer b.Calls.Begin(began, p.Route, deadline)()
 	resp, err := b.Links.Do(ctx, b.Address, r)
 	if err != nil {
 		slot.Done(err)
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -61,10 +61,10 @@
 	Budget        *budget.Budget
 	Beside        *Beside
 	Peers         *link.Client
-	// Levels holds what answers state; Calls remembers the services that the
-	// target of this machine calls.
+	// Levels holds what answers state; Calls learns what the target of this
+	// machine calls.
 	Levels *shedding.Levels
-	Calls  *Calls
+	Calls  *shedding.Calls
 	// Returns remembers the callers that were turned away.
 	Returns *shedding.Returns
 	Log     *zap.Logger
@@ -83,6 +83,9 @@
 	call bool
 	// returned is true where the caller was turned away a short time ago.
 	returned bool
+	// expires is when the caller gives up, deadline when the final answer is
+	// due, useful when its full worth ends.
+	expires  time.Time
 	deadline time.Time
 	useful   time.Time
 	request  *http.Request
@@ -161,16 +164,16 @@
 // that was turned away before goes in, where any of its rank does.
 func (e *Entry) shed(a *arrival, state *version.State) error {
 	if a.call {
-		e.Calls.Add(a.began, a.service)
+		e.Calls.Called(a.began, a.route.Name, a.expires)
 		return nil
 	}
 	a.returned = e.Returns.Returned(a.began, a.key())
-	level := e.Levels.Service(a.began, a.service)
+	level := e.Levels.Route(a.began, a.route.Name)
 	share := level.Share(state.RankPosition(a.rank))
 	if share <= 0 || a.returned && share < 1 || rand.Float64() >= share {
 		return nil
 	}
-	return refuse(fault.New(fault.Overloaded, "service %s has no room for rank %d at level %s", a.service, a.rank, level), shedRetry)
+	return refuse(fault.New(fault.Overloaded, "route %s has no room for rank %d at level %s", a.route.Name, a.rank, level), shedRetry)
 }
 
 // key names the request apart from the attempt.
@@ -216,6 +219,7 @@
 			remaining = min(remaining, time.Duration(ms)*time.Millisecond)
 		}
 	}
+	a.expires = a.began.Add(remaining)
 	remaining = max(remaining-answerMargin, remaining/2)
 	if a.route.Timeout > 0 {
 		remaining = min(remaining, a.route.Timeout)
@@ -366,7 +370,7 @@
 func (e *Entry) pass(ctx context.Context, a *arrival, choice placement.Choice) (*Answer, error) {
 	now := time.Now()
 	p := &Passage{
-		RequestID: a.id, Service: a.service, Team: a.team, Origin: e.Service, Rank: a.rank, Call: a.call, Returned: a.returned,
+		RequestID: a.id, Service: a.service, Route: a.route.Name, Team: a.team, Origin: e.Service, Rank: a.rank, Call: a.call, Returned: a.returned,
 		Repeatable: a.route.Mode == version.Idempotent, Remaining: a.deadline.Sub(now), Useful: a.useful.Sub(now),
 	}
 	if p.Remaining <= 0 {
@@ -382,7 +386,7 @@
 	request := requestOf(a.request, header, a.content)
 	if choice.Record.Instance == e.Instance && e.Beside != nil {
 		answer, err := e.Beside.Serve(ctx, p, request)
-		e.Levels.Observe(time.Now(), p.Service, e.Beside.Level())
+		e.Levels.Observe(time.Now(), p.Route, e.Beside.Level(p.Route))
 		if answer != nil {
 			answer.Load = e.Beside.Target.Load()
 		}
@@ -399,7 +403,7 @@
 	if err != nil {
 		return nil, err
 	}
-	load, after := e.reported(p.Service, resp.Header)
+	load, after := e.reported(p.Route, resp.Header)
 	if kind := fault.Kind(resp.Header.Get(headerKind)); kind != "" {
 		return nil, readRefusal(resp, kind, after)
 	}
@@ -415,9 +419,9 @@
 
 // reported takes in the level that a daemon states. It returns its load, -1
 // where it states none, and the advised wait.
-func (e *Entry) reported(service string, h http.Header) (load float64, after time.Duration) {
+func (e *Entry) reported(route string, h http.Header) (load float64, after time.Duration) {
 	if stated, err := shedding.ParseStated(h.Get(headerLevel)); err == nil {
-		e.Levels.Observe(time.Now(), service, stated)
+		e.Levels.Observe(time.Now(), route, stated)
 	}
 	load, err := strconv.ParseFloat(h.Get(headerLoad), 64)
 	if err != nil {
--- a/internal/request/relay/passage.go
+++ b/internal/request/relay/passage.go
@@ -12,8 +12,10 @@
 type Passage struct {
 	// RequestID is the id that the caller gave to its attempt.
 	RequestID string
-	// Service is the service that the request is meant for.
+	// Service is the service that the request is meant for, Route the name of
+	// its route.
 	Service string
+	Route   string
 	// Team is the team in whose name it runs; empty for a public route.
 	Team string
 	// Origin is the service of the machine where the request began.
@@ -33,7 +35,7 @@
 }
 
 const (
-	passageFields = 9
+	passageFields = 10
 	flagCall      = "c"
 	flagRepeat    = "r"
 	flagReturned  = "b"
@@ -53,7 +55,7 @@
 	}
 	return strings.Join([]string{
 		"1", p.Service, p.Team, p.Origin, strconv.Itoa(p.Rank), flags,
-		microseconds(p.Remaining), microseconds(p.Useful), p.RequestID,
+		microseconds(p.Remaining), microseconds(p.Useful), p.Route, p.RequestID,
 	}, "\t")
 }
 
@@ -84,6 +86,7 @@
 		Returned:   strings.Contains(f[5], flagReturned),
 		Remaining:  time.Duration(remaining) * time.Microsecond,
 		Useful:     time.Duration(useful) * time.Microsecond,
-		RequestID:  f[8],
+		Route:      f[8],
+		RequestID:  f[9],
 	}, nil
 }
