Services of a configuration are listed once for each version

Change: the list is made with the state. An outage of the quota issuer counts from 150 ms without an answer.

--- a/internal/process/daemon/build.go
+++ b/internal/process/daemon/build.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"slices"
 	"time"
 
 	"github.com/teaselrack/teaselrack/internal/connection/peer"
@@ -98,12 +97,7 @@
 	if len(d.settings.Subscribe) > 0 {
 		return d.settings.Subscribe
 	}
-	var services []string
-	for _, r := range d.holder.Current().Entries().Routes {
-		services = append(services, r.Service)
-	}
-	slices.Sort(services)
-	return slices.Compact(services)
+	return d.holder.Current().ServiceNames()
 }
 
 func (d *Daemon) weight(team string) uint32 {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -221,20 +221,14 @@
 }
 
 // subscriptions returns the services of every route in force.
-func (n *Node) subscriptions() []string {
-	var services []string
-	for _, s := range n.holder.Current().Entries().Services {
-		services = append(services, s.Name)
-	}
-	return services
-}
+func (n *Node) subscriptions() []string { return n.holder.Current().ServiceNames() }
 
 // processes estimates how many processes relay requests: one beside each
 // target.
 func (n *Node) processes() int {
 	count := 0
-	for _, s := range n.holder.Current().Entries().Services {
-		count += len(n.table.Targets(s.Name))
+	for _, name := range n.holder.Current().ServiceNames() {
+		count += len(n.table.Targets(name))
 	}
 	return max(count, 1)
 }
--- a/internal/process/quota/holder.go
+++ b/internal/process/quota/holder.go
@@ -111,6 +111,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := h.now()
+	if h.outageBound > 0 && p.unanswered(now) {
+		p.outage.begin(now)
+	}
 	if p.spend(now) || p.outage.take(now, h.outageBound) {
 		return nil, true, nil
 	}
--- a/internal/process/quota/purse.go
+++ b/internal/process/quota/purse.go
@@ -17,6 +17,9 @@
 	horizon = 400 * time.Millisecond
 	// askTimeout is how long an ask may take before another one replaces it.
 	askTimeout = 500 * time.Millisecond
+	// answerTimeout is how long an issuer that is well takes to answer at most:
+	// a few confirmed rounds of its group.
+	answerTimeout = 150 * time.Millisecond
 	// leanPause is how long a holder asks only for waiting requests after the
 	// issuer had no tokens to spare.
 	leanPause = time.Second
@@ -152,6 +155,12 @@
 	return !p.asked.IsZero() && now.Sub(p.asked) < askTimeout
 }
 
+// unanswered reports whether an issuer takes longer to answer than one that is
+// well would.
+func (p *purse) unanswered(now time.Time) bool {
+	return !p.asked.IsZero() && now.Sub(p.asked) > answerTimeout
+}
+
 // begin makes the next ask where there is something to ask for or to report.
 // It gives back tokens that exceed the target by more than a quarter.
 func (p *purse) begin(now time.Time) (protocol.QuotaAsk, bool) {
--- a/internal/version/state.go
+++ b/internal/version/state.go
@@ -36,6 +36,8 @@
 	hosted map[string][]Route
 	// ranks are those of routes and teams, ascending.
 	ranks []int
+	// serviceNames are the services of routes and service entries, sorted.
+	serviceNames []string
 
 	revision uint64
 	source   []byte
@@ -276,10 +278,27 @@
 		s.hosted[r.Host] = append(s.hosted[r.Host], r)
 	}
 	s.ranks = ranksOf(e)
+	s.serviceNames = servicesOf(e)
 	s.digest = digestOf(s.image())
 	return s
 }
 
+// ServiceNames returns the services that are declared or that routes name,
+// sorted. The caller must not change the list.
+func (s *State) ServiceNames() []string { return s.serviceNames }
+
+func servicesOf(e Entries) []string {
+	var names []string
+	for _, v := range e.Services {
+		names = append(names, v.Name)
+	}
+	for _, r := range e.Routes {
+		names = append(names, r.Services()...)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // ranksOf returns the ranks that requests of callers can have, ascending.
 func ranksOf(e Entries) []int {
 	var ranks []int
