--- a/internal/process/quota/holder.go
+++ b/internal/process/quota/holder.go
@@ -112,7 +112,7 @@
 	defer p.mu.Unlock()
 	now := h.now()
 	if h.outageBound > 0 && p.unanswered(now) {
-		p.outage.begin(now)
+		p.outage.begin(now, p.limited(now))
 	}
 	if p.spend(now) || p.outage.take(now, h.outageBound) {
 		return nil, true, nil
--- a/internal/process/quota/outage.go
+++ b/internal/process/quota/outage.go
@@ -10,20 +10,31 @@
 	usageWindow = 3 * time.Second
 	// outageBurst is how much of the average may be spent at once.
 	outageBurst = 500 * time.Millisecond
+	// outageShare is the part of the rate before that is spent: where only some
+	// daemons are cut off, the others may get the whole rate from the issuer at
+	// the same time. With a third of the daemons cut off and a team that reaches
+	// its limit then, all spend no more than a tenth above rate and burst.
+	outageShare = 0.6
+	// limitedShare is the same for a team that was at its limit before.
+	limitedShare = 0.3
+	// limitedFor is how long a team counts as being at its limit after the
+	// issuer has said so.
+	limitedFor = 3 * time.Second
 )
 
-// outage lets a team go on spending at the rate of the time before, while no
-// issuer answers. All daemons together then spend no more than they did before,
-// which the issuer had granted.
+// outage lets a team go on spending at a part of the rate of the time before,
+// while no issuer answers.
 type outage struct {
 	// rate is the average of the tokens spent a second, at counted. It stands
 	// still during an outage.
 	rate    float64
 	counted time.Time
 	// since is when the outage began; zero while there is none.
-	since  time.Time
-	filled time.Time
-	tokens float64
+	since time.Time
+	// allowed is the number of tokens a second during the outage.
+	allowed float64
+	filled  time.Time
+	tokens  float64
 }
 
 // spent counts a token of an issuer.
@@ -39,14 +50,20 @@
 	}
 }
 
-// begin notes that an issuer did not answer.
-func (o *outage) begin(now time.Time) {
-	if o.since.IsZero() {
-		o.decay(now)
-		o.since = now
-		o.filled = now
-		o.tokens = min(o.rate*outageBurst.Seconds(), 1)
+// begin notes that an issuer did not answer. limited says that the team was at
+// its limit a short time ago.
+func (o *outage) begin(now time.Time, limited bool) {
+	if !o.since.IsZero() {
+		return
 	}
+	o.decay(now)
+	o.allowed = o.rate * outageShare
+	if limited {
+		o.allowed = o.rate * limitedShare
+	}
+	o.since = now
+	o.filled = now
+	o.tokens = min(o.allowed*outageBurst.Seconds(), 1)
 }
 
 // end notes that an issuer has answered.
@@ -57,8 +74,8 @@
 	if o.since.IsZero() || now.Sub(o.since) >= bound {
 		return false
 	}
-	most := max(o.rate*outageBurst.Seconds(), 1)
-	o.tokens = min(o.tokens+o.rate*now.Sub(o.filled).Seconds(), most)
+	most := max(o.allowed*outageBurst.Seconds(), 1)
+	o.tokens = min(o.tokens+o.allowed*now.Sub(o.filled).Seconds(), most)
 	o.filled = now
 	if o.tokens < 1 {
 		return false
--- a/internal/process/quota/purse.go
+++ b/internal/process/quota/purse.go
@@ -46,6 +46,8 @@
 	asked time.Time
 	// refused is when the issuer last said that the team is at its limit.
 	refused time.Time
+	// limit is the same, but stays when the issuer has tokens again.
+	limit time.Time
 	// wanted is what the last ask wanted, lean when an answer last gave less.
 	wanted  int
 	lean    time.Time
@@ -155,6 +157,11 @@
 	return !p.asked.IsZero() && now.Sub(p.asked) < askTimeout
 }
 
+// limited reports whether the team was at its limit a short time ago.
+func (p *purse) limited(now time.Time) bool {
+	return !p.limit.IsZero() && now.Sub(p.limit) < limitedFor
+}
+
 // unanswered reports whether an issuer takes longer to answer than one that is
 // well would.
 func (p *purse) unanswered(now time.Time) bool {
@@ -226,11 +233,12 @@
 	p.refused = time.Time{}
 	if grant.Final {
 		p.refused = now
+		p.limit = now
 	}
 	if grant.Tokens > 0 || grant.Final {
 		p.outage.end()
 	} else if p.wanted > 0 {
-		p.outage.begin(now)
+		p.outage.begin(now, p.limited(now))
 	}
 	p.wake()
 }
@@ -240,7 +248,7 @@
 	if sequence == p.sequence && !p.asked.IsZero() {
 		p.asked = time.Time{}
 		if p.wanted > 0 {
-			p.outage.begin(now)
+			p.outage.begin(now, p.limited(now))
 		}
 		p.wake()
 	}
