Relay: whole long answers, passages without an id, and tests of the path

Cause: answers above 64 KiB were cut off at the entry because the context ended before they were passed on; a request without an id lost the last field of its passage; with the default header names the mark of a rejected request was taken off between daemons; 503 was possible for outcomes that promise nothing. Change: the context lives as long as the answer, the route stands last, only the headers between daemons are taken off.

--- /dev/null
+++ b/internal/process/budget/budget_test.go
@@ -0,0 +1,53 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestAllProcessesTogether: a service whose every request fails is sent repeats
+// by all processes. With the calls that each repeat causes they stay within the
+// ratio and the slack in every window.
+func TestAllProcessesTogether(t *testing.T) {
+	const processes, each, callsEach = 16, 20, 4
+	o := Options{Ratio: 0.2, Window: 10 * time.Second, Slack: 49, Processes: func() int { return processes }}
+	var budgets []*Budget
+	for range processes {
+		budgets = append(budgets, New(o))
+	}
+	start := time.Unix(1, 0)
+	var repeats []time.Time
+	for now := start; now.Sub(start) < time.Minute; now = now.Add(time.Second / each) {
+		for _, b := range budgets {
+			b.Request(now, "s")
+			if b.Take(now, "s") {
+				repeats = append(repeats, now)
+			}
+		}
+	}
+	limit := o.Ratio*processes*each*o.Window.Seconds() + o.Slack
+	for i := range repeats {
+		n := 0
+		for _, at := range repeats[i:] {
+			if at.Sub(repeats[i]) < o.Window {
+				n++
+			}
+		}
+		must.LessEq(t, limit, float64(n*callsEach))
+	}
+	must.Greater(t, 100, len(repeats))
+}
+
+func TestRepeatsAreSavedUpOnlyALittle(t *testing.T) {
+	b := New(Options{Ratio: 0.2, Window: 10 * time.Second, Slack: 16, Processes: func() int { return 1 }})
+	now := time.Unix(1, 0)
+	b.Request(now, "s")
+	now = now.Add(time.Hour)
+	n := 0
+	for b.Take(now, "s") {
+		n++
+	}
+	must.Eq(t, 1, n)
+}
--- /dev/null
+++ b/internal/process/placement/placement_test.go
@@ -0,0 +1,78 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+)
+
+func none(int) bool { return false }
+
+func draw() func(int) int { return rand.New(rand.NewPCG(1, 1)).IntN }
+
+func TestOwnFailureDomainFirst(t *testing.T) {
+	now := time.Unix(1, 0)
+	targets := []*Target{{Own: true, Slots: 10}, {Slots: 10}}
+	for range 100 {
+		must.Eq(t, 0, Choose(now, targets, none, draw()))
+	}
+	targets[0].Report(now, 2)
+	must.Eq(t, 1, Choose(now, targets, none, draw()))
+	targets[1].Report(now, 1.8)
+	must.Eq(t, 0, Choose(now, targets, none, draw()), must.Sprint("a little less load is not worth the way"))
+}
+
+func TestNoTargetIsLeft(t *testing.T) {
+	now := time.Unix(1, 0)
+	must.Eq(t, -1, Choose(now, nil, none, draw()))
+	must.Eq(t, -1, Choose(now, []*Target{{Own: true}}, func(int) bool { return true }, draw()))
+}
+
+// TestFailingTargetIsLeft replays a target that fails half of its requests
+// while the others of its service do well, and one second later a service where
+// all fail alike.
+func TestFailingTargetIsLeft(t *testing.T) {
+	now := time.Unix(1, 0)
+	targets := []*Target{{Own: true, Slots: 10}, {Slots: 10}, {Slots: 10}}
+	for i := range 30 {
+		targets[0].Result(now, i%2 == 0)
+		targets[1].Result(now, false)
+		targets[2].Result(now, false)
+	}
+	must.NotEq(t, 0, Choose(now, targets, none, draw()))
+	for i := range 100 {
+		targets[0].Result(now, i%2 == 0)
+		targets[1].Result(now, i%2 == 0)
+		targets[2].Result(now, i%2 == 0)
+	}
+	must.Eq(t, 0, Choose(now, targets, none, draw()), must.Sprint("what fails everywhere is no reason to leave"))
+}
+
+func TestFailuresAreForgotten(t *testing.T) {
+	now := time.Unix(1, 0)
+	var target Target
+	for range 50 {
+		target.Result(now, true)
+	}
+	must.Greater(t, 0.9, target.Failures(now))
+	must.Less(t, 0.1, target.Failures(now.Add(4*failureHalfLife)))
+}
+
+func TestDirectoryLeavesOutLeavingTargets(t *testing.T) {
+	records := []protocol.TargetRecord{
+		{Service: "s", Instance: "a", FailureDomain: "z", State: protocol.Leaving, Slots: 1},
+		{Service: "s", Instance: "b", FailureDomain: "z", State: protocol.Warm, Slots: 1, DaemonLeaving: true},
+		{Service: "s", Instance: "c", FailureDomain: "y", State: protocol.Warm, Slots: 1},
+	}
+	d := &Directory{FailureDomain: "z", List: func(string) []protocol.TargetRecord { return records }}
+	choice, ok := d.Choose(time.Unix(1, 0), "s", nil)
+	must.True(t, ok)
+	must.Eq(t, "c", choice.Record.Instance)
+	choice.Ended()
+	_, ok = d.Choose(time.Unix(1, 0), "s", []string{"c"})
+	must.False(t, ok)
+}
--- a/internal/request/relay/content.go
+++ b/internal/request/relay/content.go
@@ -55,16 +55,15 @@
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+	headerPassage, headerKind, headerLoad, headerWait, headerLevel,
 }
 
-// passedOn returns the headers that are not about one connection and not this
-// system's own between daemons.
+// passedOn returns the headers that are not about one connection and not those
+// between daemons.
 func passedOn(h http.Header) http.Header {
 	out := make(http.Header, len(h)+4)
 	for name, values := range h {
-		if !strings.HasPrefix(name, ownPrefix) {
-			out[name] = values
-		}
+		out[name] = values
 	}
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -90,14 +90,20 @@
 	useful   time.Time
 	request  *http.Request
 	header   http.Header
-	content  content
-	version  uint64
+	// release frees the context of the request once its answer was passed on.
+	release context.CancelFunc
+	content content
+	version uint64
 }
 
 // ServeHTTP answers one request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	a := &arrival{began: time.Now(), id: r.Header.Get(e.Names.RequestID), request: r}
-	answer, err := e.serve(w, a)
+	// The answer is passed on within the same context that it was asked for in.
+	answer, err := e.serve(r.Context(), w, a)
+	if a.release != nil {
+		defer a.release()
+	}
 	if err != nil {
 		e.fail(w, a, err)
 		return
@@ -135,7 +141,7 @@
 	writeFailure(w, err, after)
 }
 
-func (e *Entry) serve(w http.ResponseWriter, a *arrival) (*Answer, error) {
+func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, a *arrival) (*Answer, error) {
 	state := e.Configuration.Current()
 	if state.Number() == 0 {
 		return nil, refuse(fault.New(fault.LeaseExpired, "no configuration is known here yet"), startRetry)
@@ -143,8 +149,7 @@
 	if err := e.identify(a, state); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithDeadline(a.request.Context(), a.deadline)
-	defer cancel()
+	ctx, a.release = context.WithDeadline(ctx, a.deadline)
 	if err := e.readBody(ctx, w, a, state.Limits()); err != nil {
 		return nil, err
 	}
--- a/internal/request/relay/names.go
+++ b/internal/request/relay/names.go
@@ -42,5 +42,4 @@
 	headerLoad    = "Teaselrack-Load"
 	headerWait    = "Teaselrack-Wait"
 	headerLevel   = "Teaselrack-Level"
-	ownPrefix     = "Teaselrack-"
 )
--- a/internal/request/relay/passage.go
+++ b/internal/request/relay/passage.go
@@ -55,7 +55,7 @@
 	}
 	return strings.Join([]string{
 		"1", p.Service, p.Team, p.Origin, strconv.Itoa(p.Rank), flags,
-		microseconds(p.Remaining), microseconds(p.Useful), p.Route, p.RequestID,
+		microseconds(p.Remaining), microseconds(p.Useful), p.RequestID, p.Route,
 	}, "\t")
 }
 
@@ -86,7 +86,7 @@
 		Returned:   strings.Contains(f[5], flagReturned),
 		Remaining:  time.Duration(remaining) * time.Microsecond,
 		Useful:     time.Duration(useful) * time.Microsecond,
-		Route:      f[8],
-		RequestID:  f[9],
+		RequestID:  f[8],
+		Route:      f[9],
 	}, nil
 }
--- a/internal/request/relay/refusal.go
+++ b/internal/request/relay/refusal.go
@@ -31,6 +31,9 @@
 	if row.Outcome == fault.NotRun && row.Retry && row.Status >= http.StatusInternalServerError {
 		return http.StatusServiceUnavailable
 	}
+	if row.Outcome != fault.NotRun && row.Status == http.StatusServiceUnavailable {
+		return http.StatusBadGateway
+	}
 	if row.Status == http.StatusInternalServerError || row.Status < http.StatusBadRequest || kind == fault.CallerGone {
 		return http.StatusBadGateway
 	}
