--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -44,16 +44,23 @@
 	s.mu.Lock()
 	s.seen = append(s.seen, r)
 	s.bodies = append(s.bodies, string(body))
+	answer := s.answer
 	s.mu.Unlock()
 	w.Header().Set("Teaselrack-Request", r.Header.Get("Teaselrack-Request"))
 	w.Header().Set("Stamp", "s")
-	if s.answer != nil {
-		s.answer(w, r)
+	if answer != nil {
+		answer(w, r)
 		return
 	}
 	_, _ = w.Write([]byte("ok"))
 }
 
+func (s *stub) serveWith(answer func(w http.ResponseWriter, r *http.Request)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer = answer
+}
+
 func (s *stub) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -225,12 +232,12 @@
 	release := make(chan struct{})
 	t.Cleanup(func() { close(release) })
 	for _, one := range m.machines {
-		one.stub.answer = func(_ http.ResponseWriter, r *http.Request) {
+		one.stub.serveWith(func(_ http.ResponseWriter, r *http.Request) {
 			select {
 			case <-release:
 			case <-r.Context().Done():
 			}
-		}
+		})
 	}
 	resp, _ := m.send(m.outside(), "GET", "/p/x", nil, "")
 	must.Eq(t, http.StatusGatewayTimeout, resp.StatusCode)
@@ -241,7 +248,7 @@
 func TestOnceIsNeverSentTwice(t *testing.T) {
 	m := newMesh(t, version.Once, 3, 2)
 	for _, one := range m.machines {
-		one.stub.answer = func(w http.ResponseWriter, _ *http.Request) { hijackAndClose(w) }
+		one.stub.serveWith(func(w http.ResponseWriter, _ *http.Request) { hijackAndClose(w) })
 	}
 	resp, _ := m.send(m.outside(), "POST", "/p/x", nil, "body")
 	must.Eq(t, http.StatusBadGateway, resp.StatusCode)
@@ -252,9 +259,9 @@
 	m := newMesh(t, version.Idempotent, 1, 2)
 	for _, broken := range m.machines {
 		for _, one := range m.machines {
-			one.stub.answer = nil
+			one.stub.serveWith(nil)
 		}
-		broken.stub.answer = func(w http.ResponseWriter, _ *http.Request) { hijackAndClose(w) }
+		broken.stub.serveWith(func(w http.ResponseWriter, _ *http.Request) { hijackAndClose(w) })
 		for range 3 {
 			resp, text := m.send(m.outside(), "POST", "/p/x", nil, "body")
 			must.Eq(t, 200, resp.StatusCode)
@@ -272,7 +279,7 @@
 func TestAttemptsAreBounded(t *testing.T) {
 	m := newMesh(t, version.Idempotent, 1, 4)
 	for _, one := range m.machines {
-		one.stub.answer = func(w http.ResponseWriter, _ *http.Request) { hijackAndClose(w) }
+		one.stub.serveWith(func(w http.ResponseWriter, _ *http.Request) { hijackAndClose(w) })
 	}
 	resp, _ := m.send(m.outside(), "GET", "/p/x", nil, "")
 	must.Eq(t, http.StatusBadGateway, resp.StatusCode)
@@ -287,10 +294,10 @@
 func TestRejectionIsANotRunRefusal(t *testing.T) {
 	m := newMesh(t, version.Once, 1, 2)
 	for _, one := range m.machines {
-		one.stub.answer = func(w http.ResponseWriter, _ *http.Request) {
+		one.stub.serveWith(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Teaselrack-Not-Run", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+		})
 	}
 	resp, _ := m.send(m.outside(), "POST", "/p/x", nil, "body")
 	must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
@@ -305,7 +312,7 @@
 	first := true
 	var mu sync.Mutex
 	for _, one := range m.machines {
-		one.stub.answer = func(w http.ResponseWriter, _ *http.Request) {
+		one.stub.serveWith(func(w http.ResponseWriter, _ *http.Request) {
 			mu.Lock()
 			defer mu.Unlock()
 			if first {
@@ -315,7 +322,7 @@
 			}
 			w.Header().Set("Teaselrack-Not-Run", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+		})
 	}
 	resp, _ := m.send(m.outside(), "GET", "/p/x", nil, "")
 	must.Eq(t, http.StatusBadGateway, resp.StatusCode)
@@ -325,7 +332,7 @@
 // that announced itself.
 func TestAnotherTargetAtTheAddress(t *testing.T) {
 	m := newMesh(t, version.Once, 0, 1)
-	m.machines[0].stub.answer = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
+	m.machines[0].stub.serveWith(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })
 	resp, _ := m.send(m.outside(), "POST", "/p/x", nil, "")
 	must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
 }
@@ -344,11 +351,11 @@
 // TestBrokenAnswerDoesNotLookComplete: a long answer ends before its length.
 func TestBrokenAnswerDoesNotLookComplete(t *testing.T) {
 	m := newMesh(t, version.Once, 0, 1)
-	m.machines[0].stub.answer = func(w http.ResponseWriter, _ *http.Request) {
+	m.machines[0].stub.serveWith(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "1000000")
 		_, _ = w.Write(make([]byte, 200_000))
 		hijackAndClose(w)
-	}
+	})
 	r, err := http.NewRequest("GET", m.outside().outer.URL+"/p/x", nil)
 	must.NoError(t, err)
 	r.Host = host
@@ -365,7 +372,7 @@
 func TestLongBodiesAreStreamed(t *testing.T) {
 	m := newMesh(t, version.Once, 0, 1)
 	long := strings.Repeat("0123456789", 50_000)
-	m.machines[0].stub.answer = func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(long)) }
+	m.machines[0].stub.serveWith(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(long)) })
 	resp, text := m.send(m.outside(), "POST", "/p/x", nil, long)
 	must.Eq(t, 200, resp.StatusCode)
 	must.Eq(t, long, text)
@@ -377,11 +384,11 @@
 func TestLeavingCallerFreesTheTarget(t *testing.T) {
 	m := newMesh(t, version.Once, 0, 1)
 	working, freed := make(chan struct{}), make(chan struct{})
-	m.machines[0].stub.answer = func(_ http.ResponseWriter, r *http.Request) {
+	m.machines[0].stub.serveWith(func(_ http.ResponseWriter, r *http.Request) {
 		close(working)
 		<-r.Context().Done()
 		close(freed)
-	}
+	})
 	from := m.outside()
 	conn, err := net.Dial("tcp", from.outer.Listener.Addr().String())
 	must.NoError(t, err)
