--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -269,9 +269,11 @@
 		}
 	}
 	for _, one := range m.machines {
+		one.stub.mu.Lock()
 		for _, body := range one.stub.bodies {
 			must.Eq(t, "body", body)
 		}
+		one.stub.mu.Unlock()
 	}
 }
 
