Tests: a group that founds, joins and repairs itself in virtual time

Change: founding from seeds, two lost disks at once, a successor at another address and two more lost disks, all processes at once, orders that are repeated.

--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -145,9 +145,12 @@
 	address string
 	disks   map[string]*storagetest.Disk
 	random  *rand.Rand
-	cancel  context.CancelFunc
-	ended   chan error
-	role    *control.Role
+	// membership and seeds are set where replicas keep their members themselves.
+	membership *control.Membership
+	seeds      func() []string
+	cancel     context.CancelFunc
+	ended      chan error
+	role       *control.Role
 }
 
 func (r *replicaProcess) openDisk(dir string) (storage.Disk, error) {
@@ -161,11 +164,16 @@
 
 func (r *replicaProcess) start() {
 	c := r.cluster
+	seeds := r.seeds
+	if seeds == nil {
+		seeds = c.addresses
+	}
 	role, err := control.NewRole(control.RoleOptions{
 		Folder:       r.address,
 		OpenDisk:     r.openDisk,
 		Address:      r.address,
-		Replicas:     c.addresses,
+		Replicas:     seeds,
+		Membership:   r.membership,
 		LedgerShards: 1,
 		Caller:       &port{c.net, r.address, mesh.Peer{Name: r.address, Role: mesh.Replica}},
 		Recorder:     nothing{},
--- /dev/null
+++ b/internal/process/control/keeper_test.go
@@ -0,0 +1,233 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/control"
+	"github.com/teaselrack/teaselrack/internal/process/storage/storagetest"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+const (
+	keptReplicas = 5
+	keptLosses   = 2
+	// catchUp is the time in which a successor must count.
+	catchUp = 4 * time.Second
+)
+
+// keptCluster is a cluster of replicas that found, join and repair without an
+// operator. They are told the first three addresses.
+func keptCluster(t *testing.T, seed uint64) *cluster {
+	c := &cluster{t: t, net: newNetwork(seed)}
+	t.Cleanup(c.close)
+	c.operator = &port{c.net, operatorName, mesh.Peer{Name: operatorName, Role: mesh.Operator}}
+	for i := range keptReplicas {
+		c.add(seed, i, i == 0)
+	}
+	for _, r := range c.replicas {
+		r.start()
+	}
+	return c
+}
+
+func (c *cluster) add(seed uint64, i int, founder bool) *replicaProcess {
+	r := &replicaProcess{
+		cluster: c, address: fmt.Sprintf("10.0.0.%d:1", i+1), disks: make(map[string]*storagetest.Disk),
+		random:     rand.New(rand.NewPCG(seed, uint64(i))),
+		membership: &control.Membership{Losses: keptLosses, Founder: founder},
+		seeds:      func() []string { return []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"} },
+	}
+	c.replicas = append(c.replicas, r)
+	return r
+}
+
+func wholeNote(t *testing.T, revision, base uint64) []byte {
+	t.Helper()
+	note := version.Note{Order: &version.Order{Whole: &version.Whole{
+		Revision: revision, Base: base, Source: []byte(fmt.Sprint("revision ", revision)),
+		Entries: version.Entries{
+			Services: []version.Service{{Name: "s"}},
+			Routes:   []version.Route{{Name: "r", Host: "h", Path: "/", Service: "s", Timeout: time.Second}},
+		},
+	}}}
+	encoded, err := note.Encode()
+	must.NoError(t, err)
+	return encoded
+}
+
+// order sends an order to the running replicas in turn until one gives a final
+// answer.
+func (c *cluster) order(encoded []byte, within time.Duration) error {
+	err := fault.New(fault.NoLeader, "no replica runs")
+	for start := time.Now(); time.Since(start) < within; time.Sleep(20 * time.Millisecond) {
+		for _, r := range c.replicas {
+			if r.role == nil {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(c.t.Context(), time.Second)
+			err = c.operator.Call(ctx, r.address, protocol.MethodOrder, protocol.OrderRequest{Order: encoded}, &protocol.ApplyReply{})
+			cancel()
+			if err == nil || fault.Is(err, fault.RevisionConflict) || fault.Is(err, fault.NoteInvalid) {
+				return err
+			}
+		}
+	}
+	return err
+}
+
+// revision returns what a confirmed read answers.
+func (c *cluster) revision() uint64 {
+	for range 200 {
+		for _, r := range c.replicas {
+			if r.role == nil {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(c.t.Context(), 500*time.Millisecond)
+			state, err := r.role.Service().Confirmed(ctx)
+			cancel()
+			if err == nil {
+				return state.Revision()
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.t.Fatal("no replica confirms")
+	return 0
+}
+
+// voters returns the addresses of the voters as the leader sees them.
+func (c *cluster) voters() map[string]bool {
+	voters := make(map[string]bool)
+	for _, r := range c.replicas {
+		if r.role == nil {
+			continue
+		}
+		status, err := r.role.Service().Status(c.t.Context(), mesh.Peer{}, protocol.Empty{})
+		if err != nil || status.Replicas[0].Role != protocol.RoleLeader {
+			continue
+		}
+		for _, m := range status.Replicas[0].Members {
+			if !m.Learner {
+				voters[m.Address+" "+m.ID] = true
+			}
+		}
+		return voters
+	}
+	return voters
+}
+
+// TestFoundedFromSeeds: nobody founds or admits. The first order is taken only
+// by a group that survives the loss of two disks, which the next moment brings.
+func TestFoundedFromSeeds(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := keptCluster(t, seed)
+				must.NoError(t, c.order(wholeNote(t, 7, 0), 8*time.Second))
+				for _, i := range []int{int(seed) % 5, int(seed+2) % 5} {
+					c.replicas[i].stop()
+					clear(c.replicas[i].disks)
+					c.replicas[i].membership.Founder = false
+				}
+				for _, r := range c.replicas {
+					if r.role == nil {
+						r.start()
+					}
+				}
+				must.Eq(t, 7, c.revision())
+				must.NoError(t, c.order(wholeNote(t, 9, 7), 8*time.Second))
+				must.NoError(t, c.order(wholeNote(t, 7, 0), 8*time.Second), must.Sprint("what was accepted is acknowledged again"))
+				must.Eq(t, fault.RevisionConflict, fault.KindOf(c.order(wholeNote(t, 10, 7), 8*time.Second)))
+				must.Eq(t, 9, c.revision())
+			})
+		})
+	}
+}
+
+// TestReplacedAtAnotherAddress: a member is gone for good, an empty successor
+// comes at another address, counts in time, and then two more disks are lost.
+func TestReplacedAtAnotherAddress(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := keptCluster(t, seed)
+				must.NoError(t, c.order(wholeNote(t, 1, 0), 8*time.Second))
+				lost := c.replicas[seed]
+				lost.stop()
+				time.Sleep(time.Second)
+				successor := c.add(seed, keptReplicas, false)
+				successor.start()
+				time.Sleep(catchUp)
+				voters := c.voters()
+				must.MapLen(t, keptReplicas, voters)
+				for name := range voters {
+					must.StrNotContains(t, name, lost.address+" ")
+				}
+				must.NoError(t, c.order(wholeNote(t, 2, 1), 4*time.Second))
+				for _, r := range c.replicas[3:5] {
+					r.stop()
+					clear(r.disks)
+					r.start()
+				}
+				must.Eq(t, 2, c.revision())
+				time.Sleep(2 * catchUp)
+				must.MapLen(t, keptReplicas, c.voters())
+			})
+		})
+	}
+}
+
+// TestAllAtOnce: every process ends at the same moment and is back a second
+// later.
+func TestAllAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := keptCluster(t, 1)
+		must.NoError(t, c.order(wholeNote(t, 1, 0), 8*time.Second))
+		for _, r := range c.replicas {
+			r.stop()
+		}
+		time.Sleep(time.Second)
+		for _, r := range c.replicas {
+			r.start()
+		}
+		must.Eq(t, 1, c.revision())
+		must.NoError(t, c.order(wholeNote(t, 2, 1), 4*time.Second))
+	})
+}
+
+// TestDomainOrders: taking a failure domain out and back is idempotent, and a
+// new whole configuration leaves it as it is.
+func TestDomainOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := keptCluster(t, 1)
+		must.NoError(t, c.order(wholeNote(t, 1, 0), 8*time.Second))
+		set := func(inService bool) {
+			note := version.Note{Order: &version.Order{Domain: &version.FailureDomain{Name: "z", InService: inService}}}
+			encoded, err := note.Encode()
+			must.NoError(t, err)
+			must.NoError(t, c.order(encoded, 4*time.Second))
+			must.NoError(t, c.order(encoded, 4*time.Second))
+		}
+		inService := func() bool {
+			state, err := c.replicas[0].role.Service().Confirmed(t.Context())
+			must.NoError(t, err)
+			return state.DomainInService("z")
+		}
+		set(false)
+		must.False(t, inService())
+		must.NoError(t, c.order(wholeNote(t, 2, 1), 4*time.Second))
+		must.False(t, inService())
+		set(true)
+		must.True(t, inService())
+	})
+}
