Logs that never block, lines for lost and regained replicas, metrics

Cause: the log was written in the path of requests, and a lost control group left no line. Change: a writer of its own that drops and counts; lines for contact, leadership and orders; counters, histograms and gauges on the metrics address.

--- a/cmd/teaselrackd/logger.go
+++ b/cmd/teaselrackd/logger.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"os"
-
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -10,14 +8,6 @@
 	"github.com/teaselrack/teaselrack/internal/process/settings"
 )
 
-// newPlatformLogger returns a logger to standard output.
-func newPlatformLogger() *zap.Logger {
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	config.EncodeDuration = zapcore.StringDurationEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(os.Stdout), zapcore.InfoLevel))
-}
-
 // newLogger returns a logger to standard error.
 func newLogger(o settings.Log) (*zap.Logger, error) {
 	level, err := zapcore.ParseLevel(o.Level)
--- a/cmd/teaselrackd/main.go
+++ b/cmd/teaselrackd/main.go
@@ -13,8 +13,10 @@
 
 	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/teaselrack/teaselrack/internal/process/daemon"
+	"github.com/teaselrack/teaselrack/internal/process/logging"
 	"github.com/teaselrack/teaselrack/internal/process/settings"
 	"github.com/teaselrack/teaselrack/platform"
 )
@@ -57,7 +59,9 @@
 
 // servePlatform serves with the settings that the platform wrote.
 func servePlatform() error {
-	log := newPlatformLogger()
+	out := logging.NewWriter(os.Stdout)
+	defer func() { _ = out.Close() }()
+	log := logging.New(out, zapcore.InfoLevel)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	return platform.Run(ctx, platform.Path(), log)
--- a/internal/process/control/keeper.go
+++ b/internal/process/control/keeper.go
@@ -54,6 +54,8 @@
 	voters  int
 	changed time.Time
 	led     time.Time
+	// leader and role are those that were logged last.
+	leader, role string
 }
 
 type joiner struct {
@@ -96,6 +98,11 @@
 	if status.Leader != "" {
 		k.led = now
 	}
+	if status.Leader != k.leader || status.Role != k.role {
+		k.log.Info("leadership of the replica group", zap.String("leader", status.Leader), zap.String("role", status.Role),
+			zap.Uint64("term", status.Term), zap.Int("voters", k.voters), zap.Uint64("commit", status.Commit))
+		k.leader, k.role = status.Leader, status.Role
+	}
 }
 
 func votersOf(status protocol.ReplicaStatus) int {
--- a/internal/process/control/role.go
+++ b/internal/process/control/role.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/connection/rpc"
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
 	"github.com/teaselrack/teaselrack/internal/process/ledger"
@@ -158,6 +159,9 @@
 	return g.Wait()
 }
 
+// Status describes this replica in the configuration group.
+func (r *Role) Status() protocol.ReplicaStatus { return r.nodes[ConfigurationGroup].Status() }
+
 // Service returns the service of the role.
 func (r *Role) Service() *Service { return r.service }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -266,8 +267,19 @@
 	return n.role.Service().Confirmed(ctx)
 }
 
-// WriteMetrics writes the counters and histograms as text.
-func (n *Node) WriteMetrics(w io.Writer) { n.stats.Write(w) }
+// WriteMetrics writes the counters, gauges and histograms as text.
+func (n *Node) WriteMetrics(w io.Writer) {
+	if n.target != nil {
+		n.stats.Write(w)
+		_, _ = fmt.Fprintf(w, "teaselrack_configuration_revision %d\n", n.holder.Current().Revision())
+		_, _ = fmt.Fprintf(w, "teaselrack_target_load %g\n", n.target.Load())
+		_, _ = fmt.Fprintf(w, "teaselrack_target_level %g\n", n.target.Level())
+	}
+	if n.role != nil {
+		status := n.role.Status()
+		_, _ = fmt.Fprintf(w, "teaselrack_group_term %d\nteaselrack_group_commit %d\nteaselrack_group_members %d\n", status.Term, status.Commit, len(status.Members))
+	}
+}
 
 // Log returns the log of this process.
 func (n *Node) Log() *zap.Logger { return n.log }
--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -61,6 +61,8 @@
 	o    Options
 	pick *replicaList
 	kick chan struct{}
+	// touch says whether the last renewal was confirmed; used by Run alone.
+	touch contact
 }
 
 // New returns a loop that has not started.
@@ -83,9 +85,11 @@
 func (l *Loop) Run(ctx context.Context) error {
 	for {
 		pause := l.o.Interval
-		if !l.Renew(ctx) {
+		confirmed := l.Renew(ctx)
+		if !confirmed {
 			pause = retryPause
 		}
+		l.noteContact(ctx, confirmed)
 		select {
 		case <-ctx.Done():
 			return nil
