--- a/internal/connection/link/client_test.go
+++ b/internal/connection/link/client_test.go
@@ -155,12 +155,12 @@
 	silent := serve(t, func(net.Conn, *http.Request, int) {})
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err = c.Do(ctx, silent, &Request{Method: "GET", URI: "/", Host: "h"})
+	_, err = c.Do(ctx, silent, &Request{Method: "GET", URI: "/", Host: "h"}) //nolint:bodyclose // it fails
 	must.Eq(t, fault.DeadlineUnknown, fault.KindOf(err))
 
 	gone, leave := context.WithCancel(t.Context())
 	leave()
-	_, err = c.Do(gone, silent, &Request{Method: "GET", URI: "/", Host: "h"})
+	_, err = c.Do(gone, silent, &Request{Method: "GET", URI: "/", Host: "h"}) //nolint:bodyclose // it fails
 	must.Eq(t, fault.CallerGone, fault.KindOf(err))
 }
 
@@ -241,9 +241,8 @@
 	must.NoError(t, err)
 	must.NoError(t, resp.Body.Close())
 	must.Eq(t, "begin end", <-bodies)
-	_, err = NewClient(Options{}).Do(t.Context(), ln.Addr().String(), &Request{
-		Method: "POST", URI: "/", Host: "h", Rest: errReader{}, Length: 10,
-	})
+	broken := &Request{Method: "POST", URI: "/", Host: "h", Rest: errReader{}, Length: 10}
+	_, err = NewClient(Options{}).Do(t.Context(), ln.Addr().String(), broken) //nolint:bodyclose // it fails
 	must.Error(t, err)
 }
 
--- a/internal/process/local/target_test.go
+++ b/internal/process/local/target_test.go
@@ -115,24 +115,25 @@
 		cold := beat(1)
 		cold.ColdFor = 3 * time.Second
 		must.NoError(t, w.target.Heartbeat(cold))
-		must.Eq(t, 33, w.passed(t, 100))
+		must.Eq(t, 33, w.passed(t))
 		time.Sleep(time.Second)
-		must.Eq(t, 33, w.passed(t, 100))
+		must.Eq(t, 33, w.passed(t))
 		time.Sleep(3 * time.Second)
-		must.Eq(t, 100, w.passed(t, 100))
+		must.Eq(t, 100, w.passed(t))
 		time.Sleep(time.Second)
 		slot, _, err := w.target.Admit(t.Context(), gate.Ask{Useful: time.Second})
 		must.NoError(t, err)
 		slot.Done(fault.New(fault.ConnectFailed, "nobody listens"))
-		must.Eq(t, 32, w.passed(t, 100))
+		must.Eq(t, 32, w.passed(t))
 		must.NoError(t, w.target.Heartbeat(beat(2)))
-		must.Eq(t, 100, w.passed(t, 100))
+		must.Eq(t, 100, w.passed(t))
 	})
 }
 
-func (w *world) passed(t *testing.T, n int) int {
+// passed offers a hundred requests and returns how many went in.
+func (w *world) passed(t *testing.T) int {
 	passed := 0
-	for range n {
+	for range 100 {
 		if w.admit(t) == nil {
 			passed++
 		}
--- a/internal/request/relay/beside.go
+++ b/internal/request/relay/beside.go
@@ -136,7 +136,7 @@
 		b.logFailed(p, slot.ID, time.Since(began), err)
 		return nil, refuse(err, 0)
 	}
-	a, err := b.take(resp, p, slot.ID)
+	a, err := b.take(resp, slot.ID)
 	if err != nil {
 		slot.Done(err)
 		b.logFailed(p, slot.ID, time.Since(began), err)
@@ -168,7 +168,7 @@
 
 // take looks at the answer of the target. One from another target than the
 // request was meant for was not run.
-func (b *Beside) take(resp *http.Response, p *Passage, target string) (*Answer, error) {
+func (b *Beside) take(resp *http.Response, target string) (*Answer, error) {
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		_ = resp.Body.Close()
 		b.Target.Replaced(target)
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -280,7 +280,7 @@
 		}
 		t.add(choice.Record.Instance, answer, err)
 		if !e.again(ctx, a, &t, answer, err) {
-			return e.conclude(a, &t, answer)
+			return conclude(&t, answer)
 		}
 		if answer != nil {
 			answer.Close(nil)
@@ -321,7 +321,7 @@
 }
 
 // conclude returns the final answer to a request that is not sent again.
-func (e *Entry) conclude(a *arrival, t *tries, answer *Answer) (*Answer, error) {
+func conclude(t *tries, answer *Answer) (*Answer, error) {
 	if answer != nil {
 		answer.Close(nil)
 	}
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -156,7 +156,7 @@
 // hand every request on.
 func (m *mesh) outside() *machine { return m.add("outside", "other") }
 
-func (m *mesh) send(from *machine, method, path string, header map[string]string, body string) (*http.Response, string) {
+func (m *mesh) send(from *machine, method, path string, header map[string]string, body string) (reply, string) {
 	r, err := http.NewRequest(method, from.outer.URL+path, strings.NewReader(body))
 	must.NoError(m.t, err)
 	r.Host = host
@@ -170,7 +170,13 @@
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
 	must.NoError(m.t, err)
-	return resp, string(text)
+	return reply{resp.StatusCode, resp.Header}, string(text)
+}
+
+// reply is an answer whose body was read.
+type reply struct {
+	StatusCode int
+	Header     http.Header
 }
 
 func TestRequestReachesTheTargetUnchanged(t *testing.T) {
--- a/internal/version/order.go
+++ b/internal/version/order.go
@@ -111,7 +111,7 @@
 	img := s.image()
 	img.Number++
 	img.NoteDigest = digestOf(d)
-	domains := img.Entries.FailureDomains
-	img.Entries.FailureDomains = append(domains, d) // the last one of a name counts
+	// The last entry of a name counts.
+	img.Entries.FailureDomains = append(img.Entries.FailureDomains, d)
 	return build(img)
 }
