--- a/internal/connection/link/request.go
+++ b/internal/connection/link/request.go
@@ -48,6 +48,8 @@
 	return r.writeChunks(w)
 }
 
+// writeHead writes the request line and the headers. A bufio.Writer keeps its
+// first error, which Flush returns, so the single writes are not checked.
 func (r *Request) writeHead(w *bufio.Writer) {
 	_, _ = w.WriteString(r.Method)
 	_ = w.WriteByte(' ')
