A leaving daemon is avoided later and stops once it is idle

Ruled out: leaving at once (requests on kept connections would be cut). Change: the leaving is announced 1.2 s later, and the wait ends once no connection carries a request. TestUntilIdle fails without it (it waits for the grace time).

--- a/internal/connection/drain/drain.go
+++ b/internal/connection/drain/drain.go
@@ -34,11 +34,18 @@
 	// Announce and Grace may be changed before Run is called.
 	Announce time.Duration
 	Grace    time.Duration
+	// UntilIdle ends the wait once no connection carries a request, instead of
+	// once none is open. It is for callers that repeat a request whose
+	// connection closes before it was read. It may be changed before Run is
+	// called.
+	UntilIdle bool
 
 	leaving atomic.Bool
 
-	mu   sync.Mutex
-	open map[net.Conn]struct{}
+	mu sync.Mutex
+	// open holds the HTTP/1.1 connections; the value is true while one carries
+	// a request.
+	open map[net.Conn]bool
 }
 
 // New returns a Drain with the default times.
@@ -46,7 +53,7 @@
 	return &Drain{
 		Announce: DefaultAnnounce,
 		Grace:    DefaultGrace,
-		open:     make(map[net.Conn]struct{}),
+		open:     make(map[net.Conn]bool),
 	}
 }
 
@@ -98,7 +105,7 @@
 	defer ticker.Stop()
 	for {
 		passed := time.Since(start)
-		if passed >= d.Grace || passed >= d.Announce && d.openCount() == 0 {
+		if passed >= d.Grace || passed >= d.Announce && d.waitedFor() == 0 {
 			return
 		}
 		select {
@@ -116,14 +123,24 @@
 	defer d.mu.Unlock()
 	switch state {
 	case http.StateNew, http.StateActive, http.StateIdle:
-		d.open[conn] = struct{}{}
+		d.open[conn] = state == http.StateActive
 	case http.StateClosed, http.StateHijacked:
 		delete(d.open, conn)
 	}
 }
 
-func (d *Drain) openCount() int {
+// waitedFor counts the connections that keep the process from leaving.
+func (d *Drain) waitedFor() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.open)
+	if !d.UntilIdle {
+		return len(d.open)
+	}
+	active := 0
+	for _, carries := range d.open {
+		if carries {
+			active++
+		}
+	}
+	return active
 }
--- /dev/null
+++ b/internal/connection/drain/idle_test.go
@@ -0,0 +1,59 @@
+package drain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/memnet"
+)
+
+// TestUntilIdle: a caller keeps an idle connection open and another one has a
+// request that runs for a while. The process leaves once that request has ended,
+// instead of waiting for the idle connection until the grace time is over.
+func TestUntilIdle(t *testing.T) {
+	for _, c := range []struct {
+		untilIdle bool
+		most      time.Duration
+	}{{true, 3 * time.Second}, {false, 6 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			network := memnet.New(time.Millisecond)
+			l := network.Listen("10.0.0.1:1")
+			d := New()
+			d.Announce, d.Grace, d.UntilIdle = time.Second, 5*time.Second, c.untilIdle
+			server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/slow" {
+					time.Sleep(2500 * time.Millisecond)
+				}
+			})}
+			d.Track(server)
+			go func() { _ = server.Serve(l) }()
+			dial := func() net.Conn {
+				conn, err := network.Dial(t.Context(), "tcp", "10.0.0.1:1")
+				must.NoError(t, err)
+				return conn
+			}
+			idle, slow := dial(), dial()
+			_, err := idle.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			must.NoError(t, err)
+			_, err = slow.Write([]byte("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"))
+			must.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+			start := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			must.NoError(t, d.Run(ctx, server))
+			cancel()
+			took := time.Since(start)
+			must.Between(t, c.most-time.Second, took, c.most)
+			_ = idle.Close()
+			_ = slow.Close()
+			network.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -46,6 +46,10 @@
 	// announceFor is how long a leaving process goes on accepting, so that
 	// callers and other daemons learn of it.
 	announceFor = 2500 * time.Millisecond
+	// listedFor is how long of that time other daemons still hand requests on:
+	// the target beside a leaving daemon is out of reach while the daemon is
+	// avoided, and a change of that takes about a second to spread.
+	listedFor = 1200 * time.Millisecond
 	// closeMargin is kept back from the time for leaving, for what runs last.
 	closeMargin = 800 * time.Millisecond
 	// pruneInterval is the time between two looks for idle connections.
@@ -78,6 +82,8 @@
 	pool    *rpc.Pool
 	drain   *drain.Drain
 	closers []io.Closer
+	// unlisted is set once other daemons are to avoid this one.
+	unlisted atomic.Bool
 
 	holder  *configuration.Holder
 	table   *registry.Table
@@ -182,7 +188,7 @@
 		Table:         n.table,
 		Quota:         n.quota,
 		Targets:       n.announcements,
-		Leaving:       n.drain.Leaving,
+		Leaving:       n.unlisted.Load,
 		Clock:         time.Now,
 		Recorder:      n.ring,
 		Log:           n.log,
@@ -400,7 +406,12 @@
 	if len(servers) == 0 {
 		return
 	}
-	n.kick()
+	unlist := time.AfterFunc(min(listedFor, n.o.Leave/4), func() {
+		n.unlisted.Store(true)
+		n.kick()
+	})
+	defer unlist.Stop()
+	n.drain.UntilIdle = true
 	n.drain.Announce = min(announceFor, n.o.Leave/2)
 	n.drain.Grace = max(n.o.Leave-2*closeMargin, 0)
 	ctx, cancel := context.WithTimeout(ctx, n.o.Leave-closeMargin)
