Test of the whole path: a replica, two daemons and a target on loopback

Change: an order comes into force, a request runs, the failure domain is taken out, the daemons leave.

--- /dev/null
+++ b/internal/process/node/node_test.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/local"
+	"github.com/teaselrack/teaselrack/internal/request/relay"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start runs a node until the test ends.
+func start(t *testing.T, o Options) (n *Node, stop func() error) {
+	t.Helper()
+	o.FailureDomain = "z"
+	o.Leave = 6 * time.Second
+	o.Log = zap.NewNop()
+	n, err := New(o)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	stopped := false
+	stop = func() error {
+		if stopped {
+			return nil
+		}
+		stopped = true
+		cancel()
+		return <-ended
+	}
+	t.Cleanup(func() { must.NoError(t, stop()) })
+	return n, stop
+}
+
+// eventually waits until check holds; the test's own time limit bounds it.
+func eventually(t *testing.T, check func() bool) {
+	t.Helper()
+	for !check() {
+		must.NoError(t, t.Context().Err())
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestWholePath: a replica that founds its group alone, a daemon beside a
+// target, and one on a machine whose requests go there. The order is in force
+// on both, a request runs, the failure domain is taken out, and the daemons
+// leave.
+func TestWholePath(t *testing.T) {
+	control := freeAddress(t)
+	replica, _ := start(t, Options{
+		Instance: "core-1", Seeds: []string{control},
+		Control: &Control{Listen: control, Folder: t.TempDir(), Founder: true},
+	})
+	stub := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Teaselrack-Request", r.Header.Get("Teaselrack-Request"))
+		_, _ = w.Write([]byte("ran for " + r.Header.Get("Teaselrack-Origin")))
+	}))
+	defer stub.Close()
+	target := stub.Listener.Addr().String()
+	daemon := func(name, service, target string) (*Node, string, func() error) {
+		entry := freeAddress(t)
+		n, stop := start(t, Options{
+			Instance: name, Seeds: []string{control},
+			Traffic: &Traffic{
+				Service: service, Target: target, Entry: entry, Peer: freeAddress(t), Heartbeat: time.Minute,
+				Names: relay.DefaultNames(), RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
+			},
+		})
+		return n, entry, stop
+	}
+	beside, _, _ := daemon("daemon-1", "s", target)
+	other, entry, stopOther := daemon("daemon-2", "other", freeAddress(t))
+	must.Eq(t, fault.LeaseExpired, fault.KindOf(other.Ready()))
+
+	order := &version.Order{Whole: &version.Whole{Revision: 3, Entries: version.Entries{
+		Services: []version.Service{{Name: "s"}, {Name: "other"}},
+		Routes: []version.Route{{
+			Name: "r", Host: "h", Path: "/", Service: "s", Mode: version.Idempotent, Access: version.Keyed, Timeout: 2 * time.Second,
+		}},
+	}}}
+	eventually(t, func() bool { return replica.Order(t.Context(), order) == nil })
+	must.NoError(t, beside.Heartbeat(local.Heartbeat{ID: "i", Sequence: 1, Service: "s", Address: target, Slots: 10}))
+	eventually(t, func() bool { return other.Ready() == nil && beside.Ready() == nil })
+
+	get := func() (int, string) {
+		r, err := http.NewRequest(http.MethodGet, "http://"+entry+"/x", nil)
+		must.NoError(t, err)
+		r.Host = "h"
+		r.Header.Set("Teaselrack-Request", "id")
+		resp, err := http.DefaultClient.Do(r)
+		must.NoError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		return resp.StatusCode, string(body)
+	}
+	eventually(t, func() bool {
+		status, _ := get()
+		return status == http.StatusOK
+	})
+	_, body := get()
+	must.Eq(t, "ran for other", body)
+
+	var metrics bytes.Buffer
+	other.WriteMetrics(&metrics)
+	must.StrContains(t, metrics.String(), `teaselrack_answers_total{status="200"}`)
+	must.StrContains(t, metrics.String(), "teaselrack_configuration_revision 3")
+	metrics.Reset()
+	replica.WriteMetrics(&metrics)
+	must.StrContains(t, metrics.String(), "teaselrack_group_members 1")
+
+	state, err := replica.Confirmed(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, uint64(3), state.Revision())
+	must.NoError(t, replica.Order(t.Context(), &version.Order{Domain: &version.FailureDomain{Name: "z"}}))
+	eventually(t, func() bool {
+		status, _ := get()
+		return status == http.StatusServiceUnavailable
+	})
+	must.NoError(t, stopOther())
+	must.Eq(t, fault.ShuttingDown, fault.KindOf(other.Ready()))
+}
+
+func TestOptionsThatCannotWork(t *testing.T) {
+	good := func() Options {
+		return Options{
+			Instance: "i", FailureDomain: "z", Seeds: []string{"127.0.0.1:1"},
+			Traffic: &Traffic{Service: "s", Target: "t", Entry: "e", Peer: "p"},
+			Control: &Control{Listen: "l", Folder: "f"},
+		}
+	}
+	o := good()
+	must.NoError(t, o.Validate())
+	for name, spoil := range map[string]func(*Options){
+		"no name":           func(o *Options) { o.Instance = "" },
+		"no failure domain": func(o *Options) { o.FailureDomain = "" },
+		"no role":           func(o *Options) { o.Traffic, o.Control = nil, nil },
+		"no seeds":          func(o *Options) { o.Seeds = nil },
+		"no entry":          func(o *Options) { o.Traffic.Entry = "" },
+		"no data folder":    func(o *Options) { o.Control.Folder = "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := good()
+			spoil(&o)
+			must.Eq(t, fault.SettingsInvalid, fault.KindOf(o.Validate()))
+		})
+	}
+}
--- a/internal/request/relay/content.go
+++ b/internal/request/relay/content.go
@@ -85,10 +85,12 @@
 	NotRun bool
 	// Load is the load that the daemon beside the target states.
 	Load float64
-	// body is closed once the answer has been passed on; nil where it was read
+	// source is closed once the answer has been passed on; nil where it was read
 	// whole.
 	source io.Closer
-	ended  func(error)
+	// ended is called when source is closed, with the error that broke the
+	// answer off, or nil.
+	ended func(error)
 }
 
 // newAnswer reads the beginning of an answer, all of it where it is short. On
