A request whose time ended beside the target is not sent again

The daemon beside the target can see the end of the time a moment before the entry does; the entry then took it for a failure that another target might mend, found no time left and answered as for a lost connection. Both promise nothing; the status was wrong and a repeat was taken from the budget. Ruled out: the load as such, it only makes the order of two timers likelier. Change: no repeat after the deadline. The test passes 25 times with the race detector.

--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -312,6 +312,10 @@
 	if err != nil && fault.OutcomeOf(err) == fault.NotRun {
 		return fault.AnswerFor(fault.KindOf(err)).Retry
 	}
+	if fault.Is(err, fault.DeadlineUnknown) {
+		// The daemon beside the target saw the end of the time first.
+		return false
+	}
 	repeatable := a.route.Mode == version.Idempotent
 	if answer == nil && !repeatable {
 		return false
