The rank of a team goes before that of the route, and no longer replaces it

Teams state a rank, and it replaced that of the route, so the least urgent route, which costs the deep service ten calls, was shed like one that costs it five and is worth three times as much. Change: State.Rank combines both, the team first. Levels reach up to 16, as there are now up to eight positions.

--- a/internal/process/shedding/controller.go
+++ b/internal/process/shedding/controller.go
@@ -59,7 +59,7 @@
 }
 
 // Most is the highest level: every rank and both sorts of requests are shed.
-const Most = 8
+const Most = 16
 
 func (c *Controller) advance(now time.Time) {
 	if c.at.IsZero() {
--- a/internal/process/shedding/shedding_test.go
+++ b/internal/process/shedding/shedding_test.go
@@ -21,7 +21,7 @@
 		{Stated{Below: 0.5}, 1, 0},
 		{Stated{Below: 2.5}, 1, 0.5},
 		{Stated{Direct: 3.5}, 1, 0.5},
-		{Stated{Direct: Most, Below: Most}, 3, 1},
+		{Stated{Direct: Most, Below: Most}, 7, 1},
 	}
 	for _, c := range cases {
 		must.Eq(t, c.want, c.stated.Share(c.position))
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -195,7 +195,6 @@
 		return fault.New(fault.UnknownRoute, "no route serves %s%s", r.Host, r.URL.Path)
 	}
 	a.route = route
-	a.rank = route.Rank
 	a.call = route.Access != version.Keyed
 	if state.HasTeams() && route.Access == version.Keyed {
 		key, known := state.Key(r.Header.Get(e.Names.Key))
@@ -203,10 +202,8 @@
 			return fault.New(fault.Unauthenticated, "the key is not in force")
 		}
 		a.team = key.Team
-		if t, ok := state.Team(key.Team); ok && t.Rank != nil {
-			a.rank = *t.Rank
-		}
 	}
+	a.rank = state.Rank(a.team, &route)
 	a.service = route.ServiceFor(rand.Float64())
 	a.header = passedOn(r.Header)
 	delete(a.header, e.Names.Key)
--- a/internal/version/model.go
+++ b/internal/version/model.go
@@ -65,8 +65,8 @@
 	Burst float64 `yaml:"burst" cbor:"3,keyasint" validate:"gte=1,lte=1000000"`
 	// Weight is the share of the team within one importance. Default 1.
 	Weight uint32 `yaml:"weight,omitempty" cbor:"4,keyasint,omitempty" validate:"lte=1000"`
-	// Rank, where set, replaces the rank of the route for the team's requests;
-	// 0 is shed last.
+	// Rank, where set, goes before the rank of the route for the team's requests:
+	// between teams of one rank that of the route decides. 0 is shed last.
 	Rank *int `yaml:"rank,omitempty" cbor:"5,keyasint,omitempty" validate:"omitempty,gte=0,lte=1000"`
 }
 
--- a/internal/version/order_test.go
+++ b/internal/version/order_test.go
@@ -84,17 +84,40 @@
 	must.Eq(t, "s", Route{Service: "s"}.ServiceFor(0.5))
 }
 
+// TestRank: the rank of the team goes before that of the route, and between teams
+// of one rank that of the route decides. It was taken to replace the rank of the
+// route, so that all routes of a team were shed alike.
+func TestRank(t *testing.T) {
+	rank := func(n int) *int { return &n }
+	urgent, lesser := Route{Name: "u", Access: Keyed}, Route{Name: "l", Access: Keyed, Rank: 5}
+	e := Entries{
+		Teams:  []Team{{Name: "a", Rank: rank(0)}, {Name: "b", Rank: rank(2)}, {Name: "c", Rank: rank(2)}},
+		Routes: []Route{urgent, lesser, {Name: "open", Access: Open, Rank: 7}},
+	}
+	state := build(image{Entries: e})
+	order := []int{state.Rank("a", &urgent), state.Rank("a", &lesser), state.Rank("b", &urgent), state.Rank("c", &lesser)}
+	for i, r := range order {
+		must.Eq(t, len(order)-1-i, state.RankPosition(r))
+	}
+	must.Eq(t, state.Rank("b", &lesser), state.Rank("c", &lesser))
+	must.Eq(t, 20005, state.Rank("b", &lesser))
+}
+
+// TestRankPosition: routes count where a team has no rank.
 func TestRankPosition(t *testing.T) {
 	rank := func(n int) *int { return &n }
+	route := Route{Name: "r", Access: Keyed, Rank: 5}
 	e := Entries{
 		Teams:  []Team{{Name: "a", Rank: rank(0)}, {Name: "b", Rank: rank(2)}},
-		Routes: []Route{{Name: "r", Access: Keyed, Rank: 5}},
+		Routes: []Route{route},
 	}
 	state := build(image{Entries: e})
-	must.Eq(t, 1, state.RankPosition(0))
-	must.Eq(t, 0, state.RankPosition(2))
+	must.Eq(t, 1, state.RankPosition(state.Rank("a", &route)))
+	must.Eq(t, 0, state.RankPosition(state.Rank("b", &route)))
 	e.Teams[1].Rank = nil
 	state = build(image{Entries: e})
-	must.Eq(t, 0, state.RankPosition(5), must.Sprint("routes count where a team has no rank"))
-	must.Eq(t, 1, state.RankPosition(0))
+	must.Eq(t, 0, state.RankPosition(state.Rank("b", &route)))
+	must.Eq(t, 1, state.RankPosition(state.Rank("a", &route)))
+	must.Eq(t, 50005, state.Rank("b", &route))
+	must.Eq(t, 0, state.RankPosition(99_999), must.Sprint("an unknown rank is the least urgent"))
 }
--- a/internal/version/state.go
+++ b/internal/version/state.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -34,7 +35,7 @@
 	limits   Limits
 	// hosted are the routes of one host, longest path first.
 	hosted map[string][]Route
-	// ranks are those of routes and teams, ascending.
+	// ranks are those that requests can have, ascending.
 	ranks []int
 	// serviceNames are the services of routes and service entries, sorted.
 	serviceNames []string
@@ -299,25 +300,59 @@
 	return slices.Compact(names)
 }
 
-// ranksOf returns the ranks that requests of callers can have, ascending. The
-// rank of a route counts only where some team has none of its own.
+// rankStride separates the rank of a team from that of a route; it is decimal so
+// that logs show both: 10002 is team rank 1, route rank 2. Both are at most 1000.
+const rankStride = 10_000
+
+// Rank orders the request of a team on a route under overload; the smallest is
+// shed last. The rank of the team decides first, that of the route between equal
+// teams. team is empty for a route without a key.
+func (s *State) Rank(team string, route *Route) int {
+	if t, ok := s.Team(team); ok {
+		return rankOf(t, route)
+	}
+	return route.Rank * (rankStride + 1)
+}
+
+// rankOf counts a team without a rank as one of the rank of the route.
+func rankOf(t Team, route *Route) int {
+	if t.Rank == nil {
+		return route.Rank * (rankStride + 1)
+	}
+	return *t.Rank*rankStride + route.Rank
+}
+
+// ranksOf returns the ranks that requests of callers can have, ascending.
 func ranksOf(e Entries) []int {
-	var ranks []int
-	byRoute := len(e.Teams) == 0
-	for _, t := range e.Teams {
-		if t.Rank == nil {
-			byRoute = true
+	teams := distinctRanks(e.Teams)
+	seen := make(map[int]struct{})
+	for i := range e.Routes {
+		if e.Routes[i].Access != Keyed {
 			continue
 		}
-		ranks = append(ranks, *t.Rank)
-	}
-	for _, r := range e.Routes {
-		if r.Access == Keyed && byRoute {
-			ranks = append(ranks, r.Rank)
+		for _, t := range teams {
+			seen[rankOf(t, &e.Routes[i])] = struct{}{}
 		}
 	}
-	slices.Sort(ranks)
-	return slices.Compact(ranks)
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// distinctRanks returns one team for each rank that teams have, and a team
+// without a rank where there are no teams.
+func distinctRanks(teams []Team) []Team {
+	if len(teams) == 0 {
+		return []Team{{}}
+	}
+	sorted := slices.SortedFunc(slices.Values(teams), func(a, b Team) int { return teamRank(a) - teamRank(b) })
+	return slices.CompactFunc(sorted, func(a, b Team) bool { return teamRank(a) == teamRank(b) })
+}
+
+// teamRank is -1 for a team without a rank.
+func teamRank(t Team) int {
+	if t.Rank == nil {
+		return -1
+	}
+	return *t.Rank
 }
 
 // RankPosition counts the ranks in use that are less urgent than rank.
