Shedding: the level is a part of the work on the service that binds

Cause: the level rose only while calls were refused, so at its balance some 8% of calls were refused and half of the requests with ten calls were wasted; callers who came back passed it, so it worked only once a rank was shed whole. Change: the controller follows load against capacity and states the part of the work to be shed, the service it is about and what a request costs it. Entries rank their own recent arrivals by urgency and cost. Shedding comes before the quota. Retry-After is half of what is left of the objective, for quota refusals too. TestShare, TestLevelSinks... and TestStatedRoundTrip check the new form; the bounds of TestDeepServiceAtTwiceItsRoom are unchanged, TestLevelFollowsTheLoad is new.

--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -154,7 +154,7 @@
 	switch {
 	case t.last.Leaving:
 		a.State = protocol.Leaving
-	case now.Before(t.coldUntil) || t.suspect:
+	case t.isCold(now):
 		a.State = protocol.Cold
 	}
 	return a
@@ -217,9 +217,8 @@
 	if err := t.check(now); err != nil {
 		return nil, err
 	}
-	_, waiting, _ := t.gate.Load()
+	t.shedding.Offered(now, t.capacity(now))
 	ticket, verdict := t.gate.Offer(now, ask)
-	t.shedding.Offered(now, waiting > 0, verdict == gate.Refuse)
 	if verdict == gate.Run {
 		close(ticket.Ready)
 	}
@@ -250,9 +249,8 @@
 		err = fault.New(fault.CallerGone, "the caller left")
 	}
 	if err == nil {
-		cold := now.Before(t.coldUntil) || t.suspect
 		rate := t.o.ColdRate()
-		if !t.cold.Take(now, cold && rate > 0, rate) {
+		if !t.cold.Take(now, t.isCold(now) && rate > 0, rate) {
 			err = fault.New(fault.TargetCold, "the target is cold and has had %v requests in the last second", rate)
 			after = t.cold.Wait(now)
 		}
@@ -304,11 +302,25 @@
 	}
 }
 
-// Level returns the level at which requests for the target are shed.
-func (t *Target) Level() float64 {
+// capacity is what the target can do now: what its slots allow, or what it bears
+// while it is cold.
+func (t *Target) capacity(now time.Time) shedding.Capacity {
+	_, waiting, slots := t.gate.Load()
+	c := shedding.Capacity{PerSecond: float64(slots) / t.gate.Service().Seconds(), Waiting: waiting}
+	if rate := t.o.ColdRate(); rate > 0 && t.isCold(now) {
+		c.PerSecond = min(c.PerSecond, rate)
+	}
+	return c
+}
+
+func (t *Target) isCold(now time.Time) bool { return now.Before(t.coldUntil) || t.suspect }
+
+// Level returns the level at which requests for the target are shed, and the
+// time that one request takes.
+func (t *Target) Level() (level float64, cost time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.shedding.Level(t.o.Now())
+	return t.shedding.Level(t.o.Now()), t.gate.Service()
 }
 
 // Load returns the requests that run or wait for each slot.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -165,7 +165,7 @@
 		Budget: budget.New(budget.Options{
 			Ratio: t.RetryRatio, Window: t.RetryWindow, Slack: t.RetrySlack, Processes: n.processes,
 		}),
-		Levels: levels, Calls: calls, Returns: new(shedding.Returns),
+		Levels: levels, Calls: calls, Demand: new(shedding.Demand), Returns: new(shedding.Returns),
 		Beside: n.beside, Peers: n.peers, Log: n.log, Stats: n.stats,
 	}
 }
@@ -289,7 +289,8 @@
 		n.stats.Write(w)
 		_, _ = fmt.Fprintf(w, "teaselrack_configuration_revision %d\n", n.holder.Current().Revision())
 		_, _ = fmt.Fprintf(w, "teaselrack_target_load %g\n", n.target.Load())
-		_, _ = fmt.Fprintf(w, "teaselrack_target_level %g\n", n.target.Level())
+		level, _ := n.target.Level()
+		_, _ = fmt.Fprintf(w, "teaselrack_target_level %g\n", level)
 	}
 	if n.role != nil {
 		status := n.role.Status()
--- a/internal/process/shedding/calls.go
+++ b/internal/process/shedding/calls.go
@@ -80,8 +80,9 @@
 	}
 }
 
-// CalledBy returns the routes that requests of a route call.
-func (c *Calls) CalledBy(now time.Time, route string) []string {
+// PerRun returns the routes that requests of a route call, with the number of
+// calls for each request.
+func (c *Calls) PerRun(now time.Time, route string) map[string]float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.routes[route] == nil {
@@ -91,13 +92,13 @@
 	if counts.runs < leastRuns {
 		return nil
 	}
-	var called []string
+	perRun := make(map[string]float64, len(counts.calls))
 	for name, n := range counts.calls {
 		if n/counts.runs >= leastCalls {
-			called = append(called, name)
+			perRun[name] = n / counts.runs
 		}
 	}
-	return called
+	return perRun
 }
 
 // counts returns the counts of a route, brought up to now.
--- a/internal/process/shedding/controller.go
+++ b/internal/process/shedding/controller.go
@@ -5,88 +5,92 @@
 // Load pattern: one deep service is asked for more than it can do for many
 // seconds. Most of its load are calls for requests that entered elsewhere, so
 // turning calls away there wastes all the work above them. The daemon beside a
-// target of the deep service states a level; it travels back on answers, hop by
-// hop, to where requests enter. There the requests of the least urgent rank go
-// first, and within a rank those that load the deep service by calls, since
-// each of them causes several.
+// target of the deep service states a level: the part of the work on it that is
+// to be shed. The level travels back on answers, hop by hop, together with what
+// one request of the route costs the deep service. Where requests enter, that
+// part of the recent work is shed: the least urgent rank first, and within a
+// rank what costs the deep service most.
 package shedding
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// Interval is the time between two changes of a level.
 	Interval = 100 * time.Millisecond
-	// rise is how much the level grows in an interval in which every request
-	// was turned away.
-	rise = 0.5
-	// waitRise is how much it grows in an interval in which requests waited all
-	// the time, though none was turned away.
-	waitRise = 0.03
-	// fall is how much the level sinks in an interval without waiting.
-	fall = 0.04
-	// decayAfter and decayRate let a level that nobody states any more sink.
-	decayAfter = 500 * time.Millisecond
-	decayRate  = 0.5 // a second
+	// MaxLevel is the highest level; the rest shows when there is room again.
+	MaxLevel = 0.95
+	// targetLoad is the part of the capacity that is to be used: above it the
+	// queue of calls grows with the variation of their number.
+	targetLoad = 0.95
+	// gain is the exponent by which the part that passes follows the load in
+	// each interval. A change takes about half a second to come back as load;
+	// twice this gain would swing.
+	gain = 0.12
+	// leastLoad and mostLoad bound what one interval counts for.
+	leastLoad = 0.5
+	mostLoad  = 3.0
+	// drainTime is the time in which waiting requests are to be worked off.
+	drainTime = 400 * time.Millisecond
 )
 
+// Capacity is what a target can do at a moment.
+type Capacity struct {
+	// PerSecond is the number of requests that it can serve a second.
+	PerSecond float64
+	// Waiting is the number of requests that wait for it.
+	Waiting int
+}
+
 // Controller keeps the level of one target. Its user holds a lock around each
 // call.
 type Controller struct {
-	level float64
-	at    time.Time
-	// offered and refused are counted since at; waited is how often something
-	// waited when a request arrived.
-	offered, refused, waited int
+	shed float64
+	at   time.Time
+	// offered is counted since at.
+	offered  int
+	capacity Capacity
 }
 
-// Offered counts a request that arrived: whether others waited, and whether it
-// was turned away for want of room.
-func (c *Controller) Offered(now time.Time, waiting, refused bool) {
+// Offered counts a request that arrives at the target.
+func (c *Controller) Offered(now time.Time, capacity Capacity) {
+	c.capacity = capacity
 	c.advance(now)
 	c.offered++
-	if waiting {
-		c.waited++
-	}
-	if refused {
-		c.refused++
-	}
 }
 
-// Level returns the level at now, between 0 and Most.
+// Level returns the level at now, between 0 and MaxLevel.
 func (c *Controller) Level(now time.Time) float64 {
 	c.advance(now)
-	return c.level
+	return c.shed
 }
 
-// Most is the highest level: every rank and both sorts of requests are shed.
-const Most = 16
-
 func (c *Controller) advance(now time.Time) {
 	if c.at.IsZero() {
 		c.at = now
 		return
 	}
-	passed := now.Sub(c.at)
-	if passed < Interval {
+	elapsed := now.Sub(c.at)
+	if elapsed < Interval {
 		return
 	}
-	steps := float64(passed) / float64(Interval)
-	c.level += c.change(steps)
-	c.level = min(max(c.level, 0), Most)
+	load := min(max(c.load(elapsed), leastLoad), mostLoad)
+	steps := float64(elapsed) / float64(Interval)
+	passes := (1 - c.shed) * math.Pow(targetLoad/load, gain*steps)
+	c.shed = min(max(1-passes, 0), MaxLevel)
 	c.at = now
-	c.offered, c.refused, c.waited = 0, 0, 0
+	c.offered = 0
 }
 
-func (c *Controller) change(steps float64) float64 {
-	if c.offered == 0 {
-		return -fall * steps
-	}
-	n := float64(c.offered)
-	if c.refused > 0 {
-		return rise * float64(c.refused) / n
-	}
-	if share := float64(c.waited) / n; share > 0.5 {
-		return waitRise * share
+// load returns the work that arrived and that waits, as a part of what the
+// target can do.
+func (c *Controller) load(elapsed time.Duration) float64 {
+	if c.capacity.PerSecond <= 0 {
+		return mostLoad
 	}
-	return -fall * steps
+	arrived := float64(c.offered) / elapsed.Seconds()
+	waits := float64(c.capacity.Waiting) / drainTime.Seconds()
+	return (arrived + waits) / c.capacity.PerSecond
 }
--- a/internal/process/shedding/levels.go
+++ b/internal/process/shedding/levels.go
@@ -1,125 +1,101 @@
 package shedding
 
 import (
-	"fmt"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
 
-// Levels holds what this process knows of the levels of routes. Its methods may
-// be called from any goroutine.
-type Levels struct {
-	mu     sync.Mutex
-	routes map[string]*known
-}
-
-// known is the level of one route, as the answers of its targets state it.
-type known struct {
-	// direct is that of the targets themselves, below that of the routes which
-	// they call for it.
-	direct, below float64
-	at            time.Time
-}
-
-// smoothing is the part of a newly stated level in the one that is kept:
-// several targets of a route state levels of their own.
-const smoothing = 0.2
+const (
+	// smoothing is the part of a newly stated level or cost in the one that is
+	// kept: several targets state levels of their own.
+	smoothing = 0.2
+	// decayAfter and decayRate let a level that nobody states any more sink.
+	decayAfter = 500 * time.Millisecond
+	decayRate  = 0.2 // a second
+)
 
-// Stated is the level of one route as an answer carries it.
-type Stated struct {
-	Direct float64
-	Below  float64
+// Levels holds what this process knows of the levels of services, and which of
+// them binds each route. Its methods may be called from any goroutine.
+type Levels struct {
+	mu       sync.Mutex
+	services map[string]*serviceLevel
+	routes   map[string]binding
 }
 
-// String returns the form of s in a header.
-func (s Stated) String() string {
-	return strconv.FormatFloat(s.Direct, 'f', 2, 64) + " " + strconv.FormatFloat(s.Below, 'f', 2, 64)
+// serviceLevel is the level of one service, smoothed over its targets.
+type serviceLevel struct {
+	level float64
+	at    time.Time
 }
 
-// ParseStated reads what String wrote.
-func ParseStated(text string) (Stated, error) {
-	direct, below, _ := strings.Cut(text, " ")
-	d, err := strconv.ParseFloat(direct, 64)
-	if err != nil {
-		return Stated{}, fmt.Errorf("the level %q is not understood", text)
-	}
-	b, err := strconv.ParseFloat(below, 64)
-	if err != nil {
-		return Stated{}, fmt.Errorf("the level %q is not understood", text)
-	}
-	return Stated{Direct: d, Below: b}, nil
+// binding is the service that binds a route, and what a request costs it.
+type binding struct {
+	service string
+	cost    time.Duration
 }
 
-// Observe takes the level that an answer to a request of the route states.
+// Observe takes in what an answer to a request of the route states.
 func (l *Levels) Observe(now time.Time, route string, s Stated) {
+	if s.Service == "" {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k := l.known(route)
-	k.settle(now)
-	k.direct += smoothing * (s.Direct - k.direct)
-	k.below += smoothing * (s.Below - k.below)
-	k.at = now
-}
-
-func (l *Levels) known(route string) *known {
-	if l.routes == nil {
-		l.routes = make(map[string]*known)
+	if l.services == nil {
+		l.services = make(map[string]*serviceLevel)
+		l.routes = make(map[string]binding)
 	}
-	k, ok := l.routes[route]
+	k, ok := l.services[s.Service]
 	if !ok {
-		k = &known{}
-		l.routes[route] = k
+		k = &serviceLevel{}
+		l.services[s.Service] = k
+	}
+	k.settle(now)
+	k.level += smoothing * (s.Level - k.level)
+	k.at = now
+	b, ok := l.routes[route]
+	if !ok || b.service != s.Service {
+		b = binding{service: s.Service, cost: s.Cost}
 	}
-	return k
+	b.cost += time.Duration(smoothing * float64(s.Cost-b.cost))
+	l.routes[route] = b
 }
 
-// settle lets the level sink that nobody has stated for some time: while all
-// requests are shed, nothing would state a lower one.
-func (k *known) settle(now time.Time) {
+// settle lets the level sink for the time in which nothing was stated.
+func (k *serviceLevel) settle(now time.Time) {
 	silent := now.Sub(k.at) - decayAfter
 	if silent <= 0 {
 		return
 	}
-	down := decayRate * silent.Seconds()
-	k.direct = max(k.direct-down, 0)
-	k.below = max(k.below-down, 0)
+	k.level = max(k.level-decayRate*silent.Seconds(), 0)
 	k.at = now.Add(-decayAfter)
 }
 
-// Route returns the level of a route.
+// Route returns what is known of a route; the zero value where nothing is.
 func (l *Levels) Route(now time.Time, route string) Stated {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k, ok := l.routes[route]
+	b, ok := l.routes[route]
 	if !ok {
 		return Stated{}
 	}
+	k := l.services[b.service]
 	k.settle(now)
-	return Stated{Direct: k.direct, Below: k.below}
+	return Stated{Service: b.service, Level: k.level, Cost: b.cost}
 }
 
-// Highest returns the highest level of several routes, each with what lies
-// below it.
-func (l *Levels) Highest(now time.Time, routes []string) float64 {
-	highest := 0.0
-	for _, name := range routes {
-		s := l.Route(now, name)
-		highest = max(highest, s.Direct, s.Below)
+// Below returns the service with the highest level of those that the called
+// routes need, and what one run costs it. calls holds the calls for each run.
+func (l *Levels) Below(now time.Time, calls map[string]float64) Stated {
+	var worst Stated
+	costs := make(map[string]time.Duration, len(calls))
+	for route, n := range calls {
+		s := l.Route(now, route)
+		costs[s.Service] += time.Duration(n * float64(s.Cost))
+		if worst.Service == "" || s.Level > worst.Level {
+			worst = s
+		}
 	}
-	return highest
+	worst.Cost = costs[worst.Service]
+	return worst
 }
-
-// Share returns the share of the requests to turn away. position counts the
-// ranks from the least urgent, which is 0. A level of 2 sheds all requests of
-// the least urgent rank: first those that load the deep service by calls, then
-// those that go to it directly.
-func (s Stated) Share(position int) float64 {
-	base := 2 * float64(position)
-	below := clamp(s.Below - base)
-	direct := clamp(s.Direct - base - 1)
-	return max(below, direct)
-}
-
-func clamp(v float64) float64 { return min(max(v, 0), 1) }
--- a/internal/process/shedding/shedding_test.go
+++ b/internal/process/shedding/shedding_test.go
@@ -8,48 +8,116 @@
 	"github.com/shoenig/test/must"
 )
 
+const second = time.Second
+
+// TestShare: half of the work on a service is shed, the least urgent rank first,
+// within a rank what costs most. Routes that another service binds are left alone.
 func TestShare(t *testing.T) {
-	cases := []struct {
-		stated   Stated
-		position int
-		want     float64
-	}{
-		{Stated{}, 0, 0},
-		{Stated{Below: 0.5}, 0, 0.5},
-		{Stated{Direct: 0.5}, 0, 0},
-		{Stated{Direct: 1.5}, 0, 0.5},
-		{Stated{Below: 0.5}, 1, 0},
-		{Stated{Below: 2.5}, 1, 0.5},
-		{Stated{Direct: 3.5}, 1, 0.5},
-		{Stated{Direct: Most, Below: Most}, 7, 1},
+	var d Demand
+	now := time.Unix(1, 0)
+	bound := func(cost time.Duration) Stated { return Stated{Service: "deep", Level: 0.5, Cost: cost} }
+	share := make(map[string]float64)
+	for range 200 {
+		share["urgent"] = d.Share(now, 0, "urgent", bound(2*second))
+		share["dear"] = d.Share(now, 10002, "dear", bound(6*second))
+		share["cheap"] = d.Share(now, 10002, "cheap", bound(second))
+		share["middle"] = d.Share(now, 10001, "middle", bound(second))
+		share["other"] = d.Share(now, 10002, "other", Stated{Service: "shallow", Cost: second})
 	}
-	for _, c := range cases {
-		must.Eq(t, c.want, c.stated.Share(c.position))
+	must.Eq(t, 0, share["urgent"])
+	must.Eq(t, 0, share["middle"])
+	must.Eq(t, 0, share["other"])
+	must.Eq(t, 0, share["cheap"])
+	must.Between(t, 0.82, share["dear"], 0.85, must.Sprint("5 of 10 parts of the work are shed, 6 of them are dear"))
+	for range 200 {
+		bound := Stated{Service: "deep", Level: MaxLevel, Cost: second}
+		share["least"] = d.Share(now, 10002, "cheap", bound)
 	}
+	must.Eq(t, mostShare, share["least"], must.Sprint("no route is shed whole"))
 }
 
 func TestStatedRoundTrip(t *testing.T) {
-	s := Stated{Direct: 1.25, Below: 0.5}
+	s := Stated{Service: "deep one", Level: 0.25, Cost: 1250 * time.Microsecond}
 	got, err := ParseStated(s.String())
 	must.NoError(t, err)
 	must.Eq(t, s, got)
-	_, err = ParseStated("")
-	must.Error(t, err)
-	_, err = ParseStated("1 x")
-	must.Error(t, err)
+	for _, bad := range []string{"", "1", "1 2", "x 2 s", "1 x s"} {
+		_, err = ParseStated(bad)
+		must.Error(t, err, must.Sprint(bad))
+	}
 }
 
 func TestLevelSinksWhenNobodyStatesIt(t *testing.T) {
 	var l Levels
 	now := time.Unix(1, 0)
 	for range 50 {
-		l.Observe(now, "r", Stated{Direct: 2, Below: 4})
+		l.Observe(now, "r", Stated{Service: "s", Level: 0.9, Cost: second})
 	}
-	must.Greater(t, 3.9, l.Route(now, "r").Below)
-	must.Eq(t, 0, l.Route(now.Add(time.Minute), "r").Below)
+	must.Greater(t, 0.89, l.Route(now, "r").Level)
+	must.Eq(t, 0, l.Route(now.Add(time.Minute), "r").Level)
 	must.Eq(t, Stated{}, l.Route(now, "unknown"))
 }
 
+// TestLevelOfAnotherRoute: what one route learns of a service holds for all that
+// the service binds.
+func TestLevelOfAnotherRoute(t *testing.T) {
+	var l Levels
+	now := time.Unix(1, 0)
+	l.Observe(now, "seldom", Stated{Service: "s", Cost: second})
+	for range 50 {
+		l.Observe(now, "often", Stated{Service: "s", Level: 0.8, Cost: 3 * second})
+	}
+	s := l.Route(now, "seldom")
+	must.Greater(t, 0.79, s.Level)
+	must.Eq(t, second, s.Cost)
+}
+
+// TestBelow: a request that calls two routes costs the service that binds them
+// what both take.
+func TestBelow(t *testing.T) {
+	var l Levels
+	now := time.Unix(1, 0)
+	l.Observe(now, "a", Stated{Service: "deep", Level: 0.5, Cost: 10 * time.Millisecond})
+	l.Observe(now, "b", Stated{Service: "deep", Level: 0.5, Cost: 20 * time.Millisecond})
+	l.Observe(now, "c", Stated{Service: "idle", Cost: second})
+	s := l.Below(now, map[string]float64{"a": 5, "b": 1, "c": 9, "unknown": 1})
+	must.Eq(t, "deep", s.Service)
+	must.Eq(t, 70*time.Millisecond, s.Cost)
+	must.Eq(t, Stated{}, l.Below(now, nil))
+}
+
+// TestLevelFollowsTheLoad: at twice its capacity a target sheds half of the work,
+// although each change comes back only after half a second, and nothing soon
+// after the load is gone.
+func TestLevelFollowsTheLoad(t *testing.T) {
+	const capacity, late = 400.0, 5 // requests a second; intervals
+	var c Controller
+	now := time.Unix(1, 0)
+	passes := []float64{1, 1, 1, 1, 1}
+	demand := 2 * capacity
+	step := func() float64 {
+		n := int(demand * passes[len(passes)-late] * Interval.Seconds())
+		for range n {
+			c.Offered(now, Capacity{PerSecond: capacity})
+		}
+		now = now.Add(Interval)
+		level := c.Level(now)
+		passes = append(passes, 1-level)
+		return level
+	}
+	for range 50 {
+		step()
+	}
+	for range 100 {
+		must.Between(t, 0.45, step(), 0.6)
+	}
+	demand = capacity / 2
+	for range 20 {
+		step()
+	}
+	must.Eq(t, 0, step())
+}
+
 // TestCallsAreAttributed replays two routes of one target that run in equal
 // numbers: requests of one make two calls each, those of the other none. Calls
 // carry the deadline of their parent, and some the shorter limit of their own
@@ -93,9 +161,11 @@
 		}
 		running = kept
 	}
-	must.Eq(t, []string{"called"}, c.CalledBy(now, "caller"))
-	must.Len(t, 0, c.CalledBy(now, "plain"))
-	must.Len(t, 0, c.CalledBy(now, "unknown"))
+	perRun := c.PerRun(now, "caller")
+	must.MapLen(t, 1, perRun)
+	must.Between(t, 1, perRun["called"], 3, must.Sprint("two calls for each, two thirds of them with its deadline"))
+	must.MapLen(t, 0, c.PerRun(now, "plain"))
+	must.MapLen(t, 0, c.PerRun(now, "unknown"))
 }
 
 // TestDeepServiceAtTwiceItsRoom replays entries that send requests of two ranks
@@ -123,6 +193,7 @@
 	rng := rand.New(rand.NewPCG(3, 3))
 	var controller Controller
 	var levels Levels
+	var demand Demand
 	var result deepResult
 	var served, asked [2]float64
 	now := time.Unix(1, 0)
@@ -139,7 +210,7 @@
 		var admitted []int
 		for _, position := range order {
 			asked[position]++
-			if shed && rng.Float64() < levels.Route(now, "r").Share(position) {
+			if shed && rng.Float64() < demand.Share(now, 1-position, "r", levels.Route(now, "r")) {
 				continue
 			}
 			admitted = append(admitted, position)
@@ -148,7 +219,7 @@
 		for range calls {
 			for i := range admitted {
 				refused := free == 0
-				controller.Offered(now, free < room/4, refused)
+				controller.Offered(now, Capacity{PerSecond: room / Interval.Seconds()})
 				if !refused {
 					free--
 					done[i]++
@@ -166,7 +237,7 @@
 		now = now.Add(Interval)
 		level := controller.Level(now)
 		for range 20 {
-			levels.Observe(now, "r", Stated{Below: level})
+			levels.Observe(now, "r", Stated{Service: "deep", Level: level, Cost: Interval})
 		}
 	}
 	for p := range 2 {
--- a/internal/request/relay/beside.go
+++ b/internal/request/relay/beside.go
@@ -70,10 +70,16 @@
 	h.Set(headerLevel, b.Level(p.Route).String())
 }
 
-// Level returns the level that answers to requests of a route state.
+// Level returns what answers to requests of a route state: the service with the
+// least room of this one and those that its requests call.
 func (b *Beside) Level(route string) shedding.Stated {
 	now := time.Now()
-	return shedding.Stated{Direct: b.Target.Level(), Below: b.Levels.Highest(now, b.Calls.CalledBy(now, route))}
+	level, cost := b.Target.Level()
+	below := b.Levels.Below(now, b.Calls.PerRun(now, route))
+	if below.Service != "" && below.Level >= level {
+		return below
+	}
+	return shedding.Stated{Service: b.Service, Level: level, Cost: cost}
 }
 
 func (b *Beside) writeAnswer(w http.ResponseWriter, p *Passage, a *Answer) {
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -27,13 +27,13 @@
 	answerMargin = 20 * time.Millisecond
 	// startRetry is the advised wait where this process knows no configuration.
 	startRetry = 500 * time.Millisecond
-	// quotaRetry is the advised wait of a team that is at its limit.
-	quotaRetry = time.Second
 	// failedFor is how long a target is passed over that cannot be reached.
 	failedFor = 500 * time.Millisecond
-	// shedRetry is the advised wait of a request that was shed: the time in
-	// which a level sinks by about half a rank.
-	shedRetry = time.Second
+	// leastComeBack and mostComeBack bound the advised wait of a caller that was
+	// turned away: a level needs the first to change, and callers leave when they
+	// are to wait longer than the second.
+	leastComeBack = shedding.Interval
+	mostComeBack  = 2 * time.Second
 	// maxOffers bounds the daemons that one request is offered to.
 	maxOffers = 4
 )
@@ -65,6 +65,8 @@
 	// machine calls.
 	Levels *shedding.Levels
 	Calls  *shedding.Calls
+	// Demand tells which requests a level sheds.
+	Demand *shedding.Demand
 	// Returns remembers the callers that were turned away.
 	Returns *shedding.Returns
 	Log     *zap.Logger
@@ -153,32 +155,38 @@
 	if err := e.readBody(ctx, w, a, state.Limits()); err != nil {
 		return nil, err
 	}
+	e.Budget.Request(a.began, a.service)
+	if err := e.shed(a); err != nil {
+		return nil, err
+	}
 	if t, ok := state.Team(a.team); ok && t.Rate > 0 {
 		if err := e.Quota.Take(ctx, a.team); err != nil {
-			return nil, refuse(err, quotaRetry)
+			return nil, refuse(err, a.comeBack())
 		}
 	}
-	e.Budget.Request(a.began, a.service)
-	if err := e.shed(a, state); err != nil {
-		return nil, err
-	}
 	return e.send(ctx, a)
 }
 
-// shed turns a request away that would load a service without room. A caller
-// that was turned away before goes in, where any of its rank does.
-func (e *Entry) shed(a *arrival, state *version.State) error {
+// shed turns a request away that would load a service without room.
+func (e *Entry) shed(a *arrival) error {
 	if a.call {
 		e.Calls.Called(a.began, a.route.Name, a.expires)
 		return nil
 	}
 	a.returned = e.Returns.Returned(a.began, a.key())
-	level := e.Levels.Route(a.began, a.route.Name)
-	share := level.Share(state.RankPosition(a.rank))
-	if share <= 0 || a.returned && share < 1 || rand.Float64() >= share {
+	bound := e.Levels.Route(a.began, a.route.Name)
+	share := e.Demand.Share(a.began, a.rank, a.route.Name, bound)
+	if share <= 0 || rand.Float64() >= share {
 		return nil
 	}
-	return refuse(fault.New(fault.Overloaded, "route %s has no room for rank %d at level %s", a.route.Name, a.rank, level), shedRetry)
+	err := fault.New(fault.Overloaded, "service %s sheds %.2f of its work, %.2f of the requests of rank %d on route %s", bound.Service, bound.Level, share, a.rank, a.route.Name)
+	return refuse(err, a.comeBack())
+}
+
+// comeBack is the advised wait of a caller that is turned away: an answer to its
+// next attempt is still worth all.
+func (a *arrival) comeBack() time.Duration {
+	return min(max(a.useful.Sub(a.began)/2, leastComeBack), mostComeBack)
 }
 
 // key names the request apart from the attempt.
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -144,7 +144,7 @@
 		Directory: &placement.Directory{FailureDomain: "z", List: m.list},
 		Budget:    budget.New(budget.Options{Ratio: 100, Window: time.Second, Slack: 1000, Processes: func() int { return 1 }}),
 		Beside:    one.beside, Peers: link.NewClient(link.Options{Trusted: true}),
-		Levels: levels, Calls: calls, Returns: new(shedding.Returns), Log: zap.NewNop(), Stats: NewStats(),
+		Levels: levels, Calls: calls, Demand: new(shedding.Demand), Returns: new(shedding.Returns), Log: zap.NewNop(), Stats: NewStats(),
 	}
 	one.outer = httptest.NewServer(one.entry)
 	m.t.Cleanup(one.outer.Close)
