Fewer bytes between failure domains: compressed configurations, nothing said twice

Links repeated the request's id and deadline, which the passage holds, a Date and a content type that no target had stated. Change: long notes and states are compressed where they are encoded; daemons leave out what the other end knows, and a level of nothing. Callers no longer get a content type that was guessed.

--- a/internal/process/shedding/levels.go
+++ b/internal/process/shedding/levels.go
@@ -34,17 +34,19 @@
 	cost    time.Duration
 }
 
-// Observe takes in what an answer to a request of the route states.
+// Observe takes in what an answer to a request of the route states. The zero
+// value says that no service has anything to shed.
 func (l *Levels) Observe(now time.Time, route string, s Stated) {
-	if s.Service == "" {
-		return
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.services == nil {
 		l.services = make(map[string]*serviceLevel)
 		l.routes = make(map[string]binding)
 	}
+	if s.Service == "" {
+		l.relax(now, route)
+		return
+	}
 	k, ok := l.services[s.Service]
 	if !ok {
 		k = &serviceLevel{}
@@ -61,6 +63,18 @@
 	l.routes[route] = b
 }
 
+// relax takes in that the service that bound the route sheds nothing.
+func (l *Levels) relax(now time.Time, route string) {
+	b, ok := l.routes[route]
+	if !ok {
+		return
+	}
+	k := l.services[b.service]
+	k.settle(now)
+	k.level -= smoothing * k.level
+	k.at = now
+}
+
 // settle lets the level sink for the time in which nothing was stated.
 func (k *serviceLevel) settle(now time.Time) {
 	silent := now.Sub(k.at) - decayAfter
--- a/internal/request/relay/beside.go
+++ b/internal/request/relay/beside.go
@@ -16,6 +16,9 @@
 	"github.com/teaselrack/teaselrack/internal/process/shedding"
 )
 
+// leastStated is the level below which answers carry none; nothing is shed for it.
+const leastStated = 0.005
+
 // Beside gives requests to the target beside this process.
 type Beside struct {
 	Names   HeaderNames
@@ -66,8 +69,11 @@
 }
 
 func (b *Beside) writeLoad(h http.Header, p *Passage) {
-	h.Set(headerLoad, strconv.FormatFloat(b.Target.Load(), 'f', 3, 64))
-	h.Set(headerLevel, b.Level(p.Route).String())
+	h.Set(headerLoad, strconv.FormatFloat(b.Target.Load(), 'f', 2, 64))
+	if level := b.Level(p.Route); level.Level >= leastStated {
+		h.Set(headerLevel, level.String())
+	}
+	h["Date"] = nil
 }
 
 // Level returns what answers to requests of a route state: the service with the
@@ -87,12 +93,23 @@
 	for name, values := range a.Header {
 		h[name] = values
 	}
+	if id := h[b.Names.RequestID]; len(id) == 1 && id[0] == p.RequestID {
+		delete(h, b.Names.RequestID)
+	}
+	asTyped(h)
 	b.writeLoad(h, p)
 	if err := passOn(w, a); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// asTyped keeps the server from guessing a type that the target did not state.
+func asTyped(h http.Header) {
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+}
+
 // passOn writes an answer. On failure the connection must break, so that the
 // answer does not look complete.
 func passOn(w http.ResponseWriter, a *Answer) error {
@@ -163,6 +180,9 @@
 	if p.Team != "" {
 		h[b.Names.Team] = []string{p.Team}
 	}
+	if p.RequestID != "" {
+		h[b.Names.RequestID] = []string{p.RequestID}
+	}
 	h[b.Names.Origin] = []string{p.Origin}
 	h[b.Names.Expect] = []string{target}
 	left := p.Remaining
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -114,6 +114,10 @@
 	for name, values := range answer.Header {
 		h[name] = values
 	}
+	if _, ok := h[e.Names.RequestID]; !ok && a.id != "" {
+		h[e.Names.RequestID] = []string{a.id}
+	}
+	asTyped(h)
 	e.Stats.Answered(answer.Status, time.Since(a.began))
 	if err := passOn(w, answer); err != nil {
 		e.Log.Info("answer broke off", zap.String("request", a.id), zap.String("route", a.route.Name), zap.String("reason", err.Error()))
@@ -214,8 +218,10 @@
 	a.rank = state.Rank(a.team, &route)
 	a.service = route.ServiceFor(rand.Float64())
 	a.header = passedOn(r.Header)
-	delete(a.header, e.Names.Key)
-	delete(a.header, e.Names.Team)
+	// The daemon beside the target sets these anew.
+	for _, name := range []string{e.Names.Key, e.Names.Team, e.Names.RequestID, e.Names.Deadline} {
+		delete(a.header, name)
+	}
 	e.setTimes(a)
 	return nil
 }
@@ -431,12 +437,19 @@
 	return a, nil
 }
 
-// reported takes in the level that a daemon states. It returns its load, -1
-// where it states none, and the advised wait.
+// reported takes in the level that a daemon states; where it states none,
+// nothing is to be shed. It returns its load, -1 where it states none, and the
+// advised wait.
 func (e *Entry) reported(route string, h http.Header) (load float64, after time.Duration) {
-	if stated, err := shedding.ParseStated(h.Get(headerLevel)); err == nil {
-		e.Levels.Observe(time.Now(), route, stated)
+	stated := shedding.Stated{}
+	if text := h.Get(headerLevel); text != "" {
+		parsed, err := shedding.ParseStated(text)
+		if err != nil {
+			e.Log.Warn("level not understood", zap.String("route", route), zap.Error(err))
+		}
+		stated = parsed
 	}
+	e.Levels.Observe(time.Now(), route, stated)
 	load, err := strconv.ParseFloat(h.Get(headerLoad), 64)
 	if err != nil {
 		load = -1
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -435,3 +435,58 @@
 		_ = conn.Close()
 	}
 }
+
+// recorded keeps the headers of what passes between two daemons.
+type recorded struct {
+	next    http.Handler
+	mu      sync.Mutex
+	asked   http.Header
+	replied http.Header
+}
+
+func (r *recorded) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	asked := req.Header.Clone()
+	buffer := httptest.NewRecorder()
+	r.next.ServeHTTP(buffer, req)
+	r.mu.Lock()
+	r.asked, r.replied = asked, buffer.Header().Clone()
+	r.mu.Unlock()
+	for name, values := range buffer.Header() {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(buffer.Code)
+	_, _ = w.Write(buffer.Body.Bytes())
+}
+
+// TestNothingIsSaidTwiceBetweenDaemons: links between failure domains are dear, so
+// daemons leave out what the passage says already and what nobody stated. The
+// caller and the target see all of it.
+func TestNothingIsSaidTwiceBetweenDaemons(t *testing.T) {
+	m := newMesh(t, version.Idempotent, 0, 1)
+	record := &recorded{next: m.machines[0].beside}
+	peer := httptest.NewServer(record)
+	t.Cleanup(peer.Close)
+	m.machines[0].record.PeerAddress = peer.Listener.Addr().String()
+	m.machines[0].stub.serveWith(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header()["Date"] = nil
+		w.Header()["Content-Type"] = nil
+		_, _ = w.Write([]byte("<html>whole</html>"))
+	})
+	names := DefaultNames()
+	reply, body := m.send(m.outside(), "GET", "/p/x", map[string]string{names.Deadline: "300", "Other": "kept"}, "")
+	must.Eq(t, 200, reply.StatusCode)
+	must.Eq(t, "<html>whole</html>", body)
+	must.Eq(t, "id-1", reply.Header.Get(names.RequestID))
+	must.Eq(t, "s", reply.Header.Get("Stamp"))
+	must.Eq(t, "", reply.Header.Get("Content-Type"), must.Sprint("the target stated none"))
+	seen := m.machines[0].stub.seen[0]
+	must.Eq(t, "id-1", seen.Header.Get(names.RequestID))
+	must.NotEq(t, "", seen.Header.Get(names.Deadline))
+	must.Eq(t, "kept", seen.Header.Get("Other"))
+	for _, name := range []string{names.RequestID, names.Deadline, names.Key, names.Team} {
+		must.Eq(t, "", record.asked.Get(name), must.Sprint(name))
+	}
+	for _, name := range []string{names.RequestID, "Date", "Content-Type", headerLevel} {
+		must.Eq(t, "", record.replied.Get(name), must.Sprint(name))
+	}
+}
--- a/internal/version/note.go
+++ b/internal/version/note.go
@@ -9,19 +9,25 @@
 // Digest is the digest of the note's content, apart from its layout.
 func (n *Note) Digest() string { return digestOf(n) }
 
-// Encode returns the canonical CBOR form of the note.
+// Encode returns the canonical CBOR form of the note, compressed where it is
+// long.
 func (n *Note) Encode() ([]byte, error) {
 	b, err := canonical.Marshal(n)
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "encode the note")
 	}
-	return b, nil
+	return compress(b)
 }
 
-// DecodeNote reads what Encode wrote. It does not validate the note.
+// DecodeNote reads what Encode wrote, compressed or not. It does not validate
+// the note.
 func DecodeNote(b []byte) (*Note, error) {
+	plain, err := decompress(b)
+	if err != nil {
+		return nil, fault.Wrap(fault.NoteInvalid, err, "decompress the note")
+	}
 	n := new(Note)
-	if err := cbor.Unmarshal(b, n); err != nil {
+	if err := cbor.Unmarshal(plain, n); err != nil {
 		return nil, fault.Wrap(fault.NoteInvalid, err, "decode the note")
 	}
 	return n, nil
--- a/internal/version/state.go
+++ b/internal/version/state.go
@@ -177,19 +177,24 @@
 	return Route{}, false
 }
 
-// Encode returns the canonical CBOR form of the state.
+// Encode returns the canonical CBOR form of the state, compressed where it is
+// long.
 func (s *State) Encode() ([]byte, error) {
 	b, err := canonical.Marshal(s.image())
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "encode the state")
 	}
-	return b, nil
+	return compress(b)
 }
 
-// DecodeState reads what Encode wrote.
+// DecodeState reads what Encode wrote, compressed or not.
 func DecodeState(b []byte) (*State, error) {
+	plain, err := decompress(b)
+	if err != nil {
+		return nil, fault.Wrap(fault.Damaged, err, "decompress the state")
+	}
 	var img image
-	if err := cbor.Unmarshal(b, &img); err != nil {
+	if err := cbor.Unmarshal(plain, &img); err != nil {
 		return nil, fault.Wrap(fault.Damaged, err, "decode the state")
 	}
 	return build(img), nil
