Shedding: at once in a flood, gone when targets are warm, a short queue

Ruled out: the decay of levels nobody states; all targets answered. Change: load counts down to 0.02 and up to 20 times the capacity; from four times on the level is set at once; at most 98 in 100 are shed; what waits counts as to be worked off in 150 ms and the whole capacity is used. Cold targets get cold_overage times the rate of their service, with the slack of the rule left unused.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -220,6 +220,9 @@
 
 func (n *Node) coldRate() float64 {
 	s, _ := n.holder.Current().Service(n.o.Traffic.Service)
+	if factor := n.o.Traffic.ColdOverage; factor > 0 {
+		return s.ColdRate * factor
+	}
 	return s.ColdRate
 }
 
--- a/internal/process/node/options.go
+++ b/internal/process/node/options.go
@@ -51,6 +51,9 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// ColdOverage is how many times the rate that its service states a cold
+	// target may get. Default 1.
+	ColdOverage float64
 }
 
 // Control is the role of a control replica.
@@ -80,6 +83,9 @@
 	if t := o.Traffic; t != nil && (t.Service == "" || t.Target == "" || t.Entry == "" || t.Peer == "") {
 		return fault.New(fault.SettingsInvalid, "the traffic role of %s needs a service, a target, an entry and a peer address", o.Instance)
 	}
+	if t := o.Traffic; t != nil && t.ColdOverage < 0 {
+		return fault.New(fault.SettingsInvalid, "the cold overage %g of %s is negative", t.ColdOverage, o.Instance)
+	}
 	if c := o.Control; c != nil && (c.Listen == "" || c.Folder == "") {
 		return fault.New(fault.SettingsInvalid, "the control role of %s needs an address and a data folder", o.Instance)
 	}
--- a/internal/process/shedding/controller.go
+++ b/internal/process/shedding/controller.go
@@ -21,19 +21,26 @@
 	// Interval is the time between two changes of a level.
 	Interval = 100 * time.Millisecond
 	// MaxLevel is the highest level; the rest shows when there is room again.
-	MaxLevel = 0.95
-	// targetLoad is the part of the capacity that is to be used: above it the
-	// queue of calls grows with the variation of their number.
-	targetLoad = 0.95
+	MaxLevel = 0.98
+	// targetLoad is the part of the capacity that is to be used, what waits
+	// included: so a short queue keeps the target busy.
+	targetLoad = 1.0
 	// gain is the exponent by which the part that passes follows the load in
 	// each interval. A change takes about half a second to come back as load;
 	// twice this gain would swing.
 	gain = 0.12
-	// leastLoad and mostLoad bound what one interval counts for.
-	leastLoad = 0.5
-	mostLoad  = 3.0
+	// leastLoad and mostLoad bound what one interval counts for. Between cold and
+	// warm, what a target can do changes by such factors.
+	leastLoad = 0.02
+	mostLoad  = 20.0
+	// floodLoad is the load from which the level is set at once where nothing is
+	// shed yet, since all of the demand arrives then: more than one interval of
+	// bursty calls comes to. settleTime is how long it does not rise after that,
+	// the time in which a change comes back as load.
+	floodLoad  = 4
+	settleTime = 500 * time.Millisecond
 	// drainTime is the time in which waiting requests are to be worked off.
-	drainTime = 400 * time.Millisecond
+	drainTime = 150 * time.Millisecond
 )
 
 // Capacity is what a target can do at a moment.
@@ -52,6 +59,8 @@
 	// offered is counted since at.
 	offered  int
 	capacity Capacity
+	// settled is when the last level that was set at once has come back as load.
+	settled time.Time
 }
 
 // Offered counts a request that arrives at the target.
@@ -77,13 +86,24 @@
 		return
 	}
 	load := min(max(c.load(elapsed), leastLoad), mostLoad)
-	steps := float64(elapsed) / float64(Interval)
-	passes := (1 - c.shed) * math.Pow(targetLoad/load, gain*steps)
-	c.shed = min(max(1-passes, 0), MaxLevel)
+	c.adjust(now, load, float64(elapsed)/float64(Interval))
 	c.at = now
 	c.offered = 0
 }
 
+func (c *Controller) adjust(now time.Time, load, steps float64) {
+	if c.shed == 0 && load > floodLoad {
+		c.shed = min(1-targetLoad/load, MaxLevel)
+		c.settled = now.Add(settleTime)
+		return
+	}
+	if load > targetLoad && now.Before(c.settled) {
+		return
+	}
+	passes := (1 - c.shed) * math.Pow(targetLoad/load, gain*steps)
+	c.shed = min(max(1-passes, 0), MaxLevel)
+}
+
 // load returns the work that arrived and that waits, as a part of what the
 // target can do.
 func (c *Controller) load(elapsed time.Duration) float64 {
--- a/internal/process/shedding/demand.go
+++ b/internal/process/shedding/demand.go
@@ -10,7 +10,7 @@
 	demandHalfLife = 3 * time.Second
 	// mostShare is the largest part of a sort of requests that is shed; the rest
 	// shows that there is room again, and keeps every route alive.
-	mostShare = 0.93
+	mostShare = 0.98
 	// leastLevel is the level from which a route counts as bound by a service.
 	leastLevel = 0.01
 )
--- a/internal/process/shedding/shedding_test.go
+++ b/internal/process/shedding/shedding_test.go
@@ -86,6 +86,59 @@
 	must.Eq(t, Stated{}, l.Below(now, nil))
 }
 
+// TestBurstsAreNoFlood: calls come in bursts of ten, three quarters of what the
+// target can do in the mean. What is shed for them is little.
+func TestBurstsAreNoFlood(t *testing.T) {
+	const capacity, burst = 360.0, 10
+	rng := rand.New(rand.NewPCG(5, 5))
+	var c Controller
+	now := time.Unix(1, 0)
+	sum := 0.0
+	const steps = 2000
+	for range steps {
+		for range 36 {
+			if rng.Float64() < 0.75*capacity*Interval.Seconds()/burst/36 {
+				for range burst {
+					c.Offered(now, Capacity{PerSecond: capacity})
+				}
+			}
+		}
+		now = now.Add(Interval)
+		sum += c.Level(now)
+	}
+	must.Less(t, 0.05, sum/steps, must.Sprint("a part that changes no order between ranks"))
+}
+
+// TestLevelAfterColdTargets: after a loss of power all targets are cold for three
+// seconds and can do a fortieth of what is asked. A second after they are warm
+// nearly everything passes again.
+func TestLevelAfterColdTargets(t *testing.T) {
+	const demand, cold, warm, late = 800.0, 20.0, 1500.0, 5
+	var c Controller
+	now := time.Unix(1, 0)
+	passes := []float64{1, 1, 1, 1, 1}
+	step := func(capacity float64) float64 {
+		n := int(demand * passes[len(passes)-late] * Interval.Seconds())
+		for range n {
+			c.Offered(now, Capacity{PerSecond: capacity})
+		}
+		now = now.Add(Interval)
+		level := c.Level(now)
+		passes = append(passes, 1-level)
+		return level
+	}
+	for range 2 {
+		step(cold)
+	}
+	for range 28 {
+		must.Greater(t, 0.9, step(cold), must.Sprint("as soon as the flood is seen"))
+	}
+	for range 10 {
+		step(warm)
+	}
+	must.Less(t, 0.1, step(warm))
+}
+
 // TestLevelFollowsTheLoad: at twice its capacity a target sheds half of the work,
 // although each change comes back only after half a second, and nothing soon
 // after the load is gone.
