Work moves before it is shed; callers come back within their objective

Callers turned away were asked to wait half of their objective, at least 100 ms, which is too late for objectives of 150 ms. Change: the part to be shed counts as load of a target; spill from 0.8 on; Retry-After is a third of the objective, at least 50 ms. Test: TestSlowTargetIsLeftBeforeWorkIsShed.

--- a/internal/process/placement/placement.go
+++ b/internal/process/placement/placement.go
@@ -17,8 +17,8 @@
 	// spillLoad is the load of the own failure domain's target from which other
 	// failure domains are considered, and spillGain how much less loaded their
 	// target must be.
-	spillLoad = 1.0
-	spillGain = 0.4
+	spillLoad = 0.8
+	spillGain = 0.3
 	// reportHalfLife is the time in which a reported load loses half of its
 	// weight.
 	reportHalfLife = 300 * time.Millisecond
@@ -41,7 +41,7 @@
 	Cold bool
 
 	outstanding int
-	reported    float64 // load at reportedAt, with what was outstanding then
+	reported    float64 // load and what is to be shed, at reportedAt
 	reportedAt  time.Time
 	failures    float64 // 0 to 1
 	failedAt    time.Time
@@ -56,10 +56,12 @@
 // Ended notes that a request has ended.
 func (t *Target) Ended() { t.outstanding-- }
 
-// Report takes the load that the daemon beside the target stated: requests that
-// run or wait, for each slot.
-func (t *Target) Report(now time.Time, load float64) {
-	t.reported = load
+// Report takes what the daemon beside the target stated: its load, which is the
+// requests that run or wait for each slot, and the part of the work on it that it
+// wants shed. Work is moved to another target before it is shed, so that part
+// counts as load.
+func (t *Target) Report(now time.Time, load, shed float64) {
+	t.reported = load + shed
 	t.reportedAt = now
 }
 
--- a/internal/process/placement/placement_test.go
+++ b/internal/process/placement/placement_test.go
@@ -20,12 +20,24 @@
 	for range 100 {
 		must.Eq(t, 0, Choose(now, targets, none, draw()))
 	}
-	targets[0].Report(now, 2)
+	targets[0].Report(now, 2, 0)
 	must.Eq(t, 1, Choose(now, targets, none, draw()))
-	targets[1].Report(now, 1.8)
+	targets[1].Report(now, 1.8, 0)
 	must.Eq(t, 0, Choose(now, targets, none, draw()), must.Sprint("a little less load is not worth the way"))
 }
 
+// TestSlowTargetIsLeftBeforeWorkIsShed: the own target works slowly and wants half
+// of its work shed, which keeps its slots just full. The others have room.
+func TestSlowTargetIsLeftBeforeWorkIsShed(t *testing.T) {
+	now := time.Unix(1, 0)
+	targets := []*Target{{Own: true, Slots: 10}, {Slots: 10}}
+	targets[0].Report(now, 0.95, 0.5)
+	targets[1].Report(now, 0.9, 0)
+	must.Eq(t, 1, Choose(now, targets, none, draw()))
+	targets[1].Report(now, 0.95, 0.5)
+	must.Eq(t, 0, Choose(now, targets, none, draw()), must.Sprint("where all are full the work stays"))
+}
+
 func TestNoTargetIsLeft(t *testing.T) {
 	now := time.Unix(1, 0)
 	must.Eq(t, -1, Choose(now, nil, none, draw()))
--- a/internal/request/relay/content.go
+++ b/internal/request/relay/content.go
@@ -83,8 +83,10 @@
 	content
 	// NotRun is true where the target says that it did not run the request.
 	NotRun bool
-	// Load is the load that the daemon beside the target states.
+	// Load is the load that the daemon beside the target states, -1 where it
+	// states none, and Shed the part of the work on the target to be shed.
 	Load float64
+	Shed float64
 	// source is closed once the answer has been passed on; nil where it was read
 	// whole.
 	source io.Closer
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -29,10 +29,12 @@
 	startRetry = 500 * time.Millisecond
 	// failedFor is how long a target is passed over that cannot be reached.
 	failedFor = 500 * time.Millisecond
-	// leastComeBack and mostComeBack bound the advised wait of a caller that was
-	// turned away: a level needs the first to change, and callers leave when they
-	// are to wait longer than the second.
-	leastComeBack = shedding.Interval
+	// comeBackPart is the part of what is left of the objective that a caller who
+	// was turned away is asked to wait, one in this many.
+	comeBackPart = 3
+	// leastComeBack and mostComeBack bound that wait: tokens and levels change
+	// little in the first, and callers leave when it is longer than the second.
+	leastComeBack = 50 * time.Millisecond
 	mostComeBack  = 2 * time.Second
 	// maxOffers bounds the daemons that one request is offered to.
 	maxOffers = 4
@@ -187,10 +189,10 @@
 	return refuse(err, a.comeBack())
 }
 
-// comeBack is the advised wait of a caller that is turned away: an answer to its
-// next attempt is still worth all.
+// comeBack is the advised wait of a caller that is turned away. It leaves most of
+// the objective for its next attempt, so that an answer to that is still worth all.
 func (a *arrival) comeBack() time.Duration {
-	return min(max(a.useful.Sub(a.began)/2, leastComeBack), mostComeBack)
+	return min(max(a.useful.Sub(a.began)/comeBackPart, leastComeBack), mostComeBack)
 }
 
 // key names the request apart from the attempt.
@@ -361,7 +363,7 @@
 	now := time.Now()
 	choice.Update(func(t *placement.Target) {
 		if answer != nil && answer.Load >= 0 {
-			t.Report(now, answer.Load)
+			t.Report(now, answer.Load, answer.Shed)
 		}
 		judge(now, t, answer, err)
 	})
@@ -409,6 +411,7 @@
 		e.Levels.Observe(time.Now(), p.Route, e.Beside.Level(p.Route))
 		if answer != nil {
 			answer.Load = e.Beside.Target.Load()
+			answer.Shed, _ = e.Beside.Target.Level()
 		}
 		return answer, err
 	}
@@ -423,7 +426,7 @@
 	if err != nil {
 		return nil, err
 	}
-	load, after := e.reported(p.Route, resp.Header)
+	load, stated, after := e.reported(p.Route, resp.Header)
 	if kind := fault.Kind(resp.Header.Get(headerKind)); kind != "" {
 		return nil, readRefusal(resp, kind, after)
 	}
@@ -433,15 +436,17 @@
 		return nil, err
 	}
 	a.Load = load
+	if stated.Service == p.Service {
+		a.Shed = stated.Level
+	}
 	a.NotRun = notRun
 	return a, nil
 }
 
 // reported takes in the level that a daemon states; where it states none,
-// nothing is to be shed. It returns its load, -1 where it states none, and the
-// advised wait.
-func (e *Entry) reported(route string, h http.Header) (load float64, after time.Duration) {
-	stated := shedding.Stated{}
+// nothing is to be shed. It returns the daemon's load, -1 where it states none,
+// the level, and the advised wait.
+func (e *Entry) reported(route string, h http.Header) (load float64, stated shedding.Stated, after time.Duration) {
 	if text := h.Get(headerLevel); text != "" {
 		parsed, err := shedding.ParseStated(text)
 		if err != nil {
@@ -458,7 +463,7 @@
 	if err != nil {
 		us = 0
 	}
-	return load, time.Duration(us) * time.Microsecond
+	return load, stated, time.Duration(us) * time.Microsecond
 }
 
 // readRefusal turns the refusal of a daemon back into its error.
