Log: when requests begin and cease to be shed for a target

Cause: the line of a shed request names the service without room; on-call then had to watch gauges to find the target and why. Nothing was logged when a daemon changed its mind about its target's room. Change: one line when shedding begins and one when it ends, at most one a second, with capacity, cold, service time, queue and the age of the last heartbeat. Test: TestLogSaysWhenRequestsAreShed.

--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -27,6 +27,10 @@
 	// suspectResets is the number of connections in a row that must break before
 	// a target is taken to have started again: a faulty one breaks some.
 	suspectResets = 5
+	// notedLevel is the level from which the log says that requests are shed for
+	// the target, and noteGap the least time between two such lines.
+	notedLevel = 0.05
+	noteGap    = time.Second
 	// coldRetry is the advised wait while a target is cold or restarts.
 	coldRetry = 300 * time.Millisecond
 )
@@ -66,6 +70,9 @@
 	gate     *gate.Gate
 	cold     gate.Cold
 	shedding shedding.Controller
+	// sheds is what the log says last about shedding, notedAt when it said so.
+	sheds   bool
+	notedAt time.Time
 }
 
 // New returns a target that has not announced itself.
@@ -217,7 +224,9 @@
 	if err := t.check(now); err != nil {
 		return nil, err
 	}
-	t.shedding.Offered(now, t.capacity(now))
+	capacity := t.capacity(now)
+	t.shedding.Offered(now, capacity)
+	t.noteLevel(now, capacity)
 	ticket, verdict := t.gate.Offer(now, ask)
 	if verdict == gate.Run {
 		close(ticket.Ready)
@@ -302,6 +311,24 @@
 	}
 }
 
+// noteLevel logs that requests begin or cease to be shed for the target.
+func (t *Target) noteLevel(now time.Time, capacity shedding.Capacity) {
+	level := t.shedding.Level(now)
+	sheds := level >= notedLevel
+	if sheds == t.sheds || now.Sub(t.notedAt) < noteGap {
+		return
+	}
+	t.sheds, t.notedAt = sheds, now
+	text := "requests are no longer shed for the target"
+	if sheds {
+		text = "requests are shed for the target"
+	}
+	running, waiting, slots := t.gate.Load()
+	t.o.Log.Info(text, zap.String("service", t.o.Service), zap.String("id", t.last.ID), zap.Float64("level", level),
+		zap.Float64("capacity_per_second", capacity.PerSecond), zap.Bool("cold", t.isCold(now)), zap.Duration("service_time", t.gate.Service()),
+		zap.Int("running", running), zap.Int("waiting", waiting), zap.Int("slots", slots), zap.Duration("heartbeat_age", now.Sub(t.heard)))
+}
+
 // capacity is what the target can do now: what its slots allow, or what it bears
 // while it is cold.
 func (t *Target) capacity(now time.Time) shedding.Capacity {
--- a/internal/process/local/target_test.go
+++ b/internal/process/local/target_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
@@ -204,3 +205,34 @@
 		must.NoError(t, w.admit(t))
 	})
 }
+
+// TestLogSaysWhenRequestsAreShed: a cold target that bears 33 requests a second is
+// asked for 500 for three seconds, then for ten. The log has one line when shedding
+// begins and one when it ends, with what decided.
+func TestLogSaysWhenRequestsAreShed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		core, lines := observer.New(zap.InfoLevel)
+		w.target.o.Log = zap.New(core)
+		cold := beat(1)
+		cold.ColdFor = 3 * time.Second
+		must.NoError(t, w.target.Heartbeat(cold))
+		lines.TakeAll()
+		ask := func(perSecond int, d time.Duration) {
+			for range int(d.Seconds() * float64(perSecond)) {
+				_ = w.admit(t)
+				time.Sleep(time.Second / time.Duration(perSecond))
+			}
+		}
+		ask(500, 3*time.Second)
+		ask(10, 2*time.Second)
+		shed := lines.TakeAll()
+		must.Len(t, 2, shed)
+		must.Eq(t, "requests are shed for the target", shed[0].Message)
+		must.Eq(t, "requests are no longer shed for the target", shed[1].Message)
+		fields := shed[0].ContextMap()
+		must.Eq(t, true, fields["cold"])
+		must.Eq(t, 33.0, fields["capacity_per_second"])
+		must.Greater(t, notedLevel, fields["level"].(float64))
+	})
+}
