--- a/internal/process/shedding/shedding_test.go
+++ b/internal/process/shedding/shedding_test.go
@@ -109,66 +109,68 @@
 	must.Less(t, 0.05, sum/steps, must.Sprint("a part that changes no order between ranks"))
 }
 
+// delayed is a target whose level comes back as load half a second later.
+type delayed struct {
+	controller Controller
+	now        time.Time
+	passes     []float64
+}
+
+func newDelayed() *delayed {
+	const intervals = 5
+	d := &delayed{now: time.Unix(1, 0)}
+	for range intervals {
+		d.passes = append(d.passes, 1)
+	}
+	return d
+}
+
+// step lets one interval pass, for a demand and a capacity in requests a second.
+func (d *delayed) step(demand, capacity float64) float64 {
+	n := int(demand * d.passes[0] * Interval.Seconds())
+	for range n {
+		d.controller.Offered(d.now, Capacity{PerSecond: capacity})
+	}
+	d.now = d.now.Add(Interval)
+	level := d.controller.Level(d.now)
+	d.passes = append(d.passes[1:], 1-level)
+	return level
+}
+
 // TestLevelAfterColdTargets: after a loss of power all targets are cold for three
 // seconds and can do a fortieth of what is asked. A second after they are warm
 // nearly everything passes again.
 func TestLevelAfterColdTargets(t *testing.T) {
-	const demand, cold, warm, late = 800.0, 20.0, 1500.0, 5
-	var c Controller
-	now := time.Unix(1, 0)
-	passes := []float64{1, 1, 1, 1, 1}
-	step := func(capacity float64) float64 {
-		n := int(demand * passes[len(passes)-late] * Interval.Seconds())
-		for range n {
-			c.Offered(now, Capacity{PerSecond: capacity})
-		}
-		now = now.Add(Interval)
-		level := c.Level(now)
-		passes = append(passes, 1-level)
-		return level
-	}
+	const demand, cold, warm = 800.0, 20.0, 1500.0
+	d := newDelayed()
 	for range 2 {
-		step(cold)
+		d.step(demand, cold)
 	}
 	for range 28 {
-		must.Greater(t, 0.9, step(cold), must.Sprint("as soon as the flood is seen"))
+		must.Greater(t, 0.9, d.step(demand, cold), must.Sprint("as soon as the flood is seen"))
 	}
 	for range 10 {
-		step(warm)
+		d.step(demand, warm)
 	}
-	must.Less(t, 0.1, step(warm))
+	must.Less(t, 0.1, d.step(demand, warm))
 }
 
 // TestLevelFollowsTheLoad: at twice its capacity a target sheds half of the work,
 // although each change comes back only after half a second, and nothing soon
 // after the load is gone.
 func TestLevelFollowsTheLoad(t *testing.T) {
-	const capacity, late = 400.0, 5 // requests a second; intervals
-	var c Controller
-	now := time.Unix(1, 0)
-	passes := []float64{1, 1, 1, 1, 1}
-	demand := 2 * capacity
-	step := func() float64 {
-		n := int(demand * passes[len(passes)-late] * Interval.Seconds())
-		for range n {
-			c.Offered(now, Capacity{PerSecond: capacity})
-		}
-		now = now.Add(Interval)
-		level := c.Level(now)
-		passes = append(passes, 1-level)
-		return level
-	}
+	const capacity = 400.0
+	d := newDelayed()
 	for range 50 {
-		step()
+		d.step(2*capacity, capacity)
 	}
 	for range 100 {
-		must.Between(t, 0.45, step(), 0.6)
+		must.Between(t, 0.45, d.step(2*capacity, capacity), 0.6)
 	}
-	demand = capacity / 2
 	for range 20 {
-		step()
+		d.step(capacity/2, capacity)
 	}
-	must.Eq(t, 0, step())
+	must.Eq(t, 0, d.step(capacity/2, capacity))
 }
 
 // TestCallsAreAttributed replays two routes of one target that run in equal
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/teaselrack/teaselrack/internal/connection/link"
@@ -20,24 +19,10 @@
 )
 
 const (
-	// defaultRemaining is the time of a request that states none.
-	defaultRemaining = 30 * time.Second
-	// answerMargin is kept back from the caller's own time, so that the final
-	// answer still reaches it.
-	answerMargin = 20 * time.Millisecond
 	// startRetry is the advised wait where this process knows no configuration.
 	startRetry = 500 * time.Millisecond
 	// failedFor is how long a target is passed over that cannot be reached.
 	failedFor = 500 * time.Millisecond
-	// comeBackPart is the part of what is left of the objective that a caller who
-	// was turned away is asked to wait, one in this many.
-	comeBackPart = 3
-	// leastComeBack and mostComeBack bound that wait: tokens and levels change
-	// little in the first, and callers leave when it is longer than the second.
-	leastComeBack = 50 * time.Millisecond
-	mostComeBack  = 2 * time.Second
-	// maxOffers bounds the daemons that one request is offered to.
-	maxOffers = 4
 )
 
 // Configuration gives the state that this process holds.
@@ -75,31 +60,6 @@
 	Stats   *Stats
 }
 
-// arrival is one request at its entry.
-type arrival struct {
-	began   time.Time
-	id      string
-	route   version.Route
-	service string
-	team    string
-	rank    int
-	// call is true for a request without a team: those of targets.
-	call bool
-	// returned is true where the caller was turned away a short time ago.
-	returned bool
-	// expires is when the caller gives up, deadline when the final answer is
-	// due, useful when its full worth ends.
-	expires  time.Time
-	deadline time.Time
-	useful   time.Time
-	request  *http.Request
-	header   http.Header
-	// release frees the context of the request once its answer was passed on.
-	release context.CancelFunc
-	content content
-	version uint64
-}
-
 // ServeHTTP answers one request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	a := &arrival{began: time.Now(), id: r.Header.Get(e.Names.RequestID), request: r}
@@ -189,17 +149,6 @@
 	return refuse(err, a.comeBack())
 }
 
-// comeBack is the advised wait of a caller that is turned away. It leaves most of
-// the objective for its next attempt, so that an answer to that is still worth all.
-func (a *arrival) comeBack() time.Duration {
-	return min(max(a.useful.Sub(a.began)/comeBackPart, leastComeBack), mostComeBack)
-}
-
-// key names the request apart from the attempt.
-func (a *arrival) key() uint64 {
-	return xxhash.Sum64String(a.team + " " + a.request.Method + " " + a.request.Host + a.request.RequestURI)
-}
-
 // identify finds the route and the team of a request.
 func (e *Entry) identify(a *arrival, state *version.State) error {
 	r := a.request
@@ -228,27 +177,6 @@
 	return nil
 }
 
-// setTimes fixes when the final answer is due and until when it has its full
-// worth.
-func (e *Entry) setTimes(a *arrival) {
-	remaining := defaultRemaining
-	if text := a.request.Header.Get(e.Names.Deadline); text != "" {
-		if ms, err := strconv.ParseInt(text, 10, 64); err == nil && ms > 0 {
-			remaining = min(remaining, time.Duration(ms)*time.Millisecond)
-		}
-	}
-	a.expires = a.began.Add(remaining)
-	remaining = max(remaining-answerMargin, remaining/2)
-	if a.route.Timeout > 0 {
-		remaining = min(remaining, a.route.Timeout)
-	}
-	a.deadline = a.began.Add(remaining)
-	a.useful = a.deadline
-	if !a.call && a.route.Objective > 0 && a.route.Objective < remaining {
-		a.useful = a.began.Add(a.route.Objective)
-	}
-}
-
 func (e *Entry) readBody(ctx context.Context, w http.ResponseWriter, a *arrival, limits version.Limits) error {
 	r := a.request
 	if limits.BodyBytes > 0 {
@@ -268,17 +196,6 @@
 	return nil
 }
 
-// tries is the state of one request over the targets that it was sent to.
-type tries struct {
-	excluded []string
-	// offers counts the daemons that had the request, given the targets that
-	// were given it.
-	offers, given int
-	// mayHaveRun is set once a target may have run the request.
-	mayHaveRun bool
-	last       error
-}
-
 // send offers the request to targets until one answers, or it must be given up.
 func (e *Entry) send(ctx context.Context, a *arrival) (*Answer, error) {
 	var t tries
@@ -302,21 +219,6 @@
 	}
 }
 
-func (t *tries) add(instance string, answer *Answer, err error) {
-	t.excluded = append(t.excluded, instance)
-	t.offers++
-	t.last = err
-	if err == nil {
-		t.given++
-		t.last = refuse(fault.New(fault.Overloaded, "the target turned the request away with status %d", answer.Status), 0)
-		return
-	}
-	if fault.OutcomeOf(err) != fault.NotRun {
-		t.given++
-		t.mayHaveRun = true
-	}
-}
-
 // again reports whether the request may be offered to another target.
 func (e *Entry) again(ctx context.Context, a *arrival, t *tries, answer *Answer, err error) bool {
 	if ctx.Err() != nil || t.offers >= maxOffers || a.content.rest != nil {
@@ -337,26 +239,6 @@
 	return t.given < attempts && e.Budget.Take(time.Now(), a.service)
 }
 
-// conclude returns the final answer to a request that is not sent again.
-func conclude(t *tries, answer *Answer) (*Answer, error) {
-	if answer != nil {
-		answer.Close(nil)
-	}
-	return nil, t.result(t.last)
-}
-
-// result is the failure to answer with. A request that a target may have run is
-// never said to be not run.
-func (t *tries) result(err error) error {
-	if t.last != nil {
-		err = t.last
-	}
-	if t.mayHaveRun && fault.OutcomeOf(err) == fault.NotRun {
-		return fault.Wrap(fault.ConnectionLost, err, "a target may have run the request before: %s", fault.Message(err))
-	}
-	return err
-}
-
 // attempt sends the request to one target.
 func (e *Entry) attempt(ctx context.Context, a *arrival, choice placement.Choice) (*Answer, error) {
 	answer, err := e.pass(ctx, a, choice)
