--- a/internal/process/node/options.go
+++ b/internal/process/node/options.go
@@ -80,14 +80,24 @@
 	case len(o.Seeds) == 0:
 		return fault.New(fault.SettingsInvalid, "%s is told no control address", o.Instance)
 	}
-	if t := o.Traffic; t != nil && (t.Service == "" || t.Target == "" || t.Entry == "" || t.Peer == "") {
-		return fault.New(fault.SettingsInvalid, "the traffic role of %s needs a service, a target, an entry and a peer address", o.Instance)
-	}
-	if t := o.Traffic; t != nil && t.ColdOverage < 0 {
-		return fault.New(fault.SettingsInvalid, "the cold overage %g of %s is negative", t.ColdOverage, o.Instance)
+	if err := o.Traffic.validate(o.Instance); err != nil {
+		return err
 	}
 	if c := o.Control; c != nil && (c.Listen == "" || c.Folder == "") {
 		return fault.New(fault.SettingsInvalid, "the control role of %s needs an address and a data folder", o.Instance)
 	}
 	return nil
 }
+
+// validate checks the traffic role, where there is one.
+func (t *Traffic) validate(instance string) error {
+	switch {
+	case t == nil:
+		return nil
+	case t.Service == "" || t.Target == "" || t.Entry == "" || t.Peer == "":
+		return fault.New(fault.SettingsInvalid, "the traffic role of %s needs a service, a target, an entry and a peer address", instance)
+	case t.ColdOverage < 0:
+		return fault.New(fault.SettingsInvalid, "the cold overage %g of %s is negative", t.ColdOverage, instance)
+	}
+	return nil
+}
