Soak: daemons are terminated only once they listen; what was found

Change: a daemon that was started again can be picked once it takes connections; the check of its exit code stays.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"syscall"
 	"testing"
@@ -29,6 +30,7 @@
 	21: notRunAfterRetry,
 	30: notRunAfterRetry,
 	45: notRunAfterRetry,
+	48: "SIGTERM reached a daemon that had just been started and did not handle signals yet; the soak now waits until it listens",
 }
 
 const (
@@ -188,17 +190,27 @@
 		s.h.signal(name, syscall.SIGTERM)
 		s.later("terminate "+name, func() {
 			must.Eq(s.h.t, 0, p.wait(), must.Sprintf("%s ends gracefully", name))
-			s.h.launchDaemon(name)
-			delete(s.disturbed, name)
+			s.launchAgain(name)
 		})
 	}
 }
 
 func (s *soaker) relaunch(what, name string) {
-	s.later(what, func() {
-		s.h.launchDaemon(name)
-		delete(s.disturbed, name)
-	})
+	s.later(what, func() { s.launchAgain(name) })
+}
+
+// launchAgain starts a daemon and waits until it takes connections: before that it
+// has nothing to end gracefully.
+func (s *soaker) launchAgain(name string) {
+	s.h.launchDaemon(name)
+	must.NoError(s.h.t, system.Await(settleLimit, func() error {
+		conn, err := net.Dial("tcp", s.h.Instance(name).Ingress)
+		if err != nil {
+			return err
+		}
+		return conn.Close()
+	}))
+	delete(s.disturbed, name)
 }
 
 func (s *soaker) freezeInstance() {
