--- a/internal/process/shedding/controller.go
+++ b/internal/process/shedding/controller.go
@@ -54,6 +54,7 @@
 // Controller keeps the level of one target. Its user holds a lock around each
 // call.
 type Controller struct {
+	// shed is the level, brought up to date at at.
 	shed float64
 	at   time.Time
 	// offered is counted since at.
@@ -91,6 +92,7 @@
 	c.offered = 0
 }
 
+// adjust moves the level by what the load of some intervals showed.
 func (c *Controller) adjust(now time.Time, load, steps float64) {
 	if c.shed == 0 && load > floodLoad {
 		c.shed = min(1-targetLoad/load, MaxLevel)
