Target: log lines and a gauge of the limit that a target states

Cause: nothing logged or counted the limit that targets state in their responses, so the three hypotheses of the incident looked the same. Change: the daemon beside the target reads the two headers, logs changes of the stated limit and, once a second, that the target got more; teaselrack_target_stated_limit. What it decides is unchanged. Ruled out: that each daemon keeps to the limit and only the sum exceeds it; that requests pass around the daemon beside the target.

--- a/internal/process/limiter/cold.go
+++ b/internal/process/limiter/cold.go
@@ -26,6 +26,12 @@
 	return true
 }
 
+// Sent returns the number of requests in the window that ends at now.
+func (c *ColdLimiter) Sent(now time.Time) int {
+	c.expire(now)
+	return len(c.sent)
+}
+
 // RetryAfter returns the time until the oldest counted request leaves the
 // window.
 func (c *ColdLimiter) RetryAfter(now time.Time) time.Duration {
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -81,6 +81,10 @@
 	// time of that log line.
 	loggedShedding bool
 	loggedAt       time.Time
+	// stated is what the target said about itself in its latest response.
+	// excessLoggedAt is when the log last reported requests beyond the stated limit.
+	stated         Statement
+	excessLoggedAt time.Time
 }
 
 // New returns a Target that has not sent a heartbeat.
@@ -117,6 +121,9 @@
 	}
 	before := t.announcement(now)
 	newIncarnation := !t.announced || !h.sameIncarnation(t.lastHeartbeat)
+	if newIncarnation {
+		t.stated = Statement{}
+	}
 	if !newIncarnation && t.lastHeartbeat.Leaving {
 		h.Leaving = true
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -316,6 +316,7 @@
 		_, _ = fmt.Fprintf(w, "teaselrack_target_load %g\n", n.target.Load())
 		level, _ := n.target.Level()
 		_, _ = fmt.Fprintf(w, "teaselrack_target_level %g\n", level)
+		_, _ = fmt.Fprintf(w, "teaselrack_target_stated_limit %g\n", n.target.StatedLimit())
 	}
 	if n.controlRole != nil {
 		status := n.controlRole.Status()
--- a/internal/request/relay/header_names.go
+++ b/internal/request/relay/header_names.go
@@ -20,6 +20,11 @@
 	Target string
 	// NotRun marks the response of a target that did not run the request.
 	NotRun string
+	// Limit is the number of requests per second that the target takes from all
+	// instances together, as a decimal number.
+	Limit string
+	// Leaving is 1 in the responses of a target that leaves.
+	Leaving string
 }
 
 // DefaultNames returns the header names of Teaselrack's native interface.
@@ -33,6 +38,8 @@
 		Expect:    "Teaselrack-Expect",
 		Target:    "Teaselrack-Target",
 		NotRun:    "Teaselrack-Not-Run",
+		Limit:     "Teaselrack-Limit",
+		Leaving:   "Teaselrack-Leaving",
 	}
 }
 
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -210,6 +210,7 @@
 		p.Target.ReportReplaced(targetID)
 		return nil, withRetryAfter(fault.New(fault.NoTarget, "the address of target %s now belongs to another target", targetID), 0)
 	}
+	p.reportStatement(resp.Header, targetID)
 	notRun := resp.Header.Get(p.HeaderNames.NotRun) != ""
 	response, err := newResponse(resp)
 	if err != nil {
@@ -219,6 +220,15 @@
 	return response, nil
 }
 
+// reportStatement passes what the target says about itself to Target.
+func (p *PeerHandler) reportStatement(h http.Header, targetID string) {
+	statement, err := readStatement(p.HeaderNames, h)
+	if err != nil {
+		p.Log.Warn("malformed statement of the target", zap.String("target", targetID), zap.Error(err))
+	}
+	p.Target.ReportStatement(targetID, statement)
+}
+
 func (p *PeerHandler) logFailure(m *ForwardingMetadata, targetID string, took time.Duration, err error) {
 	p.Log.Info("request failed at the target", zap.String("request", m.RequestID), zap.String("service", m.Service),
 		zap.String("target", targetID), zap.Duration("took", took), zap.String("kind", string(fault.KindOf(err))),
