--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
+	"github.com/teaselrack/teaselrack/internal/connection/memnet"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/balancing"
@@ -75,7 +76,10 @@
 	peerHandler *PeerHandler
 	entry       *EntryHandler
 	record      protocol.TargetRecord
-	entryServer *httptest.Server
+	// entryAddress is the address of the entry handler, targetAddress that of the
+	// target.
+	entryAddress  string
+	targetAddress string
 }
 
 // mesh is a set of instances with the same configuration. It implements
@@ -84,6 +88,11 @@
 	t         *testing.T
 	state     *version.State
 	instances []*instance
+	// network, if set, connects the instances in virtual time.
+	network *memnet.Network
+	client  *http.Client
+	// addresses is the number of listeners.
+	addresses int
 }
 
 func (m *mesh) Current() *version.State { return m.state }
@@ -101,9 +110,39 @@
 	return records
 }
 
+// serve serves h until the test ends and returns its address.
+func (m *mesh) serve(h http.Handler) (address string) {
+	if m.network == nil {
+		server := httptest.NewServer(h)
+		m.t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	m.addresses++
+	address = fmt.Sprintf("10.0.0.%d:80", m.addresses)
+	server := &http.Server{Handler: h}
+	ln := m.network.Listen(address)
+	go func() { _ = server.Serve(ln) }()
+	m.t.Cleanup(func() { _ = server.Close() })
+	return address
+}
+
+// clientOptions returns o with the network of the mesh.
+func (m *mesh) clientOptions(o http1.Options) http1.Options {
+	if m.network != nil {
+		o.Dial = m.network.Dial
+	}
+	return o
+}
+
 // newMesh returns a mesh with one route r of service s, and with as many instances
 // of the service as targets says.
 func newMesh(t *testing.T, mode version.Mode, retries, targets int) *mesh {
+	return newMeshOn(t, nil, mode, retries, targets)
+}
+
+// newMeshOn is newMesh with all connections in network, or with real ones if it is
+// nil.
+func newMeshOn(t *testing.T, network *memnet.Network, mode version.Mode, retries, targets int) *mesh {
 	hash := version.HashKey(key)
 	configuration := &version.FullConfiguration{Revision: 1, Entries: version.Entries{
 		Teams: []version.Team{{Name: "team", Weight: 1}},
@@ -117,7 +156,12 @@
 	must.NoError(t, configuration.Validate())
 	state, err := version.Initial().ApplyOrder(&version.Order{Configuration: configuration})
 	must.NoError(t, err)
-	m := &mesh{t: t, state: state}
+	m := &mesh{t: t, state: state, network: network, client: http.DefaultClient}
+	if network != nil {
+		transport := &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 100}
+		t.Cleanup(transport.CloseIdleConnections)
+		m.client = &http.Client{Transport: transport}
+	}
 	for i := range targets {
 		m.add(fmt.Sprintf("m%d", i), "s")
 	}
@@ -127,36 +171,41 @@
 // add adds an instance whose target is a stub of the service.
 func (m *mesh) add(name, service string) *instance {
 	inst := &instance{name: name, stub: &stub{}}
-	targetServer := httptest.NewServer(inst.stub)
-	m.t.Cleanup(targetServer.Close)
-	address := targetServer.Listener.Addr().String()
-	inst.target = local.New(local.Options{
-		Service: service, Address: address, Interval: time.Minute,
-		ColdRate: func() float64 { return 0 }, Permitted: func() error { return nil }, Changed: func() {},
-		Now: time.Now, Log: zap.NewNop(),
-	})
-	must.NoError(m.t, inst.target.Heartbeat(local.Heartbeat{ID: name, Sequence: 1, Service: service, Address: address, Slots: 100}))
+	inst.targetAddress = m.serve(inst.stub)
+	inst.target = m.newTarget(name, service, inst.targetAddress)
 	levels, callGraph := new(shedding.Levels), new(shedding.CallGraph)
 	inst.peerHandler = &PeerHandler{
-		HeaderNames: DefaultNames(), Service: service, Address: address, Target: inst.target, Levels: levels, CallGraph: callGraph,
-		TargetClient: http1.NewClient(http1.Options{IDHeader: "Teaselrack-Request"}), Log: zap.NewNop(), Stats: NewStats(),
+		HeaderNames: DefaultNames(), Service: service, Address: inst.targetAddress, Target: inst.target, Levels: levels, CallGraph: callGraph,
+		TargetClient: http1.NewClient(m.clientOptions(http1.Options{IDHeader: "Teaselrack-Request"})), Log: zap.NewNop(), Stats: NewStats(),
+	}
+	inst.record = protocol.TargetRecord{
+		Service: service, Instance: name, PeerAddress: m.serve(inst.peerHandler), FailureDomain: "z", Slots: 100, State: protocol.Warm,
+		Incarnation: name + "/0",
 	}
-	peerServer := httptest.NewServer(inst.peerHandler)
-	m.t.Cleanup(peerServer.Close)
-	inst.record = protocol.TargetRecord{Service: service, Instance: name, PeerAddress: peerServer.Listener.Addr().String(), FailureDomain: "z", Slots: 100, State: protocol.Warm}
 	inst.entry = &EntryHandler{
 		HeaderNames: DefaultNames(), Instance: name, Service: service, Configuration: m, Quota: m,
 		Balancer:    &balancing.Balancer{FailureDomain: "z", List: m.list},
 		RetryBudget: retrybudget.New(retrybudget.Options{Ratio: 100, Window: time.Second, Slack: 1000, Processes: func() int { return 1 }}),
-		Local:       inst.peerHandler, PeerClient: http1.NewClient(http1.Options{PeerKeepsIdle: true}),
+		Local:       inst.peerHandler, PeerClient: http1.NewClient(m.clientOptions(http1.Options{PeerKeepsIdle: true})),
 		Levels: levels, CallGraph: callGraph, Demand: new(shedding.Demand), Rejections: new(shedding.Rejections), Log: zap.NewNop(), Stats: NewStats(),
 	}
-	inst.entryServer = httptest.NewServer(inst.entry)
-	m.t.Cleanup(inst.entryServer.Close)
+	inst.entryAddress = m.serve(inst.entry)
 	m.instances = append(m.instances, inst)
 	return inst
 }
 
+// newTarget returns the state that the daemon of an instance has of its target after
+// the first heartbeat.
+func (m *mesh) newTarget(name, service, address string) *local.Target {
+	target := local.New(local.Options{
+		Service: service, Address: address, Interval: time.Minute,
+		ColdRate: func() float64 { return 0 }, Permitted: func() error { return nil }, Changed: func() {},
+		Now: time.Now, Log: zap.NewNop(),
+	})
+	must.NoError(m.t, target.Heartbeat(local.Heartbeat{ID: name, Sequence: 1, Service: service, Address: address, Slots: 100}))
+	return target
+}
+
 // addRemote adds an instance without a target of service s, so that its entry
 // handler must forward every request.
 func (m *mesh) addRemote() *instance { return m.add("outside", "other") }
@@ -164,7 +213,7 @@
 // send sends a request with an API key to the entry handler of an instance. It
 // returns the response and its body.
 func (m *mesh) send(from *instance, method, path string, header map[string]string, body string) (testResponse, string) {
-	r, err := http.NewRequest(method, from.entryServer.URL+path, strings.NewReader(body))
+	r, err := http.NewRequest(method, "http://"+from.entryAddress+path, strings.NewReader(body))
 	must.NoError(m.t, err)
 	r.Host = host
 	r.Header.Set("Teaselrack-Request", "id-1")
@@ -172,7 +221,7 @@
 	for name, value := range header {
 		r.Header.Set(name, value)
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := m.client.Do(r)
 	must.NoError(m.t, err)
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
@@ -378,7 +427,7 @@
 		_, _ = w.Write(make([]byte, 200_000))
 		hijackAndClose(w)
 	})
-	r, err := http.NewRequest("GET", m.addRemote().entryServer.URL+"/p/x", nil)
+	r, err := http.NewRequest("GET", "http://"+m.addRemote().entryAddress+"/p/x", nil)
 	must.NoError(t, err)
 	r.Host = host
 	r.Header.Set("Teaselrack-Key", key)
@@ -412,7 +461,7 @@
 		close(freed)
 	})
 	from := m.addRemote()
-	conn, err := net.Dial("tcp", from.entryServer.Listener.Addr().String())
+	conn, err := net.Dial("tcp", from.entryAddress)
 	must.NoError(t, err)
 	_, err = fmt.Fprintf(conn, "GET /p/x HTTP/1.1\r\nHost: %s\r\nTeaselrack-Key: %s\r\n\r\n", host, key)
 	must.NoError(t, err)
