Admission: a queued ticket is read only once it is ready

Cause: Admit looked at ticket.Rejected right after the request was queued, without the lock, while another request could reject it (data race; the outcome was right either way). Change: enqueue returns the decision.

--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -211,11 +211,11 @@
 // TargetLeaving, TargetCold, OutOfService, LeaseExpired, Overloaded, DeadlineNotRun,
 // CallerGone.
 func (t *Target) Admit(ctx context.Context, request limiter.Request) (*Slot, time.Duration, error) {
-	ticket, err := t.enqueue(request)
+	ticket, decision, err := t.enqueue(request)
 	if err != nil {
 		return nil, coldRetryAfter, err
 	}
-	if ticket.Rejected {
+	if decision == limiter.Reject {
 		return nil, ticket.RetryAfter, t.overloaded()
 	}
 	select {
@@ -233,14 +233,14 @@
 	return fault.New(fault.Overloaded, "no slot of the target of service %s becomes free in time", t.options.Service)
 }
 
-// enqueue returns a ticket that is admitted, queued or rejected. The error is the
-// one of check.
-func (t *Target) enqueue(request limiter.Request) (*limiter.Ticket, error) {
+// enqueue returns a ticket that is admitted, queued or rejected. Fields of a queued
+// ticket may be read once it is ready. The error is the one of check.
+func (t *Target) enqueue(request limiter.Request) (*limiter.Ticket, limiter.Decision, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.options.Now()
 	if err := t.check(now); err != nil {
-		return nil, err
+		return nil, limiter.Reject, err
 	}
 	capacity := t.capacity(now)
 	t.shedding.Offered(now, capacity)
@@ -249,7 +249,7 @@
 	if decision == limiter.Run {
 		close(ticket.Ready)
 	}
-	return ticket, nil
+	return ticket, decision, nil
 }
 
 // cancel removes a request that the caller canceled or whose deadline has
