A target gets no more requests than the limit it states

Callers saw nothing; targets in trouble got up to four times what they had said they take. Cause: no decision read the stated limit: the daemon beside the target admitted by slots alone (class: a signal of the protocol that is passed on and not acted on). Change: the daemon beside the target, the only way to it, starts requests by a token bucket of the stated rate; they wait for it up to 200 ms by rank, then try another target. The limit counts as load, so requests move to other targets. It ends once responses come without it for 1 s, and with the incarnation.

--- a/internal/process/limiter/limiter.go
+++ b/internal/process/limiter/limiter.go
@@ -1,6 +1,6 @@
-// Package limiter limits the concurrency at one target: it decides which
-// request runs, which waits and which is rejected. It does no I/O and reads no
-// clock.
+// Package limiter limits the concurrency at one target, and the request rate where
+// the target states a limit: it decides which request runs, which waits and which is
+// rejected. It does no I/O and reads no clock.
 //
 // It is built for sustained overload: for many seconds more requests arrive
 // than the target has slots for, with different ranks and latency objectives,
@@ -77,6 +77,7 @@
 	waiting     []*Ticket // in dispatch order
 	serviceTime time.Duration
 	lastSeq     uint64
+	rate        rate
 }
 
 // New returns a Limiter with the given number of slots, at least 1.
@@ -85,6 +86,23 @@
 // SetSlots changes the number of slots.
 func (l *Limiter) SetSlots(n int) { l.slots = max(n, 1) }
 
+// SetRate limits the rate at which requests start, in requests per second. 0 removes
+// the limit.
+func (l *Limiter) SetRate(now time.Time, perSecond float64) { l.rate.set(now, perSecond) }
+
+// Rate returns the limit set by SetRate, or 0 if there is none.
+func (l *Limiter) Rate() float64 { return l.rate.perSecond }
+
+// Concurrency returns the number of requests that can run at once on average: the
+// number of slots, or what the rate limit leaves of them. It is at least 1.
+func (l *Limiter) Concurrency() float64 {
+	n := float64(l.slots)
+	if l.rate.limited() {
+		n = min(n, l.rate.perSecond*l.serviceTime.Seconds())
+	}
+	return max(n, 1)
+}
+
 // Load returns the numbers of running requests, of waiting requests and of
 // slots.
 func (l *Limiter) Load() (running, waiting, slots int) { return l.running, len(l.waiting), l.slots }
@@ -97,12 +115,12 @@
 func (l *Limiter) Offer(now time.Time, request Request) (*Ticket, Decision) {
 	l.lastSeq++
 	t := &Ticket{request: request, arrived: now, Ready: make(chan struct{}), seq: l.lastSeq}
-	if l.running < l.slots && len(l.waiting) == 0 {
+	if l.running < l.slots && len(l.waiting) == 0 && l.rate.take(now) {
 		l.start(now, t)
 		return t, Run
 	}
 	at := l.insertionPoint(t)
-	if l.expectedWait(at)+l.serviceTime > request.ObjectiveRemaining || len(l.waiting) >= maxWaitingPerSlot*l.slots && at == len(l.waiting) {
+	if l.tooLate(at, request.ObjectiveRemaining) || len(l.waiting) >= maxWaitingPerSlot*l.slots && at == len(l.waiting) {
 		t.Rejected = true
 		t.RetryAfter = l.RetryAfter()
 		return t, Reject
@@ -114,6 +132,12 @@
 	return t, Wait
 }
 
+// tooLate reports whether a request that waits at index at is not expected to finish
+// within remaining, or has to wait too long for the rate limit.
+func (l *Limiter) tooLate(at int, remaining time.Duration) bool {
+	return l.expectedWait(at)+l.serviceTime > remaining || l.rate.wait(at+1) > maxRateWait
+}
+
 // insertionPoint returns the index in the queue at which t would wait.
 func (l *Limiter) insertionPoint(t *Ticket) int {
 	at := len(l.waiting)
@@ -140,7 +164,8 @@
 // expectedWait returns the expected time in the queue for a request at index
 // at.
 func (l *Limiter) expectedWait(at int) time.Duration {
-	return time.Duration(float64(at+1) / float64(l.slots) * float64(l.serviceTime))
+	wait := time.Duration(float64(at+1) / float64(l.slots) * float64(l.serviceTime))
+	return max(wait, l.rate.wait(at+1))
 }
 
 // rejectLate rejects the requests from index from on that can no longer finish
@@ -150,7 +175,7 @@
 	kept := l.waiting[:from]
 	for _, t := range l.waiting[from:] {
 		remaining := t.request.ObjectiveRemaining - now.Sub(t.arrived)
-		if len(kept) >= maxWaitingPerSlot*l.slots || l.expectedWait(len(kept))+l.serviceTime > remaining {
+		if len(kept) >= maxWaitingPerSlot*l.slots || l.tooLate(len(kept), remaining) {
 			l.reject(t)
 			continue
 		}
@@ -188,14 +213,19 @@
 	l.Dispatch(now)
 }
 
-// Dispatch starts waiting requests while slots are free. It rejects those whose
-// objective leaves less than half of the average service time.
+// Dispatch starts waiting requests while slots are free and the rate limit allows
+// it. It rejects those whose objective leaves less than half of the average service
+// time.
 func (l *Limiter) Dispatch(now time.Time) {
 	for l.running < l.slots && len(l.waiting) > 0 {
 		t := l.waiting[0]
+		late := now.Sub(t.arrived)+l.serviceTime/2 > t.request.ObjectiveRemaining
+		if !late && !l.rate.take(now) {
+			return
+		}
 		l.waiting[0] = nil
 		l.waiting = l.waiting[1:]
-		if now.Sub(t.arrived)+l.serviceTime/2 > t.request.ObjectiveRemaining {
+		if late {
 			l.reject(t)
 			continue
 		}
@@ -204,6 +234,15 @@
 	}
 }
 
+// NextDispatch returns the time after which Dispatch must be called, because the rate
+// limit is all that a waiting request waits for. ok is false if there is none.
+func (l *Limiter) NextDispatch() (wait time.Duration, ok bool) {
+	if len(l.waiting) == 0 || l.running >= l.slots || !l.rate.limited() {
+		return 0, false
+	}
+	return l.rate.wait(1), true
+}
+
 // Cancel removes a request that the caller canceled. It reports whether the
 // request was still waiting.
 func (l *Limiter) Cancel(t *Ticket) bool {
--- a/internal/process/local/statement.go
+++ b/internal/process/local/statement.go
@@ -4,39 +4,66 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/process/limiter"
 )
 
+// limitHold is how long a stated limit stays in effect after the last response that
+// stated it, while responses without it arrive: responses may overtake each other.
+const limitHold = time.Second
+
 // Statement is what a target says about itself in a response.
 type Statement struct {
-	// Limit is the number of requests per second that the target takes from all
-	// instances together. It is 0 if the target states none.
-	Limit float64
+	// Limited is true if the target states a limit. Limit is then the number of
+	// requests per second that it takes from all instances together.
+	Limited bool
+	Limit   float64
 	// Leaving is true if the target is to get no new requests.
 	Leaving bool
 }
 
-// ReportStatement records what the target with this ID said about itself in a
-// response.
-func (t *Target) ReportStatement(id string, s Statement) {
+// ReportStatement records what the target said about itself in a response to the
+// request of this slot.
+func (s *Slot) ReportStatement(statement Statement) {
+	t := s.target
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.announced || t.lastHeartbeat.ID != id {
+	if !t.lastHeartbeat.sameIncarnation(s.heartbeat) {
 		return
 	}
 	now := t.options.Now()
-	if s != t.stated {
-		t.options.Log.Info("target states other limits in its responses", zap.String("id", id), zap.Float64("limit_per_second", s.Limit),
-			zap.Float64("previous_limit_per_second", t.stated.Limit), zap.Bool("leaving", s.Leaving), zap.Int("sent_in_last_second", t.coldLimiter.Sent(now)))
+	switch {
+	case statement.Limited:
+		t.statedAt = now
+	case now.Sub(t.statedAt) < limitHold:
+		statement.Limited, statement.Limit = t.stated.Limited, t.stated.Limit
 	}
-	t.stated = s
+	t.state(now, statement)
 	t.logExcess(now)
 }
 
+// state sets what the target says about itself and applies its limit.
+func (t *Target) state(now time.Time, s Statement) {
+	if s == t.stated {
+		return
+	}
+	t.options.Log.Info("target states other limits in its responses", zap.String("id", t.lastHeartbeat.ID), zap.Bool("limited", s.Limited),
+		zap.Float64("limit_per_second", s.Limit), zap.Float64("previous_limit_per_second", t.stated.Limit), zap.Bool("leaving", s.Leaving),
+		zap.Int("sent_in_last_second", t.coldLimiter.Sent(now)))
+	t.stated = s
+	rate := 0.0
+	if s.Limited {
+		rate = max(s.Limit, limiter.MinRate)
+	}
+	t.limiter.SetRate(now, rate)
+	t.dispatchWaiting(now)
+}
+
 // logExcess logs, at most once per minLogInterval, that the target got more requests
 // in the last second than its stated limit.
 func (t *Target) logExcess(now time.Time) {
 	sent := t.coldLimiter.Sent(now)
-	if t.stated.Limit == 0 || float64(sent) <= t.stated.Limit || now.Sub(t.excessLoggedAt) < minLogInterval {
+	if !t.stated.Limited || float64(sent) <= t.stated.Limit || now.Sub(t.excessLoggedAt) < minLogInterval {
 		return
 	}
 	t.excessLoggedAt = now
@@ -45,10 +72,10 @@
 		zap.Int("sent_in_last_second", sent), zap.Int("running", running), zap.Int("waiting", waiting), zap.Int("slots", slots))
 }
 
-// StatedLimit returns the number of requests per second that the target takes, or 0
-// if it states no limit.
-func (t *Target) StatedLimit() float64 {
+// StatedLimit returns the number of requests per second that the target takes. ok is
+// false if it states no limit.
+func (t *Target) StatedLimit() (limit float64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.stated.Limit
+	return t.stated.Limit, t.stated.Limited
 }
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -76,14 +76,18 @@
 	resets      int
 	limiter     *limiter.Limiter
 	coldLimiter limiter.ColdLimiter
-	shedding    shedding.Controller
+	// dispatchScheduled is true while a timer will dispatch waiting requests.
+	dispatchScheduled bool
+	shedding          shedding.Controller
 	// loggedShedding is the shedding state that was last logged, loggedAt the
 	// time of that log line.
 	loggedShedding bool
 	loggedAt       time.Time
-	// stated is what the target said about itself in its latest response.
+	// stated is what the target says about itself in its responses, statedAt the time
+	// of the last response that stated a limit.
+	stated   Statement
+	statedAt time.Time
 	// excessLoggedAt is when the log last reported requests beyond the stated limit.
-	stated         Statement
 	excessLoggedAt time.Time
 }
 
@@ -122,7 +126,7 @@
 	before := t.announcement(now)
 	newIncarnation := !t.announced || !h.sameIncarnation(t.lastHeartbeat)
 	if newIncarnation {
-		t.stated = Statement{}
+		t.state(now, Statement{})
 	}
 	if !newIncarnation && t.lastHeartbeat.Leaving {
 		h.Leaving = true
@@ -136,7 +140,7 @@
 	if h.Leaving {
 		t.limiter.RejectAll()
 	}
-	t.limiter.Dispatch(now)
+	t.dispatchWaiting(now)
 	after := t.announcement(now)
 	if newIncarnation || before != after {
 		t.options.Log.Info("target state changed", zap.String("id", h.ID), zap.Int64("started", h.Started), zap.Uint64("sequence", h.Sequence),
@@ -203,6 +207,8 @@
 	ID     string
 	target *Target
 	ticket *limiter.Ticket
+	// heartbeat is the last one of the target when the request was admitted.
+	heartbeat Heartbeat
 }
 
 // Admit waits until the request may be sent, for as long as it can still finish
@@ -249,9 +255,39 @@
 	if decision == limiter.Run {
 		close(ticket.Ready)
 	}
+	t.scheduleDispatch()
 	return ticket, decision, nil
 }
 
+// dispatchWaiting starts waiting requests.
+func (t *Target) dispatchWaiting(now time.Time) {
+	t.limiter.Dispatch(now)
+	t.scheduleDispatch()
+}
+
+// scheduleDispatch starts a timer that dispatches the next waiting request once the
+// rate limit allows it.
+func (t *Target) scheduleDispatch() {
+	wait, ok := t.limiter.NextDispatch()
+	if !ok || t.dispatchScheduled {
+		return
+	}
+	t.dispatchScheduled = true
+	time.AfterFunc(wait, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.dispatchScheduled = false
+		t.dispatchWaiting(t.options.Now())
+	})
+}
+
+// release frees the slot of a running request and starts waiting ones. See
+// limiter.Limiter.Done.
+func (t *Target) release(now time.Time, took time.Duration, responded bool) {
+	t.limiter.Done(now, took, responded)
+	t.scheduleDispatch()
+}
+
 // cancel removes a request that the caller canceled or whose deadline has
 // passed. If the request has been admitted meanwhile, its slot is released. Errors:
 // DeadlineNotRun, CallerGone.
@@ -259,7 +295,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.limiter.Cancel(ticket) && !ticket.Rejected {
-		t.limiter.Done(t.options.Now(), 0, false)
+		t.release(t.options.Now(), 0, false)
 	}
 	if ctx.Err() == context.DeadlineExceeded {
 		return fault.New(fault.DeadlineNotRun, "deadline exceeded before the request was sent to the target")
@@ -286,10 +322,10 @@
 		}
 	}
 	if err != nil {
-		t.limiter.Done(now, 0, false)
+		t.release(now, 0, false)
 		return nil, retryAfter, err
 	}
-	return &Slot{ID: t.lastHeartbeat.ID, target: t, ticket: ticket}, 0, nil
+	return &Slot{ID: t.lastHeartbeat.ID, target: t, ticket: ticket, heartbeat: t.lastHeartbeat}, 0, nil
 }
 
 // Done releases the slot. err is the error of the connection, or nil.
@@ -297,7 +333,7 @@
 	t := s.target
 	t.mu.Lock()
 	now := t.options.Now()
-	t.limiter.Done(now, now.Sub(s.ticket.Started), err == nil)
+	t.release(now, now.Sub(s.ticket.Started), err == nil)
 	changed := t.detectRestart(err)
 	t.mu.Unlock()
 	if changed {
@@ -352,7 +388,9 @@
 }
 
 // capacity returns the current throughput limit of the target: the limit given
-// by its slots, or the cold rate if that is lower while the target is cold.
+// by its slots, or the cold rate if that is lower while the target is cold. A stated
+// limit is left out: it is that of one target, and entries shed requests for all
+// targets of a service. It counts as load instead, which moves requests to others.
 func (t *Target) capacity(now time.Time) shedding.Capacity {
 	_, waiting, slots := t.limiter.Load()
 	c := shedding.Capacity{PerSecond: float64(slots) / t.limiter.ServiceTime().Seconds(), Waiting: waiting}
@@ -372,10 +410,11 @@
 	return t.shedding.Level(t.options.Now()), t.limiter.ServiceTime()
 }
 
-// Load returns the number of running and queued requests per slot.
+// Load returns the number of running and queued requests per request that the target
+// can run at once.
 func (t *Target) Load() float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	running, waiting, slots := t.limiter.Load()
-	return float64(running+waiting) / float64(slots)
+	running, waiting, _ := t.limiter.Load()
+	return float64(running+waiting) / t.limiter.Concurrency()
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -316,7 +316,9 @@
 		_, _ = fmt.Fprintf(w, "teaselrack_target_load %g\n", n.target.Load())
 		level, _ := n.target.Level()
 		_, _ = fmt.Fprintf(w, "teaselrack_target_level %g\n", level)
-		_, _ = fmt.Fprintf(w, "teaselrack_target_stated_limit %g\n", n.target.StatedLimit())
+		if limit, ok := n.target.StatedLimit(); ok {
+			_, _ = fmt.Fprintf(w, "teaselrack_target_stated_limit %g\n", limit)
+		}
 	}
 	if n.controlRole != nil {
 		status := n.controlRole.Status()
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -168,7 +168,7 @@
 		p.logFailure(m, slot.ID, time.Since(began), err)
 		return nil, withRetryAfter(err, 0)
 	}
-	response, err := p.readTargetResponse(resp, slot.ID)
+	response, err := p.readTargetResponse(resp, slot)
 	if err != nil {
 		slot.Done(err)
 		p.logFailure(m, slot.ID, time.Since(began), err)
@@ -204,13 +204,13 @@
 
 // readTargetResponse reads the response of the target. If the process at the
 // address is not the expected target, the request was not run.
-func (p *PeerHandler) readTargetResponse(resp *http.Response, targetID string) (*Response, error) {
+func (p *PeerHandler) readTargetResponse(resp *http.Response, slot *local.Slot) (*Response, error) {
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		_ = resp.Body.Close()
-		p.Target.ReportReplaced(targetID)
-		return nil, withRetryAfter(fault.New(fault.NoTarget, "the address of target %s now belongs to another target", targetID), 0)
+		p.Target.ReportReplaced(slot.ID)
+		return nil, withRetryAfter(fault.New(fault.NoTarget, "the address of target %s now belongs to another target", slot.ID), 0)
 	}
-	p.reportStatement(resp.Header, targetID)
+	p.reportStatement(resp.Header, slot)
 	notRun := resp.Header.Get(p.HeaderNames.NotRun) != ""
 	response, err := newResponse(resp)
 	if err != nil {
@@ -220,13 +220,14 @@
 	return response, nil
 }
 
-// reportStatement passes what the target says about itself to Target.
-func (p *PeerHandler) reportStatement(h http.Header, targetID string) {
+// reportStatement records what the target says about itself in the header of a
+// response.
+func (p *PeerHandler) reportStatement(h http.Header, slot *local.Slot) {
 	statement, err := readStatement(p.HeaderNames, h)
 	if err != nil {
-		p.Log.Warn("malformed statement of the target", zap.String("target", targetID), zap.Error(err))
+		p.Log.Warn("malformed statement of the target", zap.String("target", slot.ID), zap.Error(err))
 	}
-	p.Target.ReportStatement(targetID, statement)
+	slot.ReportStatement(statement)
 }
 
 func (p *PeerHandler) logFailure(m *ForwardingMetadata, targetID string, took time.Duration, err error) {
--- a/internal/request/relay/statement.go
+++ b/internal/request/relay/statement.go
@@ -22,6 +22,6 @@
 	if err != nil || limit < 0 || math.IsNaN(limit) || math.IsInf(limit, 0) {
 		return s, fault.New(fault.AnswerBroken, "the target states the limit %q, which is not a number of requests per second", text)
 	}
-	s.Limit = limit
+	s.Limited, s.Limit = true, limit
 	return s, nil
 }
