A stated limit holds although the daemon beside the target restarts

Callers saw nothing; after each restart of a daemon its target got a burst beyond the limit. Cause: only the daemon beside the target knew the limit, and a restart forgets it until the first response arrives (class: state of one process that a bound on the whole rests on). Change: a response names the limit to the daemon that passes it on, which names it back with its next requests to that incarnation; a daemon that has had no response from its target yet adopts it. Responses and requests of targets without a limit carry nothing more. Ruled out: keeping the limit on a disk (daemons beside targets have none), and letting few requests through until the first response, which exceeds small limits.

--- /dev/null
+++ b/internal/process/balancing/statement.go
@@ -0,0 +1,28 @@
+package balancing
+
+import (
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+)
+
+// limitHold is how long a stated limit is kept after the last response that stated it,
+// while responses without it arrive: responses may overtake each other.
+const limitHold = time.Second
+
+// RecordStatement records what the target said about itself in a response.
+func (t *Target) RecordStatement(now time.Time, s protocol.Statement) {
+	if s.Limited {
+		t.stated, t.statedAt = s, now
+		return
+	}
+	if now.Sub(t.statedAt) >= limitHold {
+		t.stated = protocol.Statement{}
+	}
+}
+
+// Stated returns what the selected target last said about itself.
+func (c Choice) Stated() (s protocol.Statement) {
+	c.Update(func(t *Target) { s = t.stated })
+	return s
+}
--- a/internal/process/balancing/target.go
+++ b/internal/process/balancing/target.go
@@ -11,6 +11,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 )
 
 const (
@@ -50,6 +52,9 @@
 	penalizedUntil time.Time
 	// commonFailures is the failure rate that all targets of the service share.
 	commonFailures float64
+	// stated is what the target last said about itself, at statedAt.
+	stated   protocol.Statement
+	statedAt time.Time
 }
 
 // Sent records that a request was sent to the target.
--- a/internal/process/local/heartbeat.go
+++ b/internal/process/local/heartbeat.go
@@ -1,6 +1,9 @@
 package local
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Heartbeat is the status that a target reports periodically.
 type Heartbeat struct {
@@ -36,6 +39,9 @@
 	return h.Sequence > old.Sequence
 }
 
+// incarnation identifies the start of the target.
+func (h Heartbeat) incarnation() string { return h.ID + "/" + strconv.FormatInt(h.Started, 10) }
+
 // sameIncarnation reports whether both heartbeats come from the same start of
 // the same target.
 func (h Heartbeat) sameIncarnation(old Heartbeat) bool {
--- a/internal/process/local/statement.go
+++ b/internal/process/local/statement.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/process/limiter"
 )
 
@@ -12,25 +13,20 @@
 // stated it, while responses without it arrive: responses may overtake each other.
 const limitHold = time.Second
 
-// Statement is what a target says about itself in a response.
-type Statement struct {
-	// Limited is true if the target states a limit. Limit is then the number of
-	// requests per second that it takes from all instances together.
-	Limited bool
-	Limit   float64
-	// Leaving is true if the target is to get no new requests.
-	Leaving bool
+// ReportStatement records what the target said about itself in a response to the
+// request of this slot, and sets the incarnation of the statement.
+func (s *Slot) ReportStatement(statement *protocol.Statement) {
+	statement.Incarnation = s.heartbeat.incarnation()
+	s.target.report(s.heartbeat, *statement)
 }
 
-// ReportStatement records what the target said about itself in a response to the
-// request of this slot.
-func (s *Slot) ReportStatement(statement Statement) {
-	t := s.target
+func (t *Target) report(heartbeat Heartbeat, statement protocol.Statement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.lastHeartbeat.sameIncarnation(s.heartbeat) {
+	if !t.lastHeartbeat.sameIncarnation(heartbeat) {
 		return
 	}
+	t.responded = true
 	now := t.options.Now()
 	switch {
 	case statement.Limited:
@@ -42,8 +38,21 @@
 	t.logExcess(now)
 }
 
+// AdoptStatement records what another daemon knows about the target. It matters only
+// until the target has responded to this daemon, which may have restarted.
+func (t *Target) AdoptStatement(s protocol.Statement) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !s.Limited || t.responded || !t.announced || s.Incarnation != t.lastHeartbeat.incarnation() {
+		return
+	}
+	now := t.options.Now()
+	t.statedAt = now
+	t.state(now, s)
+}
+
 // state sets what the target says about itself and applies its limit.
-func (t *Target) state(now time.Time, s Statement) {
+func (t *Target) state(now time.Time, s protocol.Statement) {
 	if s == t.stated {
 		return
 	}
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -85,8 +84,10 @@
 	loggedAt       time.Time
 	// stated is what the target says about itself in its responses, statedAt the time
 	// of the last response that stated a limit.
-	stated   Statement
+	stated   protocol.Statement
 	statedAt time.Time
+	// responded is true once this incarnation of the target has responded to a request.
+	responded bool
 	// excessLoggedAt is when the log last reported requests beyond the stated limit.
 	excessLoggedAt time.Time
 }
@@ -126,7 +127,8 @@
 	before := t.announcement(now)
 	newIncarnation := !t.announced || !h.sameIncarnation(t.lastHeartbeat)
 	if newIncarnation {
-		t.state(now, Statement{})
+		t.responded = false
+		t.state(now, protocol.Statement{})
 	}
 	if !newIncarnation && t.lastHeartbeat.Leaving {
 		h.Leaving = true
@@ -177,7 +179,7 @@
 func (t *Target) announcement(now time.Time) protocol.Announcement {
 	a := protocol.Announcement{
 		Service: t.options.Service, Address: t.options.Address, Slots: t.lastHeartbeat.Slots,
-		Incarnation: t.lastHeartbeat.ID + "/" + strconv.FormatInt(t.lastHeartbeat.Started, 10), State: protocol.Warm,
+		Incarnation: t.lastHeartbeat.incarnation(), State: protocol.Warm,
 	}
 	switch {
 	case t.lastHeartbeat.Leaving:
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
@@ -62,7 +63,7 @@
 var strippedHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-	headerMetadata, headerErrorKind, headerLoad, headerRetryAfter, headerShedLevel,
+	headerMetadata, headerErrorKind, headerLoad, headerRetryAfter, headerShedLevel, headerStatement,
 }
 
 // forwardedHeaders returns a copy of h without strippedHeaders and without the
@@ -95,6 +96,8 @@
 	// of the work on the target that should be shed, between 0 and 1.
 	Load      float64
 	ShedLevel float64
+	// Statement is what the target says about itself.
+	Statement protocol.Statement
 	// source is closed once the response has been forwarded. It is nil if the
 	// whole body was buffered.
 	source io.Closer
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -265,6 +265,9 @@
 		if response != nil && response.Load >= 0 {
 			t.RecordLoad(now, response.Load, response.ShedLevel)
 		}
+		if response != nil {
+			t.RecordStatement(now, response.Statement)
+		}
 		recordOutcome(now, t, response, err)
 	})
 	if err != nil {
@@ -295,6 +298,7 @@
 	m := &ForwardingMetadata{
 		RequestID: req.id, Service: req.service, Route: req.route.Name, Team: req.team, Origin: e.Service, Rank: req.rank, FromTarget: req.fromTarget, ClientRetry: req.clientRetry,
 		Idempotent: req.route.Mode == version.Idempotent, Remaining: req.deadline.Sub(now), ObjectiveRemaining: req.objectiveDeadline.Sub(now),
+		Known: choice.Stated(),
 	}
 	if m.Remaining <= 0 {
 		return nil, fault.New(fault.DeadlineNotRun, "deadline exceeded before the request was sent")
@@ -324,6 +328,9 @@
 // of the connection, or the one that the daemon responded with.
 func (e *EntryHandler) forwardToPeer(ctx context.Context, m *ForwardingMetadata, r *http1.Request, address string) (*Response, error) {
 	r.Header[headerMetadata] = []string{m.Encode()}
+	if !m.Known.Empty() {
+		r.Header[headerStatement] = []string{m.Known.String()}
+	}
 	r.Idempotent = m.Idempotent
 	resp, err := e.PeerClient.Do(ctx, address, r)
 	if err != nil {
@@ -344,6 +351,9 @@
 		response.ShedLevel = bottleneck.Level
 	}
 	response.NotRun = notRun
+	if response.Statement, err = readPeerStatement(resp.Header); err != nil {
+		e.Log.Warn("malformed statement in a response", zap.String("request", m.RequestID), zap.Error(err))
+	}
 	return response, nil
 }
 
--- a/internal/request/relay/forwarding_metadata.go
+++ b/internal/request/relay/forwarding_metadata.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
@@ -37,6 +38,9 @@
 	// the time until the final response is due if there is no objective or it
 	// has already passed.
 	ObjectiveRemaining time.Duration
+	// Known is what the entry knows about the target. It has a header of its own,
+	// which is sent only where the entry knows something.
+	Known protocol.Statement
 }
 
 // metadataFields is the number of fields of the encoded form, which are separated
--- a/internal/request/relay/header_names.go
+++ b/internal/request/relay/header_names.go
@@ -45,9 +45,10 @@
 
 // Headers that daemons exchange among themselves, in canonical form.
 const (
-	headerMetadata   = "Teaselrack-Passage" // an encoded ForwardingMetadata
-	headerErrorKind  = "Teaselrack-Kind"    // the fault.Kind of an error response
-	headerLoad       = "Teaselrack-Load"    // running and queued requests per slot
-	headerRetryAfter = "Teaselrack-Wait"    // in microseconds
-	headerShedLevel  = "Teaselrack-Level"   // a shedding.Bottleneck
+	headerMetadata   = "Teaselrack-Passage"   // an encoded ForwardingMetadata
+	headerErrorKind  = "Teaselrack-Kind"      // the fault.Kind of an error response
+	headerLoad       = "Teaselrack-Load"      // running and queued requests per slot
+	headerRetryAfter = "Teaselrack-Wait"      // in microseconds
+	headerShedLevel  = "Teaselrack-Level"     // a shedding.Bottleneck
+	headerStatement  = "Teaselrack-Statement" // a protocol.Statement, if not empty
 )
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/limiter"
 	"github.com/teaselrack/teaselrack/internal/process/local"
@@ -50,6 +51,9 @@
 		p.writePeerError(w, m, fault.Wrap(fault.BadRequest, err, "the request body was truncated"), 0)
 		return
 	}
+	if m.Known, err = readPeerStatement(r.Header); err != nil {
+		p.Log.Warn("malformed statement of another daemon", zap.String("request", m.RequestID), zap.Error(err))
+	}
 	resp, err := p.Serve(ctx, m, newClientRequest(r, forwardedHeaders(r.Header), body))
 	if err != nil {
 		var retryErr *RetryAfterError
@@ -106,6 +110,9 @@
 	}
 	disableContentSniffing(h)
 	p.writeLoadHeaders(h, m)
+	if !resp.Statement.Empty() {
+		h.Set(headerStatement, resp.Statement.String())
+	}
 	if err := writeResponse(w, resp); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -151,6 +158,7 @@
 	if m.Service != p.Service {
 		return nil, fault.New(fault.NoTarget, "service %s is not served here, the local target serves %s", m.Service, p.Service)
 	}
+	p.Target.AdoptStatement(m.Known)
 	slot, retryAfter, err := p.Target.Admit(ctx, limiter.Request{Rank: m.Rank, Call: m.FromTarget, ClientRetry: m.ClientRetry, ObjectiveRemaining: m.ObjectiveRemaining})
 	if err != nil {
 		p.Log.Info("request not sent to the target", zap.String("request", m.RequestID), zap.String("service", m.Service),
@@ -210,24 +218,26 @@
 		p.Target.ReportReplaced(slot.ID)
 		return nil, withRetryAfter(fault.New(fault.NoTarget, "the address of target %s now belongs to another target", slot.ID), 0)
 	}
-	p.reportStatement(resp.Header, slot)
+	statement := p.reportStatement(resp.Header, slot)
 	notRun := resp.Header.Get(p.HeaderNames.NotRun) != ""
 	response, err := newResponse(resp)
 	if err != nil {
 		return nil, err
 	}
 	response.NotRun = notRun
+	response.Statement = statement
 	return response, nil
 }
 
-// reportStatement records what the target says about itself in the header of a
-// response.
-func (p *PeerHandler) reportStatement(h http.Header, slot *local.Slot) {
+// reportStatement records and returns what the target says about itself in the header
+// of a response.
+func (p *PeerHandler) reportStatement(h http.Header, slot *local.Slot) protocol.Statement {
 	statement, err := readStatement(p.HeaderNames, h)
 	if err != nil {
 		p.Log.Warn("malformed statement of the target", zap.String("target", slot.ID), zap.Error(err))
 	}
-	slot.ReportStatement(statement)
+	slot.ReportStatement(&statement)
+	return statement
 }
 
 func (p *PeerHandler) logFailure(m *ForwardingMetadata, targetID string, took time.Duration, err error) {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -88,6 +88,8 @@
 	t         *testing.T
 	state     *version.State
 	instances []*instance
+	// records guards the records of the instances.
+	records sync.Mutex
 	// network, if set, connects the instances in virtual time.
 	network *memnet.Network
 	client  *http.Client
@@ -101,6 +103,8 @@
 func (m *mesh) Take(context.Context, string) error { return nil }
 
 func (m *mesh) list(service string) []protocol.TargetRecord {
+	m.records.Lock()
+	defer m.records.Unlock()
 	var records []protocol.TargetRecord
 	for _, inst := range m.instances {
 		if inst.record.Service == service {
@@ -172,12 +176,8 @@
 func (m *mesh) add(name, service string) *instance {
 	inst := &instance{name: name, stub: &stub{}}
 	inst.targetAddress = m.serve(inst.stub)
-	inst.target = m.newTarget(name, service, inst.targetAddress)
 	levels, callGraph := new(shedding.Levels), new(shedding.CallGraph)
-	inst.peerHandler = &PeerHandler{
-		HeaderNames: DefaultNames(), Service: service, Address: inst.targetAddress, Target: inst.target, Levels: levels, CallGraph: callGraph,
-		TargetClient: http1.NewClient(m.clientOptions(http1.Options{IDHeader: "Teaselrack-Request"})), Log: zap.NewNop(), Stats: NewStats(),
-	}
+	inst.target, inst.peerHandler = m.newPeerHandler(name, service, inst.targetAddress, levels, callGraph)
 	inst.record = protocol.TargetRecord{
 		Service: service, Instance: name, PeerAddress: m.serve(inst.peerHandler), FailureDomain: "z", Slots: 100, State: protocol.Warm,
 		Incarnation: name + "/0",
@@ -194,6 +194,26 @@
 	return inst
 }
 
+// newPeerHandler returns the handler of the daemon beside a target, and the state that
+// it has of the target after the first heartbeat.
+func (m *mesh) newPeerHandler(name, service, address string, levels *shedding.Levels, callGraph *shedding.CallGraph) (*local.Target, *PeerHandler) {
+	target := m.newTarget(name, service, address)
+	return target, &PeerHandler{
+		HeaderNames: DefaultNames(), Service: service, Address: address, Target: target, Levels: levels, CallGraph: callGraph,
+		TargetClient: http1.NewClient(m.clientOptions(http1.Options{IDHeader: "Teaselrack-Request"})), Log: zap.NewNop(), Stats: NewStats(),
+	}
+}
+
+// restart replaces the handler beside the target of an instance by one that knows
+// nothing but the target's heartbeat.
+func (m *mesh) restart(inst *instance) {
+	_, handler := m.newPeerHandler(inst.name, inst.record.Service, inst.targetAddress, new(shedding.Levels), new(shedding.CallGraph))
+	address := m.serve(handler)
+	m.records.Lock()
+	defer m.records.Unlock()
+	inst.record.PeerAddress = address
+}
+
 // newTarget returns the state that the daemon of an instance has of its target after
 // the first heartbeat.
 func (m *mesh) newTarget(name, service, address string) *local.Target {
--- a/internal/request/relay/stated_limit_test.go
+++ b/internal/request/relay/stated_limit_test.go
@@ -66,12 +66,12 @@
 }
 
 // newLimitedMesh returns a mesh with as many targets and senders; the first target
-// states the limit in all its responses, which take 100 ms.
-func newLimitedMesh(t *testing.T, targets, senders int, limit float64) *limitedMesh {
+// states the limit in all its responses.
+func newLimitedMesh(t *testing.T, targets, senders int, limit float64, responseTime time.Duration) *limitedMesh {
 	m := &limitedMesh{mesh: newMeshOn(t, memnet.New(time.Millisecond), version.Idempotent, 1, targets)}
 	m.instances[0].stub.serveWith(func(w http.ResponseWriter, _ *http.Request) {
 		m.arrivals.add()
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(responseTime)
 		w.Header().Set(DefaultNames().Limit, strconv.FormatFloat(limit, 'f', -1, 64))
 		_, _ = w.Write([]byte("ok"))
 	})
@@ -82,7 +82,7 @@
 }
 
 // load sends perSecond requests a second from each sender for d, and waits for all
-// responses.
+// responses and for the requests that were given up.
 func (m *limitedMesh) load(perSecond int, d time.Duration) {
 	var pending sync.WaitGroup
 	for range int(d.Seconds() * float64(perSecond)) {
@@ -92,6 +92,7 @@
 		time.Sleep(time.Second / time.Duration(perSecond))
 	}
 	pending.Wait()
+	time.Sleep(time.Second)
 }
 
 func (m *limitedMesh) checkLimit(since time.Time, limit float64) {
@@ -106,7 +107,7 @@
 	for _, limit := range []float64{0, 0.5, 20, 60} {
 		t.Run(fmt.Sprint(limit), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				m := newLimitedMesh(t, 1, 3, limit)
+				m := newLimitedMesh(t, 1, 3, limit, 100*time.Millisecond)
 				start := time.Now()
 				m.load(50, 10*time.Second)
 				m.checkLimit(start, limit)
@@ -114,3 +115,22 @@
 		})
 	}
 }
+
+// TestRestartedDaemonForgetsTheStatedLimit guards against a burst beyond the stated
+// limit after the daemon beside the target has restarted. The target takes 300 ms
+// for each response, so that the daemon learns nothing from it for that long.
+func TestRestartedDaemonForgetsTheStatedLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 0.5
+		m := newLimitedMesh(t, 1, 3, limit, 300*time.Millisecond)
+		start := time.Now()
+		var load sync.WaitGroup
+		load.Go(func() { m.load(50, 10*time.Second) })
+		for range 3 {
+			time.Sleep(2500 * time.Millisecond)
+			m.restart(m.instances[0])
+		}
+		load.Wait()
+		m.checkLimit(start, limit)
+	})
+}
