A target that says in a response that it leaves gets no more requests

Callers saw nothing; a leaving target got requests until its heartbeats said so too. Cause: the header of the responses was passed on and not read (class: as with the limit). Change: the daemon beside the target takes such a response like a heartbeat that says so; a daemon that passed one on does not choose that incarnation again, so it holds when the daemon beside the target restarts, and for 10 minutes while the target is not listed. Result: TestRequestAfterALeavingResponse (15 requests instead of 1) and TestLeavingTargetIsForgotten failed before and pass. Ruled out: relying on the heartbeat alone, which a daemon loses with a restart.

--- a/internal/process/balancing/balancer.go
+++ b/internal/process/balancing/balancer.go
@@ -8,8 +8,13 @@
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 )
 
-// staleAfter is how long an idle target that is no longer listed is kept.
-const staleAfter = 10 * time.Second
+const (
+	// staleAfter is how long an idle target that is no longer listed is kept.
+	staleAfter = 10 * time.Second
+	// leavingStaleAfter is the same for a target that has said that it leaves. It may
+	// be listed again while the control replicas have not learned of that.
+	leavingStaleAfter = 10 * time.Minute
+)
 
 // Balancer selects targets by the state that this daemon has observed, kept
 // per service. Its methods are safe for concurrent use.
@@ -59,7 +64,8 @@
 	}
 	s.removeStale(now)
 	at := Choose(now, targets, func(i int) bool {
-		return records[i].DaemonLeaving || records[i].State == protocol.Leaving || contains(excluded, records[i].Instance)
+		r := records[i]
+		return r.DaemonLeaving || r.State == protocol.Leaving || states[i].isLeaving(r.Incarnation) || contains(excluded, r.Instance)
 	}, rand.IntN)
 	if at < 0 {
 		return Choice{}, false
@@ -106,7 +112,11 @@
 
 func (s *serviceTargets) removeStale(now time.Time) {
 	for instance, state := range s.targets {
-		if state.outstanding == 0 && now.Sub(state.lastListed) > staleAfter {
+		keep := staleAfter
+		if state.leaving != "" {
+			keep = leavingStaleAfter
+		}
+		if state.outstanding == 0 && now.Sub(state.lastListed) > keep {
 			delete(s.targets, instance)
 		}
 	}
--- a/internal/process/balancing/statement.go
+++ b/internal/process/balancing/statement.go
@@ -12,6 +12,9 @@
 
 // RecordStatement records what the target said about itself in a response.
 func (t *Target) RecordStatement(now time.Time, s protocol.Statement) {
+	if s.Leaving {
+		t.leaving = s.Incarnation
+	}
 	if s.Limited {
 		t.stated, t.statedAt = s, now
 		return
@@ -21,6 +24,11 @@
 	}
 }
 
+// isLeaving reports whether this incarnation of the target has said that it leaves.
+func (t *Target) isLeaving(incarnation string) bool {
+	return t.leaving != "" && t.leaving == incarnation
+}
+
 // Stated returns what the selected target last said about itself.
 func (c Choice) Stated() (s protocol.Statement) {
 	c.Update(func(t *Target) { s = t.stated })
--- a/internal/process/balancing/target.go
+++ b/internal/process/balancing/target.go
@@ -55,6 +55,8 @@
 	// stated is what the target last said about itself, at statedAt.
 	stated   protocol.Statement
 	statedAt time.Time
+	// leaving is the incarnation that last said that it leaves; empty if none did.
+	leaving string
 }
 
 // Sent records that a request was sent to the target.
--- a/internal/process/local/statement.go
+++ b/internal/process/local/statement.go
@@ -17,14 +17,17 @@
 // request of this slot, and sets the incarnation of the statement.
 func (s *Slot) ReportStatement(statement *protocol.Statement) {
 	statement.Incarnation = s.heartbeat.incarnation()
-	s.target.report(s.heartbeat, *statement)
+	if s.target.report(s.heartbeat, *statement) {
+		s.target.options.Changed()
+	}
 }
 
-func (t *Target) report(heartbeat Heartbeat, statement protocol.Statement) {
+// report reports whether the announcement of the target has changed.
+func (t *Target) report(heartbeat Heartbeat, statement protocol.Statement) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.lastHeartbeat.sameIncarnation(heartbeat) {
-		return
+		return false
 	}
 	t.responded = true
 	now := t.options.Now()
@@ -36,6 +39,12 @@
 	}
 	t.state(now, statement)
 	t.logExcess(now)
+	if !statement.Leaving || t.lastHeartbeat.Leaving {
+		return false
+	}
+	t.lastHeartbeat.Leaving = true
+	t.limiter.RejectAll()
+	return true
 }
 
 // AdoptStatement records what another daemon knows about the target. It matters only
