Log: failed requests name their content

Cause: the log identified requests by an ID that is new for each attempt of a caller, so it could not tell whether crashes have a request in common. Change: request failed at the target has a fingerprint of method, host, URI and body. No decision reads it. Ruled out: cold targets that crash by their load; retries of the daemons as the main part.

--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -10,6 +10,7 @@
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 )
 
 const (
@@ -191,3 +192,8 @@
 		Body: body.prefix, Rest: body.rest, Length: body.length,
 	}
 }
+
+// contentOf returns the fingerprint of a request.
+func contentOf(r *http1.Request) quarantine.Fingerprint {
+	return quarantine.NewFingerprint(r.Method, r.Host, r.URI, r.Body, r.Length)
+}
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -14,6 +14,7 @@
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/limiter"
 	"github.com/teaselrack/teaselrack/internal/process/local"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/shedding"
 )
 
@@ -166,6 +167,7 @@
 			zap.Float64("load", p.Target.Load()), zap.String("kind", string(fault.KindOf(err))), zap.String("reason", fault.Message(err)))
 		return nil, withRetryAfter(err, retryAfter)
 	}
+	content := contentOf(r)
 	p.setTargetHeaders(ctx, m, r, slot.ID)
 	began := time.Now()
 	deadline, _ := ctx.Deadline()
@@ -173,13 +175,13 @@
 	resp, err := p.TargetClient.Do(ctx, p.Address, r)
 	if err != nil {
 		slot.Done(err)
-		p.logFailure(m, slot.ID, time.Since(began), err)
+		p.logFailure(m, content, slot.ID, time.Since(began), err)
 		return nil, withRetryAfter(err, 0)
 	}
 	response, err := p.readTargetResponse(resp, slot)
 	if err != nil {
 		slot.Done(err)
-		p.logFailure(m, slot.ID, time.Since(began), err)
+		p.logFailure(m, content, slot.ID, time.Since(began), err)
 		return nil, err
 	}
 	response.onComplete(slot.Done)
@@ -240,8 +242,8 @@
 	return statement
 }
 
-func (p *PeerHandler) logFailure(m *ForwardingMetadata, targetID string, took time.Duration, err error) {
+func (p *PeerHandler) logFailure(m *ForwardingMetadata, content quarantine.Fingerprint, targetID string, took time.Duration, err error) {
 	p.Log.Info("request failed at the target", zap.String("request", m.RequestID), zap.String("service", m.Service),
-		zap.String("target", targetID), zap.Duration("took", took), zap.String("kind", string(fault.KindOf(err))),
+		zap.Stringer("content", content), zap.String("target", targetID), zap.Duration("took", took), zap.String("kind", string(fault.KindOf(err))),
 		zap.String("outcome", string(fault.OutcomeOf(err))), zap.String("reason", fault.Message(err)))
 }
