A request that crashes targets is kept from further targets

Callers of the service saw two thirds of their requests fail: one request, sent again by callers at any daemon, ended all targets again and again (17 to 21 times after the third). Cause: no process remembered what a target was running when it crashed, so each daemon met the same request as a new one (class: knowledge that ends with the connection that had it). Change: the daemon beside a target reports the requests that were lost with a crash, by a fingerprint of their content, with its renewals. Replicas exchange the reports as soft state and blame each crash on the suspect with the most crashes, the one least often seen to complete among equals; what completes anywhere is cleared. A request that explains three crashes is refused at every entry and beside every target: 503, not run, Retry-After a minute, for ten minutes after the last report. TestRequestCrashesTargetAfterTarget failed before (24 to 28 late arrivals, 3 allowed, with the check taken out).

--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -157,6 +157,14 @@
 	// QuotaOnly is true for a message between two renewals that only requests tokens.
 	// All fields except Instance, Session and Quota are then unset.
 	QuotaOnly bool `json:"qo,omitempty"`
+	// Crashes are crashes of the local target that the replica does not know yet.
+	// Completed are fingerprints of requests that were lost and have completed since.
+	Crashes   []CrashReport `json:"cr,omitempty"`
+	Completed []uint64      `json:"cc,omitempty"`
+	// QuarantineEpoch and QuarantineVersion identify the list of quarantined requests
+	// that the daemon has.
+	QuarantineEpoch   string `json:"qe,omitempty"`
+	QuarantineVersion uint64 `json:"qv,omitempty"`
 }
 
 // RenewReply is the reply to a RenewRequest.
@@ -183,6 +191,8 @@
 	Content     []byte         `json:"ct,omitempty"`
 	Registry    *RegistryDelta `json:"r,omitempty"`
 	Quota       []QuotaGrant   `json:"q,omitempty"`
+	// Quarantine is nil if the daemon has the current list.
+	Quarantine *QuarantineUpdate `json:"qn,omitempty"`
 	// Replicas are the control addresses of the members that the replica knows.
 	Replicas []string `json:"m,omitempty"`
 	// ReplicaDomains are the failure domains of Replicas, in the same order and ""
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -29,6 +29,8 @@
 	Overloaded Kind = "overloaded"
 	// TargetCold is a request rejected during the cold start of the target.
 	TargetCold Kind = "target_cold"
+	// Quarantined is a request whose content has crashed several targets.
+	Quarantined Kind = "quarantined"
 	// TargetLeaving is a request rejected because the target is in the state leaving.
 	TargetLeaving Kind = "target_leaving"
 	// OutOfService is a request rejected because the operators took the target
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -51,6 +51,7 @@
 	QuotaUnavailable:  {http.StatusServiceUnavailable, NotRun, true, retryLater},
 	Overloaded:        {http.StatusServiceUnavailable, NotRun, true, retrySoon},
 	TargetCold:        {http.StatusServiceUnavailable, NotRun, true, retrySoon},
+	Quarantined:       {http.StatusServiceUnavailable, NotRun, false, 0},
 	TargetLeaving:     {http.StatusServiceUnavailable, NotRun, true, retrySoon},
 	OutOfService:      {http.StatusServiceUnavailable, NotRun, true, retrySoon},
 	NoTarget:          {http.StatusServiceUnavailable, NotRun, true, retrySoon},
--- a/internal/process/control/renew.go
+++ b/internal/process/control/renew.go
@@ -22,13 +22,17 @@
 	if req.QuotaOnly {
 		return protocol.RenewReply{Quota: s.grantQuota(ctx, req)}, nil
 	}
-	s.options.Registry.Renew(s.options.Clock(), req)
+	now := s.options.Clock()
+	s.options.Registry.Renew(now, req)
+	s.options.Quarantine.Merge(now, req.Crashes)
+	s.options.Quarantine.Completed(now, req.Completed)
 	reply := protocol.RenewReply{Confirmed: s.renewals.Wait(ctx) == nil}
 	if err := s.fillVersion(&reply, req); err != nil {
 		return protocol.RenewReply{}, err
 	}
 	reply.Registry = s.options.Registry.Delta(req.Instance, req.Subscriptions, req.RegistryEpoch, req.RegistryVersion)
 	reply.Quota = s.grantQuota(ctx, req)
+	reply.Quarantine = s.options.Quarantine.Update(s.options.Clock(), req.QuarantineEpoch, req.QuarantineVersion)
 	if s.membership != nil {
 		reply.Replicas = s.replicaAddresses()
 		reply.ReplicaDomains = s.domains.of(reply.Replicas)
--- a/internal/process/control/role.go
+++ b/internal/process/control/role.go
@@ -15,6 +15,7 @@
 	"github.com/teaselrack/teaselrack/internal/connection/rpc"
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
 	"github.com/teaselrack/teaselrack/internal/process/ledger"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/replica"
@@ -92,6 +93,7 @@
 	if r.options.MaxQuotaOutage > 0 {
 		substitute = quota.NewSubstitute(r.options.MaxQuotaOutage)
 	}
+	targets := registry.New(envelope.NewID())
 	r.service = New(Options{
 		Substitute:     substitute,
 		Address:        r.options.Address,
@@ -103,7 +105,8 @@
 		Group:          group,
 		Machine:        machine,
 		Shards:         shards,
-		Registry:       registry.New(envelope.NewID()),
+		Registry:       targets,
+		Quarantine:     quarantine.NewTable(targets.Epoch()),
 		Issuer:         quota.NewIssuerWithTTL(cmp.Or(r.options.TokenTTL, quota.TokenTTL)),
 		Caller:         r.options.Caller,
 		Receive:        r.receive,
--- a/internal/process/control/service.go
+++ b/internal/process/control/service.go
@@ -15,6 +15,7 @@
 	"github.com/teaselrack/teaselrack/internal/connection/rpc"
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
 	"github.com/teaselrack/teaselrack/internal/process/ledger"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/replica"
@@ -87,7 +88,10 @@
 	// Shards are the groups of the once ledger, by shard number.
 	Shards   []Shard
 	Registry *registry.Registry
-	Issuer   *quota.Issuer
+	// Quarantine collects the requests that crash targets. Its epoch is that of
+	// Registry.
+	Quarantine *quarantine.Table
+	Issuer     *quota.Issuer
 	// Substitute, if set, grants tokens while no issuer does.
 	Substitute *quota.Substitute
 	Caller     Caller
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -14,6 +14,7 @@
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/limiter"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/shedding"
 )
 
@@ -52,6 +53,9 @@
 	// requests. Errors: OutOfService; LeaseExpired while no configuration is known,
 	// since neither the cold rate nor the failure domains in service are known then.
 	Permitted func() error
+	// Crashed, if set, is called, without a lock held, with the requests that an
+	// incarnation of the target was running when it crashed.
+	Crashed func(incarnation string, suspects []quarantine.Fingerprint)
 	// Changed is called, without a lock held, after the announcement has
 	// changed.
 	Changed func()
@@ -86,6 +90,8 @@
 	// of the last response that stated a limit.
 	stated   protocol.Statement
 	statedAt time.Time
+	// crashes determines what the target was running when it crashed.
+	crashes quarantine.Detector
 	// responded is true once this incarnation of the target has responded to a request.
 	responded bool
 	// excessLoggedAt is when the log last reported requests beyond the stated limit.
@@ -107,26 +113,29 @@
 	if h.Address != t.options.Address && !h.Gone {
 		return fault.New(fault.BadRequest, "heartbeat with address %q, but the local target has address %s", h.Address, t.options.Address)
 	}
-	changed, err := t.update(h)
+	changed, crash, err := t.update(h)
 	if changed {
 		t.options.Changed()
 	}
+	t.reportCrash(crash)
 	return err
 }
 
-func (t *Target) update(h Heartbeat) (changed bool, err error) {
+func (t *Target) update(h Heartbeat) (changed bool, crash crash, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.options.Now()
 	if h.Gone {
-		return t.markGone(h)
+		changed, err = t.markGone(h)
+		return changed, crash, err
 	}
 	if t.announced && !h.newer(t.lastHeartbeat) {
-		return false, fault.New(fault.BadRequest, "heartbeat %d of %q is older than %d of %q", h.Sequence, h.ID, t.lastHeartbeat.Sequence, t.lastHeartbeat.ID)
+		return false, crash, fault.New(fault.BadRequest, "heartbeat %d of %q is older than %d of %q", h.Sequence, h.ID, t.lastHeartbeat.Sequence, t.lastHeartbeat.ID)
 	}
 	before := t.announcement(now)
 	newIncarnation := !t.announced || !h.sameIncarnation(t.lastHeartbeat)
 	if newIncarnation {
+		crash = t.crashed(now)
 		t.responded = false
 		t.state(now, protocol.Statement{})
 	}
@@ -148,7 +157,7 @@
 		t.options.Log.Info("target state changed", zap.String("id", h.ID), zap.Int64("started", h.Started), zap.Uint64("sequence", h.Sequence),
 			zap.String("state", string(after.State)), zap.Int("slots", h.Slots), zap.Duration("cold_for", h.ColdFor))
 	}
-	return before != after, nil
+	return before != after, crash, nil
 }
 
 func (t *Target) markGone(h Heartbeat) (changed bool, err error) {
@@ -209,6 +218,8 @@
 	ID     string
 	target *Target
 	ticket *limiter.Ticket
+	// Content identifies the request; set it before Done.
+	Content quarantine.Fingerprint
 	// heartbeat is the last one of the target when the request was admitted.
 	heartbeat Heartbeat
 }
@@ -337,7 +348,9 @@
 	now := t.options.Now()
 	t.release(now, now.Sub(s.ticket.Started), err == nil)
 	changed := t.detectRestart(err)
+	crash := t.detectCrash(now, s, err)
 	t.mu.Unlock()
+	t.reportCrash(crash)
 	if changed {
 		t.options.Log.Info("target is suspected to have restarted", zap.String("id", s.ID), zap.Error(err))
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/teaselrack/teaselrack/internal/process/control"
 	"github.com/teaselrack/teaselrack/internal/process/events"
 	"github.com/teaselrack/teaselrack/internal/process/local"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/renewal"
@@ -103,6 +104,7 @@
 	configuration *configuration.Holder
 	registry      *registry.Table
 	quota         *quota.Holder
+	quarantine    *quarantine.List
 	renewal       *renewal.Loop
 	target        *local.Target
 	peerClient    *http1.Client
@@ -165,11 +167,13 @@
 func (n *Node) buildTraffic(t *Traffic) {
 	n.configuration = configuration.NewHolder(configuration.HolderOptions{Now: n.clock.Now, ContentOnly: true})
 	n.registry = registry.NewTable(time.Now)
+	n.quarantine = quarantine.NewList(time.Now, n.renewNow, n.log)
 	n.target = local.New(local.Options{
 		Service: t.Service, Address: t.Target, Interval: t.Heartbeat,
 		ColdRate:  n.coldRate,
 		Permitted: n.targetPermitted,
 		Changed:   n.renewNow,
+		Crashed:   n.quarantine.AddCrash,
 		Now:       time.Now,
 		Log:       n.log,
 	})
@@ -185,7 +189,7 @@
 	n.peerHandler = &relay.PeerHandler{
 		Levels: levels, CallGraph: callGraph,
 		HeaderNames: t.HeaderNames, Service: t.Service, Address: t.Target, Target: n.target,
-		TargetClient: n.targetClient, Log: n.log, Stats: n.stats,
+		TargetClient: n.targetClient, Quarantine: n.quarantine, Log: n.log, Stats: n.stats,
 	}
 	n.entryHandler = &relay.EntryHandler{
 		HeaderNames: t.HeaderNames, Instance: n.options.Instance, Service: t.Service,
@@ -195,7 +199,8 @@
 			Ratio: t.RetryRatio, Window: t.RetryWindow, Slack: t.RetrySlack, Processes: n.processes,
 		}),
 		Levels: levels, CallGraph: callGraph, Demand: new(shedding.Demand), Rejections: new(shedding.Rejections),
-		Local: n.peerHandler, PeerClient: n.peerClient, Log: n.log, Stats: n.stats,
+		Quarantine: n.quarantine,
+		Local:      n.peerHandler, PeerClient: n.peerClient, Log: n.log, Stats: n.stats,
 		Traffic: n.traffic,
 	}
 }
@@ -220,6 +225,7 @@
 		Configuration: n.configuration,
 		Registry:      n.registry,
 		Quota:         n.quota,
+		Quarantine:    n.quarantine,
 		Targets:       n.announcements,
 		Leaving:       n.unlisted.Load,
 		Clock:         n.clock.Now,
--- /dev/null
+++ b/internal/process/quarantine/list.go
@@ -0,0 +1,213 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+const (
+	// maxOwnReports bounds the reports that a daemon keeps for replicas that restart.
+	maxOwnReports = 16
+	// maxRecentLosses bounds the lost requests whose completion a daemon reports, and
+	// recentLossTTL how long it does.
+	maxRecentLosses = 2048
+	recentLossTTL   = time.Minute
+	// familiarSlots is the number of completed requests that a daemon remembers. Each
+	// has one slot that it may have.
+	familiarSlots = 8192
+	// RetryAfter is the time after which the caller of a quarantined request is told
+	// to retry.
+	RetryAfter = time.Minute
+)
+
+// List is what a daemon knows about quarantined requests. Its methods are safe for
+// concurrent use.
+type List struct {
+	now func() time.Time
+	log *zap.Logger
+	// renew makes the next renewal start at once.
+	renew func()
+
+	mu sync.Mutex
+	// entries are the quarantined requests. They are kept while no replica replies.
+	entries map[Fingerprint]listEntry
+	// epoch and version are those of the last update.
+	epoch   string
+	version uint64
+	// reports are the crashes of the local target, oldest first.
+	reports []*ownReport
+	// familiar holds requests that have completed.
+	familiar [familiarSlots]Fingerprint
+	// losses are requests that were lost lately; completed are those of them that
+	// completed since, and completedSent how many the last renewal had.
+	losses        map[Fingerprint]time.Time
+	completed     []uint64
+	completedSent int
+}
+
+// ownReport is the report of one crash of the local target.
+type ownReport struct {
+	protocol.CrashReport
+	// sent is the number of suspects that the last renewal reported. reported is the
+	// number that the replica with the current epoch has.
+	sent, reported int
+}
+
+type listEntry struct {
+	// epoch is that of the update that listed the request last.
+	epoch   string
+	expires time.Time
+}
+
+// NewList returns an empty list. renew is called, without a lock held, when there is
+// something to report.
+func NewList(now func() time.Time, renew func(), log *zap.Logger) *List {
+	return &List{now: now, renew: renew, log: log, entries: make(map[Fingerprint]listEntry), losses: make(map[Fingerprint]time.Time)}
+}
+
+// Check returns an error if no target may get the request. Errors: Quarantined.
+func (l *List) Check(content Fingerprint) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry, ok := l.entries[content]
+	if !ok || l.now().After(entry.expires) {
+		return nil
+	}
+	return fault.New(fault.Quarantined, "requests with this content (%s) have crashed %d targets or more", content, crashesToQuarantine)
+}
+
+// AddCrash reports suspects of a crash of the local target. It may be called more than
+// once for a crash.
+func (l *List) AddCrash(incarnation string, suspects []Fingerprint) {
+	l.mu.Lock()
+	r, known := l.ownReport(incarnation)
+	for _, content := range suspects {
+		r.Suspects = append(r.Suspects, uint64(content))
+		if l.familiar[content%familiarSlots] == content {
+			r.Familiar = append(r.Familiar, uint64(content))
+		}
+		l.addLoss(content)
+	}
+	l.mu.Unlock()
+	if !known {
+		l.log.Info("target crashed while it ran requests", zap.String("incarnation", incarnation), zap.Stringers("contents", suspects))
+	}
+	l.renew()
+}
+
+// ownReport returns the report of a crash, which is added if it is not known yet.
+func (l *List) ownReport(incarnation string) (r *ownReport, known bool) {
+	for _, r := range l.reports {
+		if r.Incarnation == incarnation {
+			return r, true
+		}
+	}
+	if len(l.reports) >= maxOwnReports {
+		l.reports = l.reports[1:]
+	}
+	r = &ownReport{CrashReport: protocol.CrashReport{Incarnation: incarnation}}
+	l.reports = append(l.reports, r)
+	return r, false
+}
+
+// Lost records a request that another daemon's target may have crashed under.
+func (l *List) Lost(content Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addLoss(content)
+}
+
+func (l *List) addLoss(content Fingerprint) {
+	now := l.now()
+	if len(l.losses) >= maxRecentLosses {
+		for other, at := range l.losses {
+			if now.Sub(at) > recentLossTTL {
+				delete(l.losses, other)
+			}
+		}
+	}
+	if len(l.losses) < maxRecentLosses {
+		l.losses[content] = now
+	}
+}
+
+// Completed records that a target has completed a request. If it was lost lately or is
+// quarantined, it is reported as not at fault.
+func (l *List) Completed(content Fingerprint) {
+	l.mu.Lock()
+	l.familiar[content%familiarSlots] = content
+	_, lost := l.losses[content]
+	_, listed := l.entries[content]
+	if lost || listed {
+		delete(l.losses, content)
+	}
+	if (lost || listed) && len(l.completed) < maxRecentLosses {
+		l.completed = append(l.completed, uint64(content))
+	}
+	l.mu.Unlock()
+	if lost || listed {
+		l.renew()
+	}
+}
+
+// Fill adds to a renewal what the replica does not know yet.
+func (l *List) Fill(r *protocol.RenewRequest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.QuarantineEpoch, r.QuarantineVersion = l.epoch, l.version
+	for _, own := range l.reports {
+		own.sent = len(own.Suspects)
+		if own.reported < own.sent {
+			r.Crashes = append(r.Crashes, protocol.CrashReport{
+				Incarnation: own.Incarnation, Suspects: slices.Clone(own.Suspects), Familiar: slices.Clone(own.Familiar),
+			})
+		}
+	}
+	r.Completed = slices.Clone(l.completed)
+	l.completedSent = len(l.completed)
+}
+
+// Apply applies the reply to the last renewal. A replica that has restarted, or another
+// one, gets all reports again with the next renewal.
+func (l *List) Apply(u *protocol.QuarantineUpdate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.completed = l.completed[l.completedSent:]
+	l.completedSent = 0
+	newEpoch := u != nil && u.Epoch != l.epoch
+	for _, own := range l.reports {
+		own.reported = own.sent
+		if newEpoch {
+			own.reported = 0
+		}
+	}
+	if u != nil {
+		l.epoch, l.version = u.Epoch, u.Version
+		l.replace(u)
+	}
+}
+
+func (l *List) replace(u *protocol.QuarantineUpdate) {
+	now := l.now()
+	listed := make(map[Fingerprint]bool, len(u.Contents))
+	for _, c := range u.Contents {
+		content := Fingerprint(c)
+		listed[content] = true
+		if _, known := l.entries[content]; !known {
+			l.log.Info("request is quarantined", zap.Stringer("content", content))
+		}
+		l.entries[content] = listEntry{epoch: u.Epoch, expires: now.Add(reportTTL)}
+	}
+	for content, entry := range l.entries {
+		if entry.epoch == u.Epoch && !listed[content] || now.After(entry.expires) {
+			delete(l.entries, content)
+			l.log.Info("request is no longer quarantined", zap.Stringer("content", content))
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/quarantine/table.go
@@ -0,0 +1,254 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+)
+
+const (
+	// crashesToQuarantine is the number of crashes that a request must explain.
+	crashesToQuarantine = 3
+	// confirmDelay is the time until a request that explains enough crashes is
+	// quarantined. Requests that were lost by chance complete meanwhile.
+	confirmDelay = time.Second
+	// reportTTL is how long a crash is remembered.
+	reportTTL = 10 * time.Minute
+	// clearedFor is how long a completed request is cleared of crashes that are
+	// reported later: the report of a crash may be delayed.
+	clearedFor = 2 * time.Second
+	// maxReports bounds the number of crashes that are remembered. The oldest is
+	// forgotten first.
+	maxReports = 512
+)
+
+// Table collects on a control replica which requests crashed targets were running, and
+// determines which of them no target may get. It is soft state: daemons report again to
+// a replica that has restarted, and replicas exchange reports. Its methods are safe for
+// concurrent use.
+//
+// Many requests are lost with each crash and only one may be at fault. So each crash is
+// blamed on the suspect with the most crashes, the one that completed before least often
+// among equals, and a request that completes anywhere after a crash is no longer suspect.
+type Table struct {
+	epoch string
+
+	mu      sync.Mutex
+	version uint64
+	reports map[string]*report // by incarnation
+	// completed are requests that have completed lately, and when.
+	completed map[uint64]time.Time
+	// convictable holds the requests that explain enough crashes, and since when.
+	convictable map[uint64]time.Time
+	// listed are the quarantined requests, sorted; listVersion counts their changes.
+	listed      []uint64
+	listVersion uint64
+}
+
+// report is what is known about one crash.
+type report struct {
+	suspects map[uint64]bool
+	familiar map[uint64]bool
+	cleared  map[uint64]bool
+	received time.Time
+	version  uint64
+}
+
+// NewTable returns an empty table. epoch must be unique for each start of each replica.
+func NewTable(epoch string) *Table {
+	return &Table{epoch: epoch, reports: make(map[string]*report), completed: make(map[uint64]time.Time), convictable: make(map[uint64]time.Time)}
+}
+
+// Merge adds reports of daemons or of another replica.
+func (t *Table) Merge(now time.Time, reports []protocol.CrashReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range reports {
+		if r.Age >= reportTTL {
+			continue
+		}
+		known, ok := t.reports[r.Incarnation]
+		if !ok {
+			t.dropOldest()
+			known = &report{suspects: make(map[uint64]bool), familiar: make(map[uint64]bool), cleared: make(map[uint64]bool), received: now.Add(-r.Age)}
+			t.reports[r.Incarnation] = known
+		}
+		if known.merge(r) || !ok {
+			t.version++
+			known.version = t.version
+		}
+	}
+	t.clear(now)
+}
+
+// merge reports whether r changes the report.
+func (k *report) merge(r protocol.CrashReport) bool {
+	changed := false
+	for _, content := range r.Cleared {
+		changed = changed || !k.cleared[content]
+		k.cleared[content] = true
+		delete(k.suspects, content)
+	}
+	for _, content := range r.Familiar {
+		changed = changed || !k.familiar[content]
+		k.familiar[content] = true
+	}
+	for _, content := range r.Suspects {
+		if !k.cleared[content] && !k.suspects[content] {
+			k.suspects[content] = true
+			changed = true
+		}
+	}
+	return changed
+}
+
+// dropOldest makes room for another report.
+func (t *Table) dropOldest() {
+	if len(t.reports) < maxReports {
+		return
+	}
+	oldest := ""
+	for incarnation, r := range t.reports {
+		if oldest == "" || r.received.Before(t.reports[oldest].received) {
+			oldest = incarnation
+		}
+	}
+	delete(t.reports, oldest)
+}
+
+// Completed records that requests have completed. They are cleared of the crashes so
+// far.
+func (t *Table) Completed(now time.Time, contents []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, content := range contents {
+		t.completed[content] = now
+	}
+	t.clear(now)
+}
+
+// clear clears the requests that have completed lately of all crashes.
+func (t *Table) clear(now time.Time) {
+	maps.DeleteFunc(t.completed, func(_ uint64, at time.Time) bool { return now.Sub(at) >= clearedFor })
+	if len(t.completed) == 0 {
+		return
+	}
+	for _, r := range t.reports {
+		var cleared []uint64
+		for content := range r.suspects {
+			if _, ok := t.completed[content]; ok {
+				cleared = append(cleared, content)
+			}
+		}
+		if r.merge(protocol.CrashReport{Cleared: cleared}) {
+			t.version++
+			r.version = t.version
+		}
+	}
+}
+
+// Changes returns the reports that have changed since a version of an epoch, and the
+// current version.
+func (t *Table) Changes(now time.Time, epoch string, since uint64) (reports []protocol.CrashReport, version uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if epoch != t.epoch {
+		since = 0
+	}
+	for incarnation, r := range t.reports {
+		if r.version > since {
+			reports = append(reports, protocol.CrashReport{
+				Incarnation: incarnation, Suspects: slices.Collect(maps.Keys(r.suspects)), Familiar: slices.Collect(maps.Keys(r.familiar)),
+				Cleared: slices.Collect(maps.Keys(r.cleared)), Age: now.Sub(r.received),
+			})
+		}
+	}
+	return reports, t.version
+}
+
+// Update returns the quarantined requests, or nil if they are those of the given epoch
+// and version.
+func (t *Table) Update(now time.Time, epoch string, version uint64) *protocol.QuarantineUpdate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.convict(now)
+	if epoch == t.epoch && version == t.listVersion {
+		return nil
+	}
+	return &protocol.QuarantineUpdate{Epoch: t.epoch, Version: t.listVersion, Contents: t.listed}
+}
+
+// convict determines the quarantined requests.
+func (t *Table) convict(now time.Time) {
+	maps.DeleteFunc(t.reports, func(_ string, r *report) bool { return now.Sub(r.received) >= reportTTL })
+	explained := t.explainedCrashes()
+	maps.DeleteFunc(t.convictable, func(content uint64, _ time.Time) bool { return explained[content] < crashesToQuarantine })
+	var listed []uint64
+	for content, crashes := range explained {
+		if crashes < crashesToQuarantine {
+			continue
+		}
+		since, ok := t.convictable[content]
+		if !ok {
+			since = now
+			t.convictable[content] = now
+		}
+		if now.Sub(since) >= confirmDelay {
+			listed = append(listed, content)
+		}
+	}
+	slices.Sort(listed)
+	if !slices.Equal(listed, t.listed) {
+		t.listed = listed
+		t.listVersion++
+	}
+}
+
+// evidence is what speaks against one request.
+type evidence struct {
+	// crashes is the number of crashes in which the request was lost, familiar the
+	// number of those before which it had completed.
+	crashes, familiar int
+}
+
+// strongerThan reports whether a crash is rather blamed on the request with evidence e
+// than on the one with o.
+func (e evidence) strongerThan(o evidence) bool {
+	if e.crashes != o.crashes {
+		return e.crashes > o.crashes
+	}
+	return e.familiar < o.familiar
+}
+
+// explainedCrashes returns for each request the number of crashes that are blamed on it.
+func (t *Table) explainedCrashes() map[uint64]int {
+	against := make(map[uint64]evidence)
+	for _, r := range t.reports {
+		for content := range r.suspects {
+			e := against[content]
+			e.crashes++
+			if r.familiar[content] {
+				e.familiar++
+			}
+			against[content] = e
+		}
+	}
+	explained := make(map[uint64]int)
+	for _, r := range t.reports {
+		var strongest evidence
+		for content := range r.suspects {
+			if against[content].strongerThan(strongest) {
+				strongest = against[content]
+			}
+		}
+		for content := range r.suspects {
+			if against[content] == strongest {
+				explained[content]++
+			}
+		}
+	}
+	return explained
+}
--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -12,6 +12,7 @@
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/request/hop"
@@ -38,8 +39,8 @@
 	Call(ctx context.Context, address, method string, params, reply any) error
 }
 
-// Options are the parameters of a Loop. All but Interval,
-// TokenTimeout and ReplicaDomain are required.
+// Options are the parameters of a Loop. All but Interval, TokenTimeout, ReplicaDomain
+// and Quarantine are required.
 type Options struct {
 	Instance string
 	// Session is different for each start of the daemon.
@@ -63,6 +64,8 @@
 	Configuration *configuration.Holder
 	Registry      *registry.Table
 	Quota         *quota.Holder
+	// Quarantine, if set, holds the requests that no target may get.
+	Quarantine *quarantine.List
 	// Targets returns the announcements of the local targets.
 	Targets func() []protocol.Announcement
 	// Leaving reports whether this daemon is shutting down.
@@ -186,6 +189,9 @@
 		Quota:           l.options.Quota.TokenRequests(l.options.Clock()),
 	}
 	l.options.Configuration.Position(&request)
+	if l.options.Quarantine != nil {
+		l.options.Quarantine.Fill(&request)
+	}
 	return request
 }
 
@@ -201,6 +207,9 @@
 		l.options.Recorder.Record(protocol.Event{Name: "configuration.advanced", Detail: formatChange(before, after)})
 	}
 	l.options.Registry.Apply(reply.Registry)
+	if l.options.Quarantine != nil {
+		l.options.Quarantine.Apply(reply.Quarantine)
+	}
 	l.options.Quota.ApplyGrants(sentAt, reply.Quota)
 	l.replicas.set(reply.Replicas, reply.ReplicaDomains)
 	if l.options.ReplicaDomain != nil && len(reply.ReplicaDomains) == len(reply.Replicas) {
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -107,6 +107,11 @@
 	completed func(error)
 }
 
+// succeeded reports whether the target ran the request without failing.
+func (r *Response) succeeded() bool {
+	return !r.NotRun && r.Status < http.StatusInternalServerError
+}
+
 // newResponse reads the beginning of a response, or all of it if it is short.
 // It returns AnswerBroken if the body could not be read.
 func newResponse(resp *http.Response) (*Response, error) {
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -14,6 +14,7 @@
 	"github.com/teaselrack/teaselrack/internal/connection/traffic"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/balancing"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/retrybudget"
 	"github.com/teaselrack/teaselrack/internal/process/shedding"
 	"github.com/teaselrack/teaselrack/internal/version"
@@ -61,6 +62,8 @@
 	CallGraph *shedding.CallGraph
 	// Demand determines which requests are shed at a given level.
 	Demand *shedding.Demand
+	// Quarantine holds the requests that no target may get.
+	Quarantine *quarantine.List
 	// Rejections remembers the requests that were rejected with a retry-after
 	// time.
 	Rejections *shedding.Rejections
@@ -132,6 +135,10 @@
 	if err := e.readBody(ctx, w, req, state.Limits()); err != nil {
 		return nil, err
 	}
+	req.content = quarantine.NewFingerprint(req.request.Method, req.request.Host, req.request.RequestURI, req.body.prefix, req.body.length)
+	if err := e.Quarantine.Check(req.content); err != nil {
+		return nil, withRetryAfter(err, quarantine.RetryAfter)
+	}
 	e.RetryBudget.CountRequest(req.receivedAt, req.service)
 	if err := e.shed(req); err != nil {
 		return nil, err
@@ -270,6 +277,12 @@
 		}
 		recordOutcome(now, t, response, err)
 	})
+	switch {
+	case fault.Is(err, fault.ConnectionLost), fault.Is(err, fault.AnswerBroken):
+		e.Quarantine.Lost(req.content)
+	case response != nil && response.succeeded():
+		e.Quarantine.Completed(req.content)
+	}
 	if err != nil {
 		choice.Ended()
 		return nil, err
--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/version"
 )
 
@@ -54,8 +55,10 @@
 	header http.Header
 	// cancel releases the context of the request. It is called once the
 	// response has been forwarded.
-	cancel   context.CancelFunc
-	body     bufferedBody
+	cancel context.CancelFunc
+	body   bufferedBody
+	// content identifies the request across callers and attempts.
+	content  quarantine.Fingerprint
 	revision uint64
 }
 
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -34,8 +34,10 @@
 	Levels       *shedding.Levels
 	CallGraph    *shedding.CallGraph
 	TargetClient *http1.Client
-	Log          *zap.Logger
-	Stats        *Stats
+	// Quarantine holds the requests that no target may get.
+	Quarantine *quarantine.List
+	Log        *zap.Logger
+	Stats      *Stats
 }
 
 // ServeHTTP serves the requests that other daemons forward.
@@ -160,6 +162,10 @@
 		return nil, fault.New(fault.NoTarget, "service %s is not served here, the local target serves %s", m.Service, p.Service)
 	}
 	p.Target.AdoptStatement(m.Known)
+	content := contentOf(r)
+	if err := p.Quarantine.Check(content); err != nil {
+		return nil, withRetryAfter(err, quarantine.RetryAfter)
+	}
 	slot, retryAfter, err := p.Target.Admit(ctx, limiter.Request{Rank: m.Rank, Call: m.FromTarget, ClientRetry: m.ClientRetry, ObjectiveRemaining: m.ObjectiveRemaining})
 	if err != nil {
 		p.Log.Info("request not sent to the target", zap.String("request", m.RequestID), zap.String("service", m.Service),
@@ -167,7 +173,7 @@
 			zap.Float64("load", p.Target.Load()), zap.String("kind", string(fault.KindOf(err))), zap.String("reason", fault.Message(err)))
 		return nil, withRetryAfter(err, retryAfter)
 	}
-	content := contentOf(r)
+	slot.Content = content
 	p.setTargetHeaders(ctx, m, r, slot.ID)
 	began := time.Now()
 	deadline, _ := ctx.Deadline()
@@ -185,6 +191,9 @@
 		return nil, err
 	}
 	response.onComplete(slot.Done)
+	if response.succeeded() {
+		p.Quarantine.Completed(content)
+	}
 	p.Stats.Target.Observe(time.Since(began))
 	return response, nil
 }
--- /dev/null
+++ b/internal/request/relay/quarantine_test.go
@@ -0,0 +1,131 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/memnet"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/process/local"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+const (
+	// maxDeadlyRetries is how often a request may reach targets later than
+	// quarantineTime after it crashed the third.
+	maxDeadlyRetries = 3
+	quarantineTime   = 3 * time.Second
+	downTime         = 3 * time.Second
+	deadlyPath       = "/p/deadly"
+)
+
+// crashingMesh is a mesh in virtual time whose targets crash when they run deadlyPath.
+type crashingMesh struct {
+	*mesh
+	table *quarantine.Table
+
+	mu      sync.Mutex
+	crash   map[*instance]func()
+	crashes []time.Time
+	late    int
+}
+
+func newCrashingMesh(t *testing.T, targets int) *crashingMesh {
+	m := &crashingMesh{mesh: newMeshOn(t, memnet.New(time.Millisecond), version.Idempotent, 1, targets), crash: make(map[*instance]func())}
+	m.table = quarantine.NewTable("epoch")
+	for _, inst := range m.instances {
+		m.start(inst, 0)
+	}
+	return m
+}
+
+// start starts the target of an instance for the nth time.
+func (m *crashingMesh) start(inst *instance, n int) {
+	stop := m.serveAt(inst.targetAddress, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.run(inst, n, w, r) }))
+	m.mu.Lock()
+	m.crash[inst] = stop
+	m.mu.Unlock()
+	must.NoError(m.t, inst.target.Heartbeat(local.Heartbeat{
+		ID: inst.name, Started: int64(n + 1), Sequence: 2, Service: inst.record.Service, Address: inst.targetAddress, Slots: 100,
+	}))
+}
+
+// run serves a request at the nth start of a target.
+func (m *crashingMesh) run(inst *instance, n int, w http.ResponseWriter, r *http.Request) {
+	time.Sleep(60 * time.Millisecond)
+	if r.URL.Path != deadlyPath {
+		_, _ = w.Write([]byte("ok"))
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.crash[inst] == nil {
+		return
+	}
+	if len(m.crashes) >= 3 && time.Since(m.crashes[2]) > quarantineTime {
+		m.late++
+	}
+	m.crashes = append(m.crashes, time.Now())
+	m.crash[inst]()
+	m.crash[inst] = nil
+	time.AfterFunc(downTime, func() { m.start(inst, n+1) })
+}
+
+// renew connects the daemons with a control replica until the time has passed.
+func (m *crashingMesh) renew(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		for _, inst := range m.instances {
+			var request protocol.RenewRequest
+			inst.quarantine.Fill(&request)
+			m.table.Merge(time.Now(), request.Crashes)
+			m.table.Completed(time.Now(), request.Completed)
+			inst.quarantine.Apply(m.table.Update(time.Now(), request.QuarantineEpoch, request.QuarantineVersion))
+		}
+	}
+}
+
+// TestRequestCrashesTargetAfterTarget guards against a request that is sent on after it
+// has crashed several targets, and against other requests that are taken for it because
+// they were lost in the same crashes.
+func TestRequestCrashesTargetAfterTarget(t *testing.T) {
+	const contents, duration = 60, 20 * time.Second
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				m := newCrashingMesh(t, 5)
+				sender := m.addRemote()
+				var pending sync.WaitGroup
+				pending.Go(func() { m.renew(duration) })
+				for i := range int(duration / (5 * time.Millisecond)) {
+					path := fmt.Sprintf("/p/%d", random.IntN(contents))
+					if i%20 == 0 && i > 200 {
+						path = deadlyPath
+					}
+					pending.Go(func() { m.send(sender, "GET", path, nil, "") })
+					time.Sleep(5 * time.Millisecond)
+				}
+				pending.Wait()
+				must.GreaterEq(t, 3, len(m.crashes), must.Sprint("the request crashes targets"))
+				must.LessEq(t, maxDeadlyRetries, m.late, must.Sprint("after the third crash"))
+				for i := range contents {
+					response, text := m.send(sender, "GET", fmt.Sprintf("/p/%d", i), nil, "")
+					must.Eq(t, http.StatusOK, response.StatusCode, must.Sprint(text))
+				}
+				response, text := m.send(sender, "GET", deadlyPath, nil, "")
+				must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+				must.True(t, strings.Contains(text, "have crashed"), must.Sprint(text))
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/balancing"
 	"github.com/teaselrack/teaselrack/internal/process/local"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/retrybudget"
 	"github.com/teaselrack/teaselrack/internal/process/shedding"
 	"github.com/teaselrack/teaselrack/internal/version"
@@ -74,6 +75,7 @@
 	stub        *stub
 	target      *local.Target
 	peerHandler *PeerHandler
+	quarantine  *quarantine.List
 	entry       *EntryHandler
 	record      protocol.TargetRecord
 	// entryAddress is the address of the entry handler, targetAddress that of the
@@ -123,11 +125,19 @@
 	}
 	m.addresses++
 	address = fmt.Sprintf("10.0.0.%d:80", m.addresses)
+	m.serveAt(address, h)
+	return address
+}
+
+// serveAt serves h at an address of the network until the test ends or stop is called,
+// which resets all connections.
+func (m *mesh) serveAt(address string, h http.Handler) (stop func()) {
 	server := &http.Server{Handler: h}
 	ln := m.network.Listen(address)
 	go func() { _ = server.Serve(ln) }()
-	m.t.Cleanup(func() { _ = server.Close() })
-	return address
+	stop = func() { _ = server.Close() }
+	m.t.Cleanup(stop)
+	return stop
 }
 
 // clientOptions returns o with the network of the mesh.
@@ -177,7 +187,8 @@
 	inst := &instance{name: name, stub: &stub{}}
 	inst.targetAddress = m.serve(inst.stub)
 	levels, callGraph := new(shedding.Levels), new(shedding.CallGraph)
-	inst.target, inst.peerHandler = m.newPeerHandler(name, service, inst.targetAddress, levels, callGraph)
+	inst.quarantine = newQuarantine()
+	inst.target, inst.peerHandler = m.newPeerHandler(name, service, inst.targetAddress, inst.quarantine, levels, callGraph)
 	inst.record = protocol.TargetRecord{
 		Service: service, Instance: name, PeerAddress: m.serve(inst.peerHandler), FailureDomain: "z", Slots: 100, State: protocol.Warm,
 		Incarnation: name + "/0",
@@ -187,7 +198,7 @@
 		Balancer:    &balancing.Balancer{FailureDomain: "z", List: m.list},
 		RetryBudget: retrybudget.New(retrybudget.Options{Ratio: 100, Window: time.Second, Slack: 1000, Processes: func() int { return 1 }}),
 		Local:       inst.peerHandler, PeerClient: http1.NewClient(m.clientOptions(http1.Options{PeerKeepsIdle: true})),
-		Levels: levels, CallGraph: callGraph, Demand: new(shedding.Demand), Rejections: new(shedding.Rejections), Log: zap.NewNop(), Stats: NewStats(),
+		Levels: levels, CallGraph: callGraph, Demand: new(shedding.Demand), Rejections: new(shedding.Rejections), Quarantine: inst.quarantine, Log: zap.NewNop(), Stats: NewStats(),
 	}
 	inst.entryAddress = m.serve(inst.entry)
 	m.instances = append(m.instances, inst)
@@ -196,18 +207,20 @@
 
 // newPeerHandler returns the handler of the daemon beside a target, and the state that
 // it has of the target after the first heartbeat.
-func (m *mesh) newPeerHandler(name, service, address string, levels *shedding.Levels, callGraph *shedding.CallGraph) (*local.Target, *PeerHandler) {
-	target := m.newTarget(name, service, address)
+func (m *mesh) newPeerHandler(name, service, address string, list *quarantine.List, levels *shedding.Levels, callGraph *shedding.CallGraph) (*local.Target, *PeerHandler) {
+	target := m.newTarget(name, service, address, list)
 	return target, &PeerHandler{
 		HeaderNames: DefaultNames(), Service: service, Address: address, Target: target, Levels: levels, CallGraph: callGraph,
-		TargetClient: http1.NewClient(m.clientOptions(http1.Options{IDHeader: "Teaselrack-Request"})), Log: zap.NewNop(), Stats: NewStats(),
+		TargetClient: http1.NewClient(m.clientOptions(http1.Options{IDHeader: "Teaselrack-Request"})), Quarantine: list, Log: zap.NewNop(), Stats: NewStats(),
 	}
 }
 
+func newQuarantine() *quarantine.List { return quarantine.NewList(time.Now, func() {}, zap.NewNop()) }
+
 // restart replaces the handler beside the target of an instance by one that knows
 // nothing but the target's heartbeat.
 func (m *mesh) restart(inst *instance) {
-	_, handler := m.newPeerHandler(inst.name, inst.record.Service, inst.targetAddress, new(shedding.Levels), new(shedding.CallGraph))
+	_, handler := m.newPeerHandler(inst.name, inst.record.Service, inst.targetAddress, newQuarantine(), new(shedding.Levels), new(shedding.CallGraph))
 	address := m.serve(handler)
 	m.records.Lock()
 	defer m.records.Unlock()
@@ -216,11 +229,11 @@
 
 // newTarget returns the state that the daemon of an instance has of its target after
 // the first heartbeat.
-func (m *mesh) newTarget(name, service, address string) *local.Target {
+func (m *mesh) newTarget(name, service, address string, list *quarantine.List) *local.Target {
 	target := local.New(local.Options{
 		Service: service, Address: address, Interval: time.Minute,
 		ColdRate: func() float64 { return 0 }, Permitted: func() error { return nil }, Changed: func() {},
-		Now: time.Now, Log: zap.NewNop(),
+		Crashed: list.AddCrash, Now: time.Now, Log: zap.NewNop(),
 	})
 	must.NoError(m.t, target.Heartbeat(local.Heartbeat{ID: name, Sequence: 1, Service: service, Address: address, Slots: 100}))
 	return target
