One place for the latest statement of a target

Cause: the daemon beside a target and the daemons that send to it each kept the stated limit with a copy of the same rule and constant. Change: protocol.LatestStatement; the log line on excess leaves the burst out. Ruled out: nothing.

--- a/internal/connection/protocol/statement.go
+++ b/internal/connection/protocol/statement.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Statement is what a target says about itself in its responses.
@@ -19,6 +20,28 @@
 	Leaving bool
 }
 
+// limitHold is how long a stated limit stays in effect after the last response that
+// stated it, while responses without it arrive: responses may overtake each other.
+const limitHold = time.Second
+
+// LatestStatement is what a target says about itself according to all of its responses
+// so far.
+type LatestStatement struct {
+	Statement
+	limitedAt time.Time
+}
+
+// Observe updates l with the statement of a response.
+func (l *LatestStatement) Observe(now time.Time, s Statement) {
+	switch {
+	case s.Limited:
+		l.limitedAt = now
+	case now.Sub(l.limitedAt) < limitHold:
+		s.Limited, s.Limit, s.Incarnation = l.Limited, l.Limit, l.Incarnation
+	}
+	l.Statement = s
+}
+
 // Empty reports whether the target says nothing.
 func (s Statement) Empty() bool { return !s.Limited && !s.Leaving }
 
--- a/internal/process/balancing/statement.go
+++ b/internal/process/balancing/statement.go
@@ -6,22 +6,12 @@
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 )
 
-// limitHold is how long a stated limit is kept after the last response that stated it,
-// while responses without it arrive: responses may overtake each other.
-const limitHold = time.Second
-
 // RecordStatement records what the target said about itself in a response.
 func (t *Target) RecordStatement(now time.Time, s protocol.Statement) {
 	if s.Leaving {
 		t.leaving = s.Incarnation
 	}
-	if s.Limited {
-		t.stated, t.statedAt = s, now
-		return
-	}
-	if now.Sub(t.statedAt) >= limitHold {
-		t.stated = protocol.Statement{}
-	}
+	t.stated.Observe(now, s)
 }
 
 // isLeaving reports whether this incarnation of the target has said that it leaves.
@@ -31,6 +21,6 @@
 
 // Stated returns what the selected target last said about itself.
 func (c Choice) Stated() (s protocol.Statement) {
-	c.Update(func(t *Target) { s = t.stated })
+	c.Update(func(t *Target) { s = t.stated.Statement })
 	return s
 }
--- a/internal/process/balancing/target.go
+++ b/internal/process/balancing/target.go
@@ -52,9 +52,8 @@
 	penalizedUntil time.Time
 	// commonFailures is the failure rate that all targets of the service share.
 	commonFailures float64
-	// stated is what the target last said about itself, at statedAt.
-	stated   protocol.Statement
-	statedAt time.Time
+	// stated is what the target says about itself.
+	stated protocol.LatestStatement
 	// leaving is the incarnation that last said that it leaves; empty if none did.
 	leaving string
 }
--- a/internal/process/limiter/rate.go
+++ b/internal/process/limiter/rate.go
@@ -9,9 +9,9 @@
 	// MinRate is the rate, in requests per second, for a target that takes fewer. The
 	// responses say whether its limit still holds.
 	MinRate = 0.25
-	// rateBurst is the number of requests that may start at the same time after a
-	// pause.
-	rateBurst = 2
+	// RateBurst is the number of requests that may start at the same time after a
+	// pause, whatever the rate.
+	RateBurst = 2
 	// maxRateWait is how long a request may be expected to wait for the rate limit.
 	// Another target of the service may have room, so a longer queue would only delay
 	// requests.
@@ -38,7 +38,7 @@
 func (r *rate) limited() bool { return r.perSecond > 0 }
 
 func (r *rate) refill(now time.Time) {
-	r.tokens = min(r.tokens+now.Sub(r.updatedAt).Seconds()*r.perSecond, rateBurst)
+	r.tokens = min(r.tokens+now.Sub(r.updatedAt).Seconds()*r.perSecond, RateBurst)
 	r.updatedAt = now
 }
 
--- a/internal/process/limiter/rate_test.go
+++ b/internal/process/limiter/rate_test.go
@@ -27,7 +27,7 @@
 			if _, decision := l.Offer(now, Request{ObjectiveRemaining: time.Hour}); decision == Run {
 				started++
 			}
-			must.LessEq(t, perSecond*now.Sub(start).Seconds()+rateBurst, float64(started))
+			must.LessEq(t, perSecond*now.Sub(start).Seconds()+RateBurst, float64(started))
 		}
 	})
 }
--- a/internal/process/local/statement.go
+++ b/internal/process/local/statement.go
@@ -9,10 +9,6 @@
 	"github.com/teaselrack/teaselrack/internal/process/limiter"
 )
 
-// limitHold is how long a stated limit stays in effect after the last response that
-// stated it, while responses without it arrive: responses may overtake each other.
-const limitHold = time.Second
-
 // ReportStatement records what the target said about itself in a response to the
 // request of this slot, and sets the incarnation of the statement.
 func (s *Slot) ReportStatement(statement *protocol.Statement) {
@@ -31,13 +27,7 @@
 	}
 	t.responded = true
 	now := t.options.Now()
-	switch {
-	case statement.Limited:
-		t.statedAt = now
-	case now.Sub(t.statedAt) < limitHold:
-		statement.Limited, statement.Limit = t.stated.Limited, t.stated.Limit
-	}
-	t.state(now, statement)
+	t.observe(now, statement)
 	t.logExcess(now)
 	if !statement.Leaving || t.lastHeartbeat.Leaving {
 		return false
@@ -56,19 +46,32 @@
 		return
 	}
 	now := t.options.Now()
-	t.statedAt = now
-	t.state(now, s)
+	t.observe(now, s)
+}
+
+// forgetStatement forgets what an earlier incarnation said about itself.
+func (t *Target) forgetStatement(now time.Time) {
+	previous := t.stated.Statement
+	t.stated = protocol.LatestStatement{}
+	t.applyStatement(now, previous)
+}
+
+// observe updates what the target says about itself.
+func (t *Target) observe(now time.Time, s protocol.Statement) {
+	previous := t.stated.Statement
+	t.stated.Observe(now, s)
+	t.applyStatement(now, previous)
 }
 
-// state sets what the target says about itself and applies its limit.
-func (t *Target) state(now time.Time, s protocol.Statement) {
-	if s == t.stated {
+// applyStatement applies the stated limit.
+func (t *Target) applyStatement(now time.Time, previous protocol.Statement) {
+	s := t.stated
+	if s.Limited == previous.Limited && s.Limit == previous.Limit && s.Leaving == previous.Leaving {
 		return
 	}
 	t.options.Log.Info("target states other limits in its responses", zap.String("id", t.lastHeartbeat.ID), zap.Bool("limited", s.Limited),
-		zap.Float64("limit_per_second", s.Limit), zap.Float64("previous_limit_per_second", t.stated.Limit), zap.Bool("leaving", s.Leaving),
+		zap.Float64("limit_per_second", s.Limit), zap.Float64("previous_limit_per_second", previous.Limit), zap.Bool("leaving", s.Leaving),
 		zap.Int("sent_in_last_second", t.coldLimiter.Sent(now)))
-	t.stated = s
 	rate := 0.0
 	if s.Limited {
 		rate = max(s.Limit, limiter.MinRate)
@@ -78,10 +81,10 @@
 }
 
 // logExcess logs, at most once per minLogInterval, that the target got more requests
-// in the last second than its stated limit.
+// in the last second than its stated limit and the burst allow.
 func (t *Target) logExcess(now time.Time) {
 	sent := t.coldLimiter.Sent(now)
-	if !t.stated.Limited || float64(sent) <= t.stated.Limit || now.Sub(t.excessLoggedAt) < minLogInterval {
+	if !t.stated.Limited || float64(sent) <= t.stated.Limit+limiter.RateBurst || now.Sub(t.excessLoggedAt) < minLogInterval {
 		return
 	}
 	t.excessLoggedAt = now
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -86,10 +86,8 @@
 	// time of that log line.
 	loggedShedding bool
 	loggedAt       time.Time
-	// stated is what the target says about itself in its responses, statedAt the time
-	// of the last response that stated a limit.
-	stated   protocol.Statement
-	statedAt time.Time
+	// stated is what the target says about itself in its responses.
+	stated protocol.LatestStatement
 	// crashes determines what the target was running when it crashed.
 	crashes quarantine.Detector
 	// responded is true once this incarnation of the target has responded to a request.
@@ -137,7 +135,7 @@
 	if newIncarnation {
 		crash = t.crashed(now)
 		t.responded = false
-		t.state(now, protocol.Statement{})
+		t.forgetStatement(now)
 	}
 	if !newIncarnation && t.lastHeartbeat.Leaving {
 		h.Leaving = true
