Quarantine: bounded reports, renewals and computation

Cause: read in review: a target that breaks all connections added a suspect and triggered a renewal for each lost request; a replica compared all suspects of all crashes at each renewal; the part of a long body that is buffered differs between attempts. Change: at most 512 suspects a crash, two renewals a second for reports, blame computed at most every 100 ms and only after a change, completions compared once; 64 KiB of a body count. Result: TestBrokenTargetFloodsItsReport; the other tests of the package pass. Ruled out: nothing.

--- a/internal/process/quarantine/fingerprint.go
+++ b/internal/process/quarantine/fingerprint.go
@@ -6,6 +6,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// maxHashedBytes is how much of a body counts. How much of a longer one is buffered
+// differs between attempts.
+const maxHashedBytes = 64 << 10
+
 // Fingerprint identifies the content of a request across callers, daemons and
 // attempts. It is a hash of the method, the host, the URI and the beginning of the body
 // with the length of the body, which is -1 if it is unknown.
@@ -18,7 +22,7 @@
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(body)
+	_, _ = d.Write(body[:min(len(body), maxHashedBytes)])
 	return Fingerprint(d.Sum64())
 }
 
--- a/internal/process/quarantine/list.go
+++ b/internal/process/quarantine/list.go
@@ -14,6 +14,13 @@
 const (
 	// maxOwnReports bounds the reports that a daemon keeps for replicas that restart.
 	maxOwnReports = 16
+	// maxSuspects bounds the suspects of one crash.
+	maxSuspects = 512
+	// reportDelay is the time from a sign of a crash to the renewal that reports it:
+	// the other requests that the target was running are lost at the same time.
+	// reportInterval is the least time between two such renewals.
+	reportDelay    = 20 * time.Millisecond
+	reportInterval = 500 * time.Millisecond
 	// maxRecentLosses bounds the lost requests whose completion a daemon reports, and
 	// recentLossTTL how long it does.
 	maxRecentLosses = 2048
@@ -40,8 +47,10 @@
 	// epoch and version are those of the last update.
 	epoch   string
 	version uint64
-	// reports are the crashes of the local target, oldest first.
-	reports []*ownReport
+	// reports are the crashes of the local target, oldest first. nextReport is the
+	// earliest time of the next renewal to report one.
+	reports    []*ownReport
+	nextReport time.Time
 	// familiar holds requests that have completed.
 	familiar [familiarSlots]Fingerprint
 	// losses are requests that were lost lately; completed are those of them that
@@ -65,8 +74,8 @@
 	expires time.Time
 }
 
-// NewList returns an empty list. renew is called, without a lock held, when there is
-// something to report.
+// NewList returns an empty list. renew is called, without a lock held, when there is a
+// crash to report.
 func NewList(now func() time.Time, renew func(), log *zap.Logger) *List {
 	return &List{now: now, renew: renew, log: log, entries: make(map[Fingerprint]listEntry), losses: make(map[Fingerprint]time.Time)}
 }
@@ -88,17 +97,30 @@
 	l.mu.Lock()
 	r, known := l.ownReport(incarnation)
 	for _, content := range suspects {
+		if len(r.Suspects) >= maxSuspects || slices.Contains(r.Suspects, uint64(content)) {
+			continue
+		}
 		r.Suspects = append(r.Suspects, uint64(content))
 		if l.familiar[content%familiarSlots] == content {
 			r.Familiar = append(r.Familiar, uint64(content))
 		}
 		l.addLoss(content)
 	}
+	l.scheduleReport()
 	l.mu.Unlock()
 	if !known {
 		l.log.Info("target crashed while it ran requests", zap.String("incarnation", incarnation), zap.Stringers("contents", suspects))
 	}
-	l.renew()
+}
+
+// scheduleReport makes a renewal report the crash soon.
+func (l *List) scheduleReport() {
+	now := l.now()
+	if now.Before(l.nextReport) {
+		return
+	}
+	l.nextReport = now.Add(reportInterval)
+	time.AfterFunc(reportDelay, l.renew)
 }
 
 // ownReport returns the report of a crash, which is added if it is not known yet.
@@ -141,19 +163,17 @@
 // quarantined, it is reported as not at fault.
 func (l *List) Completed(content Fingerprint) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.familiar[content%familiarSlots] = content
 	_, lost := l.losses[content]
 	_, listed := l.entries[content]
-	if lost || listed {
-		delete(l.losses, content)
+	if !lost && !listed {
+		return
 	}
-	if (lost || listed) && len(l.completed) < maxRecentLosses {
+	delete(l.losses, content)
+	if len(l.completed) < maxRecentLosses {
 		l.completed = append(l.completed, uint64(content))
 	}
-	l.mu.Unlock()
-	if lost || listed {
-		l.renew()
-	}
 }
 
 // Fill adds to a renewal what the replica does not know yet.
--- a/internal/process/quarantine/table.go
+++ b/internal/process/quarantine/table.go
@@ -20,6 +20,8 @@
 	// clearedFor is how long a completed request is cleared of crashes that are
 	// reported later: the report of a crash may be delayed.
 	clearedFor = 2 * time.Second
+	// blameInterval is the least time between two computations of the blame.
+	blameInterval = 100 * time.Millisecond
 	// maxReports bounds the number of crashes that are remembered. The oldest is
 	// forgotten first.
 	maxReports = 512
@@ -41,6 +43,9 @@
 	reports map[string]*report // by incarnation
 	// completed are requests that have completed lately, and when.
 	completed map[uint64]time.Time
+	// blamedVersion is the version for which the blame was last computed, at blamedAt.
+	blamedVersion uint64
+	blamedAt      time.Time
 	// convictable holds the requests that explain enough crashes, and since when.
 	convictable map[uint64]time.Time
 	// listed are the quarantined requests, sorted; listVersion counts their changes.
@@ -76,12 +81,12 @@
 			known = &report{suspects: make(map[uint64]bool), familiar: make(map[uint64]bool), cleared: make(map[uint64]bool), received: now.Add(-r.Age)}
 			t.reports[r.Incarnation] = known
 		}
-		if known.merge(r) || !ok {
+		changed := known.merge(r) || !ok
+		if t.clear(known, now) || changed {
 			t.version++
 			known.version = t.version
 		}
 	}
-	t.clear(now)
 }
 
 // merge reports whether r changes the report.
@@ -124,30 +129,28 @@
 func (t *Table) Completed(now time.Time, contents []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.completed, func(_ uint64, at time.Time) bool { return now.Sub(at) >= clearedFor })
 	for _, content := range contents {
 		t.completed[content] = now
+		for _, r := range t.reports {
+			if r.suspects[content] && r.merge(protocol.CrashReport{Cleared: []uint64{content}}) {
+				t.version++
+				r.version = t.version
+			}
+		}
 	}
-	t.clear(now)
 }
 
-// clear clears the requests that have completed lately of all crashes.
-func (t *Table) clear(now time.Time) {
-	maps.DeleteFunc(t.completed, func(_ uint64, at time.Time) bool { return now.Sub(at) >= clearedFor })
-	if len(t.completed) == 0 {
-		return
-	}
-	for _, r := range t.reports {
-		var cleared []uint64
-		for content := range r.suspects {
-			if _, ok := t.completed[content]; ok {
-				cleared = append(cleared, content)
-			}
-		}
-		if r.merge(protocol.CrashReport{Cleared: cleared}) {
-			t.version++
-			r.version = t.version
+// clear clears the requests that have completed lately of a crash. It reports whether
+// that changed the report.
+func (t *Table) clear(r *report, now time.Time) bool {
+	var cleared []uint64
+	for content := range r.suspects {
+		if at, ok := t.completed[content]; ok && now.Sub(at) < clearedFor {
+			cleared = append(cleared, content)
 		}
 	}
+	return r.merge(protocol.CrashReport{Cleared: cleared})
 }
 
 // Changes returns the reports that have changed since a version of an epoch, and the
@@ -183,19 +186,10 @@
 
 // convict determines the quarantined requests.
 func (t *Table) convict(now time.Time) {
-	maps.DeleteFunc(t.reports, func(_ string, r *report) bool { return now.Sub(r.received) >= reportTTL })
-	explained := t.explainedCrashes()
-	maps.DeleteFunc(t.convictable, func(content uint64, _ time.Time) bool { return explained[content] < crashesToQuarantine })
+	t.expire(now)
+	t.blame(now)
 	var listed []uint64
-	for content, crashes := range explained {
-		if crashes < crashesToQuarantine {
-			continue
-		}
-		since, ok := t.convictable[content]
-		if !ok {
-			since = now
-			t.convictable[content] = now
-		}
+	for content, since := range t.convictable {
 		if now.Sub(since) >= confirmDelay {
 			listed = append(listed, content)
 		}
@@ -207,6 +201,31 @@
 	}
 }
 
+// expire forgets old crashes.
+func (t *Table) expire(now time.Time) {
+	for incarnation, r := range t.reports {
+		if now.Sub(r.received) >= reportTTL {
+			delete(t.reports, incarnation)
+			t.version++
+		}
+	}
+}
+
+// blame determines which requests explain enough crashes.
+func (t *Table) blame(now time.Time) {
+	if t.blamedVersion == t.version || now.Sub(t.blamedAt) < blameInterval {
+		return
+	}
+	t.blamedVersion, t.blamedAt = t.version, now
+	explained := t.explainedCrashes()
+	maps.DeleteFunc(t.convictable, func(content uint64, _ time.Time) bool { return explained[content] < crashesToQuarantine })
+	for content, crashes := range explained {
+		if _, known := t.convictable[content]; !known && crashes >= crashesToQuarantine {
+			t.convictable[content] = now
+		}
+	}
+}
+
 // evidence is what speaks against one request.
 type evidence struct {
 	// crashes is the number of crashes in which the request was lost, familiar the
--- a/internal/process/quarantine/table_test.go
+++ b/internal/process/quarantine/table_test.go
@@ -170,8 +170,10 @@
 			crash(r.lists[0], random, fmt.Sprint("i-", i), 1, 10_000, deadly)
 			r.renew()
 		}
-		time.Sleep(confirmDelay)
-		r.renew()
+		for range 2 {
+			time.Sleep(confirmDelay)
+			r.renew()
+		}
 		must.Error(t, r.lists[0].Check(deadly))
 		must.MapLen(t, maxReports, r.table.reports)
 		must.SliceLen(t, maxOwnReports, r.lists[0].reports)
@@ -202,3 +204,21 @@
 		must.Error(t, r.lists[0].Check(deadly))
 	})
 }
+
+// TestBrokenTargetFloodsItsReport checks that a target which breaks all connections for a
+// long time neither grows its report nor causes a renewal for each lost request.
+func TestBrokenTargetFloodsItsReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		renewals := 0
+		l := NewList(time.Now, func() { renewals++ }, zap.NewNop())
+		for i := range 10_000 {
+			l.AddCrash("i-1", []Fingerprint{Fingerprint(i)})
+			l.AddCrash("i-1", []Fingerprint{Fingerprint(i)})
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		must.SliceLen(t, maxSuspects, l.reports[0].Suspects)
+		must.LessEq(t, int(10*time.Second/reportInterval)+1, renewals)
+		must.LessEq(t, maxRecentLosses, len(l.losses))
+	})
+}
