--- a/emulator/cmd/demo/driver.go
+++ b/emulator/cmd/demo/driver.go
@@ -9,8 +9,8 @@
 	"github.com/teaselrack/teaselrack/emulator/system"
 )
 
-// driver runs the steps of the demo in order. After a failed step the remaining
-// steps are skipped and counted as not run.
+// driver runs the steps of the demo in order. After a failed step the others still run,
+// unless the system could not be set up; they are then counted as not run.
 type driver struct {
 	layout  *system.Layout
 	client  *system.Client
@@ -18,14 +18,23 @@
 	passed  int
 	failed  int
 	skipped int
+	// unusable is true if a step has failed without which no other can pass.
+	unusable bool
 	// tracedRequest is the ID of the request whose timeline is read at the end.
 	tracedRequest string
 }
 
+// setUp runs a step without which no other can pass.
+func (d *driver) setUp(name string, work func() (string, error)) {
+	failed := d.failed
+	d.step(name, work)
+	d.unusable = d.unusable || d.failed > failed
+}
+
 // step runs one step and prints its result. work returns a description of its
 // result, or an error if the step failed.
 func (d *driver) step(name string, work func() (string, error)) {
-	if d.failed > 0 {
+	if d.unusable {
 		d.skipped++
 		d.printf("not run  %s", name)
 		return
--- a/emulator/cmd/demo/main.go
+++ b/emulator/cmd/demo/main.go
@@ -29,8 +29,8 @@
 func run(l *system.Layout, foundOnly bool) bool {
 	d := &driver{layout: l, client: system.NewClient(), out: os.Stdout}
 	defer d.client.Close()
-	d.step("found the replica groups", d.found)
-	d.step("apply release note 1 on all instances", d.firstNote)
+	d.setUp("found the replica groups", d.found)
+	d.setUp("apply release note 1 on all instances", d.firstNote)
 	if !foundOnly {
 		d.steps()
 	}
--- a/emulator/cmd/demo/steps.go
+++ b/emulator/cmd/demo/steps.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/teaselrack/teaselrack/emulator/system"
@@ -16,6 +19,9 @@
 	// note.
 	probeRequests = 12
 	quotaRequests = 60
+	// minQuotaShare is the least share of what a team's quota allows that its requests
+	// get.
+	minQuotaShare = 0.95
 	// services is the number of services in a call chain.
 	services = 3
 	// returnTimeout limits the time until a failure domain that is back in service
@@ -129,40 +135,68 @@
 	return "response from " + response.Target.Instance, expect(response, 200, "ran", "")
 }
 
-// quota sends more requests than the rate and burst of team sidro allow. A
-// rejected request must not have run. The number of requests that ran must not
-// exceed the burst plus the rate times the elapsed time.
+// quota sends more requests at once than the rate and burst of team sidro allow, over
+// all daemons. A rejected request must not have run. The requests that ran must not be
+// more than the quota allows until the last of them was answered, and not less than
+// minQuotaShare of what it allows until the last one was sent.
 func (d *driver) quota() (string, error) {
-	rejected := 0
 	began := time.Now()
-	for n := range quotaRequests {
-		response, err := d.client.Do(system.Request{Ingress: d.ingress(n), Method: "GET", Path: "/slots?quota=1", Key: d.key("B")})
-		if err != nil {
-			return "", err
-		}
-		if response.Status == 200 {
+	responses, err := d.sendAtOnce(quotaRequests, "/slots?quota=1", d.key("B"))
+	if err != nil {
+		return "", err
+	}
+	succeeded, lastSent, lastSuccess := 0, time.Duration(0), time.Duration(0)
+	for _, r := range responses {
+		lastSent = max(lastSent, r.sent.Sub(began))
+		if r.response.Status == 200 {
+			succeeded++
+			lastSuccess = max(lastSuccess, r.received.Sub(began))
 			continue
 		}
-		rejected++
-		if err := expect(response, 429, "not-run", "quota_exceeded"); err != nil {
+		if err := expect(r.response, 429, "not-run", "quota_exceeded"); err != nil {
 			return "", err
 		}
 	}
-	took := time.Since(began)
 	runs, err := d.countRuns(func(_ system.Instance, r system.Record) bool { return r.URL == "/slots?quota=1" })
 	if err != nil {
 		return "", err
 	}
-	allowed := system.SidroBurst + int(system.SidroRate*took.Seconds())
+	allowed := system.SidroBurst + system.SidroRate*lastSuccess.Seconds()
+	owed := minQuotaShare * (system.SidroBurst + math.Floor(system.SidroRate*lastSent.Seconds()))
 	switch {
-	case rejected == 0:
+	case succeeded == quotaRequests:
 		return "", fmt.Errorf("none of %d requests was rejected", quotaRequests)
-	case runs != quotaRequests-rejected:
-		return "", fmt.Errorf("%d requests succeeded, but %d ran", quotaRequests-rejected, runs)
-	case runs > allowed:
-		return "", fmt.Errorf("%d requests ran in %v, but the quota allows at most %d", runs, took, allowed)
+	case runs != succeeded:
+		return "", fmt.Errorf("%d requests succeeded, but %d ran", succeeded, runs)
+	case float64(runs) > allowed:
+		return "", fmt.Errorf("%d requests ran in %v, but the quota allows at most %.1f", runs, lastSuccess, allowed)
+	case float64(runs) < owed:
+		return "", fmt.Errorf("only %d requests ran, but the last was sent after %v, when at least %.1f must run", runs, lastSent, owed)
+	}
+	return fmt.Sprintf("%d of %d requests rejected, and only those did not run; %d ran, the quota allows %.1f in %v",
+		quotaRequests-succeeded, quotaRequests, runs, allowed, lastSuccess.Round(time.Millisecond)), nil
+}
+
+// timedResponse is a response, when its request was sent and when it was received.
+type timedResponse struct {
+	response       system.Response
+	sent, received time.Time
+}
+
+// sendAtOnce sends as many requests at the same time, spread over all daemons.
+func (d *driver) sendAtOnce(count int, path, key string) ([]timedResponse, error) {
+	responses := make([]timedResponse, count)
+	errs := make([]error, count)
+	var pending sync.WaitGroup
+	for n := range count {
+		pending.Go(func() {
+			responses[n].sent = time.Now()
+			responses[n].response, errs[n] = d.client.Do(system.Request{Ingress: d.ingress(n), Method: "GET", Path: path, Key: key})
+			responses[n].received = time.Now()
+		})
 	}
-	return fmt.Sprintf("%d of %d requests rejected, and only those did not run; the quota allows %d in %v", rejected, quotaRequests, allowed, took.Round(time.Millisecond)), nil
+	pending.Wait()
+	return responses, errors.Join(errs...)
 }
 
 func (d *driver) withdrawKey() (string, error) {
