Crashes: an announced exit is none, old losses are forgotten in time

Cause: read in review: requests that callers cancelled at the end of a target that leaves counted as suspects; losses were kept beyond their minute until the memory for them was full. Change: no report for a target that announced its exit; the age is checked; names. Ruled out: nothing.

--- a/internal/process/local/crash.go
+++ b/internal/process/local/crash.go
@@ -13,14 +13,19 @@
 	suspects    []quarantine.Fingerprint
 }
 
-// crashed returns the crash of the current incarnation.
+// crashed returns the crash of the current incarnation. The exit of a target that has
+// announced it is none.
 func (t *Target) crashed(now time.Time) crash {
-	return crash{t.lastHeartbeat.incarnation(), t.crashes.Crashed(now)}
+	suspects := t.crashes.Crashed(now)
+	if t.lastHeartbeat.Leaving {
+		return crash{}
+	}
+	return crash{t.lastHeartbeat.incarnation(), suspects}
 }
 
 // detectCrash looks for signs that the target has crashed in the outcome of a request.
 // While a restart is suspected, each lost request is reported at once.
-func (t *Target) detectCrash(now time.Time, s *Slot, err error) (c crash) {
+func (t *Target) detectCrash(now time.Time, s *Slot, err error) crash {
 	if !t.lastHeartbeat.sameIncarnation(s.heartbeat) {
 		return crash{}
 	}
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -111,29 +111,31 @@
 	if h.Address != t.options.Address && !h.Gone {
 		return fault.New(fault.BadRequest, "heartbeat with address %q, but the local target has address %s", h.Address, t.options.Address)
 	}
-	changed, crash, err := t.update(h)
+	changed, previous, err := t.update(h)
 	if changed {
 		t.options.Changed()
 	}
-	t.reportCrash(crash)
+	t.reportCrash(previous)
 	return err
 }
 
-func (t *Target) update(h Heartbeat) (changed bool, crash crash, err error) {
+// update returns the crash of the previous incarnation, if the heartbeat is the first of
+// another one.
+func (t *Target) update(h Heartbeat) (changed bool, previous crash, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.options.Now()
 	if h.Gone {
 		changed, err = t.markGone(h)
-		return changed, crash, err
+		return changed, previous, err
 	}
 	if t.announced && !h.newer(t.lastHeartbeat) {
-		return false, crash, fault.New(fault.BadRequest, "heartbeat %d of %q is older than %d of %q", h.Sequence, h.ID, t.lastHeartbeat.Sequence, t.lastHeartbeat.ID)
+		return false, previous, fault.New(fault.BadRequest, "heartbeat %d of %q is older than %d of %q", h.Sequence, h.ID, t.lastHeartbeat.Sequence, t.lastHeartbeat.ID)
 	}
 	before := t.announcement(now)
 	newIncarnation := !t.announced || !h.sameIncarnation(t.lastHeartbeat)
 	if newIncarnation {
-		crash = t.crashed(now)
+		previous = t.crashed(now)
 		t.responded = false
 		t.forgetStatement(now)
 	}
@@ -155,7 +157,7 @@
 		t.options.Log.Info("target state changed", zap.String("id", h.ID), zap.Int64("started", h.Started), zap.Uint64("sequence", h.Sequence),
 			zap.String("state", string(after.State)), zap.Int("slots", h.Slots), zap.Duration("cold_for", h.ColdFor))
 	}
-	return before != after, crash, nil
+	return before != after, previous, nil
 }
 
 func (t *Target) markGone(h Heartbeat) (changed bool, err error) {
@@ -346,9 +348,9 @@
 	now := t.options.Now()
 	t.release(now, now.Sub(s.ticket.Started), err == nil)
 	changed := t.detectRestart(err)
-	crash := t.detectCrash(now, s, err)
+	detected := t.detectCrash(now, s, err)
 	t.mu.Unlock()
-	t.reportCrash(crash)
+	t.reportCrash(detected)
 	if changed {
 		t.options.Log.Info("target is suspected to have restarted", zap.String("id", s.ID), zap.Error(err))
 	}
--- a/internal/process/quarantine/list.go
+++ b/internal/process/quarantine/list.go
@@ -165,7 +165,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.familiar[content%familiarSlots] = content
-	_, lost := l.losses[content]
+	at, lost := l.losses[content]
+	lost = lost && l.now().Sub(at) <= recentLossTTL
 	_, listed := l.entries[content]
 	if !lost && !listed {
 		return
