A response that breaks off does not clear its request

Cause: read in review: a request counted as completed once the beginning of its response was read, so one that crashes its target in the middle of a long response was never suspect. Change: it counts once the whole response has been passed on. Result: TestBrokenOffResponseClearsItsRequest failed before and passes, also with -race. Ruled out: short responses, which are read whole before.

--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -277,17 +277,19 @@
 		}
 		recordOutcome(now, t, response, err)
 	})
-	switch {
-	case fault.Is(err, fault.ConnectionLost), fault.Is(err, fault.AnswerBroken):
+	if fault.Is(err, fault.ConnectionLost) || fault.Is(err, fault.AnswerBroken) {
 		e.Quarantine.Lost(req.content)
-	case response != nil && response.succeeded():
-		e.Quarantine.Completed(req.content)
 	}
 	if err != nil {
 		choice.Ended()
 		return nil, err
 	}
-	response.onComplete(func(error) { choice.Ended() })
+	response.onComplete(func(err error) {
+		choice.Ended()
+		if err == nil && response.succeeded() {
+			e.Quarantine.Completed(req.content)
+		}
+	})
 	return response, nil
 }
 
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -190,10 +190,12 @@
 		p.logFailure(m, content, slot.ID, time.Since(began), err)
 		return nil, err
 	}
-	response.onComplete(slot.Done)
-	if response.succeeded() {
-		p.Quarantine.Completed(content)
-	}
+	response.onComplete(func(err error) {
+		slot.Done(err)
+		if err == nil && response.succeeded() {
+			p.Quarantine.Completed(content)
+		}
+	})
 	p.Stats.Target.Observe(time.Since(began))
 	return response, nil
 }
--- a/internal/request/relay/quarantine_test.go
+++ b/internal/request/relay/quarantine_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -129,3 +132,51 @@
 		})
 	}
 }
+
+// TestBrokenOffResponseClearsItsRequest guards against a request that crashes its target
+// in the middle of a long response and counts as completed.
+func TestBrokenOffResponseClearsItsRequest(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		m := newMesh(t, version.Idempotent, 0, 1)
+		inst, sender := m.instances[0], m.addRemote()
+		inst.stub.serveWith(func(w http.ResponseWriter, _ *http.Request) {
+			const length = 4 * maxBufferedBytes
+			w.Header().Set("Content-Length", strconv.Itoa(length))
+			_, _ = w.Write(make([]byte, length/2))
+			if !whole {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = w.Write(make([]byte, length/2))
+		})
+		content := quarantine.NewFingerprint("GET", host, "/p/x", nil, 0)
+		for _, list := range []*quarantine.List{inst.quarantine, sender.quarantine} {
+			list.Lost(content)
+		}
+		r, err := http.NewRequest("GET", "http://"+sender.entryAddress+"/p/x", nil)
+		must.NoError(t, err)
+		r.Host = host
+		r.Header.Set(DefaultNames().Key, key)
+		resp, err := m.client.Do(r)
+		must.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		must.Eq(t, whole, err == nil)
+		for _, list := range []*quarantine.List{inst.quarantine, sender.quarantine} {
+			must.Eq(t, whole, m.cleared(list, content))
+		}
+	}
+}
+
+// cleared reports whether the next renewal of a daemon says that the request completed.
+// It waits for that if it does not yet: the caller may have its response first.
+func (m *mesh) cleared(list *quarantine.List, content quarantine.Fingerprint) bool {
+	for range 50 {
+		var request protocol.RenewRequest
+		list.Fill(&request)
+		if slices.Contains(request.Completed, uint64(content)) {
+			return true
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
