Shutdown: a request that could outlast the process is refused

Cause: where fewer than half of a failure domain's daemons are ready, clients go on sending until the process is gone. The drain served every request until it closed the connections, also those whose time limit lay behind that moment, and cut them off (LOST).

A shutdown whose last request has ended no longer reports an error because http.Server looks only every half second.

Ruled out: a shorter time limit for late requests, since that breaks off work at the target; closing the listener earlier, since kept connections go on sending.

--- a/internal/connection/drain/drain.go
+++ b/internal/connection/drain/drain.go
@@ -7,6 +7,10 @@
 // It begins when no connection is open or the grace period is over, so idle
 // connections are closed only if they carried no request in the whole grace
 // period. With Drain.UntilIdle it begins as soon as all connections are idle.
+//
+// Clients that know no other process go on sending until the end. After the announce
+// period a request is therefore served only if it ends before the shutdown does, and
+// refused otherwise. See TimeLimiter.
 package drain
 
 import (
@@ -55,6 +59,12 @@
 	draining atomic.Bool
 
 	mu sync.Mutex
+	// selectiveFrom is when the announce period ends, endsAt when Run closes the
+	// connections that still carry requests. They are zero until Run is called, endsAt
+	// also if Run has no time limit.
+	selectiveFrom, endsAt time.Time
+	// longest is the longest time that a request took which ended since Begin.
+	longest time.Duration
 	// open holds the open connections of the tracked servers. The value is true
 	// while the connection carries a request.
 	open map[net.Conn]bool
@@ -79,13 +89,7 @@
 // Track includes server in the graceful shutdown; call it before the server
 // starts. Run waits for the connections of tracked servers.
 func (d *Drain) Track(server *http.Server) {
-	next := server.Handler
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.Draining() && r.ProtoMajor == 1 {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
+	server.Handler = &handler{drain: d, next: server.Handler}
 	previousHook := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		d.trackState(conn, state)
@@ -104,6 +108,7 @@
 func (d *Drain) Run(ctx context.Context, servers ...*http.Server) error {
 	d.Begin()
 	start := time.Now()
+	d.setEnd(ctx, start.Add(d.AnnouncePeriod))
 	d.wait(ctx, start.Add(d.AnnouncePeriod), start.Add(d.GracePeriod))
 	if d.RefuseNew != nil {
 		d.RefuseNew()
@@ -111,13 +116,27 @@
 	}
 	var errs []error
 	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			errs = append(errs, err, s.Close())
+		err := s.Shutdown(ctx)
+		if err == nil {
+			continue
 		}
+		// Shutdown may notice only after ctx that the last request has ended.
+		if d.activeConns() > 0 {
+			errs = append(errs, err)
+		}
+		errs = append(errs, s.Close())
 	}
 	return errors.Join(errs...)
 }
 
+// setEnd records when the announce period ends and when ctx does.
+func (d *Drain) setEnd(ctx context.Context, announced time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.selectiveFrom = announced
+	d.endsAt, _ = ctx.Deadline()
+}
+
 // wait waits until nothing is pending, at least until earliest and at most until
 // latest, or until ctx ends.
 func (d *Drain) wait(ctx context.Context, earliest, latest time.Time) {
@@ -153,11 +172,18 @@
 
 // pendingConns returns the number of connections that Run still waits for.
 func (d *Drain) pendingConns() int {
+	if d.UntilIdle {
+		return d.activeConns()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.open)
+}
+
+// activeConns returns the number of connections that carry a request.
+func (d *Drain) activeConns() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.UntilIdle {
-		return len(d.open)
-	}
 	active := 0
 	for _, inRequest := range d.open {
 		if inRequest {
--- /dev/null
+++ b/internal/connection/drain/handler.go
@@ -0,0 +1,86 @@
+package drain
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	// endMargin is the part of the time before the end of the shutdown in which no
+	// request that was accepted late is expected to run.
+	endMargin = 100 * time.Millisecond
+	// refusalRetryAfter is the Retry-After time of a refused request, in seconds, where
+	// the handler does not refuse it itself.
+	refusalRetryAfter = "1"
+)
+
+// TimeLimiter is implemented by handlers that know how long a request can take. For
+// other handlers it is assumed that a request takes as long as the longest that ended
+// during the shutdown.
+type TimeLimiter interface {
+	// TimeLimit returns the time within which the handler responds to r, whatever the
+	// targets do.
+	TimeLimit(r *http.Request) time.Duration
+	// Refuse responds to a request that could outlast the shutdown. The request has
+	// not run.
+	Refuse(w http.ResponseWriter, r *http.Request)
+}
+
+// handler serves the requests of one tracked server.
+type handler struct {
+	drain *Drain
+	next  http.Handler
+}
+
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !h.drain.Draining() {
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	if r.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
+	arrived := time.Now()
+	if h.drain.outlasted(arrived, h.timeLimit(r)) {
+		h.refuse(w, r)
+		return
+	}
+	defer func() { h.drain.ended(time.Since(arrived)) }()
+	h.next.ServeHTTP(w, r)
+}
+
+func (h *handler) timeLimit(r *http.Request) time.Duration {
+	if limiter, ok := h.next.(TimeLimiter); ok {
+		return limiter.TimeLimit(r)
+	}
+	h.drain.mu.Lock()
+	defer h.drain.mu.Unlock()
+	return h.drain.longest
+}
+
+func (h *handler) refuse(w http.ResponseWriter, r *http.Request) {
+	if limiter, ok := h.next.(TimeLimiter); ok {
+		limiter.Refuse(w, r)
+		return
+	}
+	w.Header().Set("Retry-After", refusalRetryAfter)
+	http.Error(w, "the process is shutting down", http.StatusServiceUnavailable)
+}
+
+// outlasted reports whether the announce period is over and a request that takes as
+// long as limit would still run when the shutdown ends.
+func (d *Drain) outlasted(now time.Time, limit time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.endsAt.IsZero() || now.Before(d.selectiveFrom) {
+		return false
+	}
+	return now.Add(limit + endMargin).After(d.endsAt)
+}
+
+// ended records the time that a request took.
+func (d *Drain) ended(took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.longest = max(d.longest, took)
+}
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -299,7 +299,7 @@
 	switch fault.KindOf(err) {
 	case "":
 		t.RecordResult(now, response.NotRun || response.Status == http.StatusInternalServerError || response.Status == http.StatusBadGateway)
-	case fault.ConnectFailed, fault.NoTarget:
+	case fault.ConnectFailed, fault.NoTarget, fault.ShuttingDown:
 		t.Penalize(now, unreachableBackoff)
 	case fault.Overloaded, fault.TargetCold, fault.TargetLeaving, fault.OutOfService, fault.LeaseExpired:
 		t.RecordRejection(now)
