http1: a response without an ID on a used connection is not trusted

Cause: a faulty target may write an earlier refusal once more. A copy with the earlier ID was discarded, one without an ID was taken for the response to the request that was running: 'not run', and the request went to a second target.

Change: on a connection that has carried a response, one without an ID ends the request with an unknown outcome. Requests that have no ID themselves get a connection of their own.

TestEndlessBytesInAHead failed once on this machine, 4,575,203 bytes where 4 MiB are allowed: the kernel let the sockets grow.

--- a/internal/connection/http1/client.go
+++ b/internal/connection/http1/client.go
@@ -75,7 +75,7 @@
 // where the server may have received r; CallerGone in both cases.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*http.Response, error) {
 	p := c.pool(address)
-	for {
+	for c.mayReuse(r) {
 		cn := p.take(c.idleLimit(r))
 		if cn == nil {
 			break
@@ -92,6 +92,10 @@
 	return cn.roundTrip(ctx, r, c.o.IDHeader)
 }
 
+// mayReuse reports whether r may be sent on a used connection. There, the response to a
+// request without an ID could not be told from one to an earlier request.
+func (c *Client) mayReuse(r *Request) bool { return c.o.IDHeader == "" || r.ID != "" }
+
 func (c *Client) idleLimit(r *Request) time.Duration {
 	if r.Idempotent || c.o.PeerKeepsIdle {
 		return idleTimeout
--- a/internal/connection/http1/client_test.go
+++ b/internal/connection/http1/client_test.go
@@ -276,6 +276,7 @@
 				if name == "header lines" {
 					head, repeated = "HTTP/1.1 200 OK\r\n", "A: b\r\n"
 				}
+				limitSocket(conn)
 				total, _ := conn.Write([]byte(head))
 				block := []byte(strings.Repeat(repeated, 1024))
 				for {
@@ -287,7 +288,11 @@
 					}
 				}
 			})
-			client := NewClient(Options{IDHeader: "Id"})
+			client := NewClient(Options{IDHeader: "Id", Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialTCP(ctx, network, address)
+				limitSocket(conn)
+				return conn, err
+			}})
 			_, err := get(t, client, address, "1")
 			must.Error(t, err)
 			must.Eq(t, fault.ConnectionLost, fault.KindOf(err))
@@ -298,6 +303,16 @@
 	}
 }
 
+// limitSocket bounds the bytes that a socket holds, which the kernel would adapt to the
+// traffic.
+func limitSocket(conn net.Conn) {
+	const size = 256 << 10
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(size)
+		_ = tcp.SetWriteBuffer(size)
+	}
+}
+
 // TestEndlessBodyIsNotHeldInMemory checks that a body without end is passed on as it
 // comes, and that the connection is closed when the reader stops.
 func TestEndlessBodyIsNotHeldInMemory(t *testing.T) {
--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -41,6 +41,10 @@
 // within maxHeadBytes.
 var errHeadTooLong = fmt.Errorf("the response head has more than %d bytes", maxHeadBytes)
 
+// errNoID is the cause of the error of a request on a used connection whose response has
+// no ID. It may be the response to an earlier request, even one that was not run.
+var errNoID = errors.New("the response on a used connection has no request ID")
+
 // countingConn counts the bytes of a connection and limits those of response heads.
 type countingConn struct {
 	net.Conn
@@ -158,11 +162,11 @@
 		if err != nil {
 			return nil, err
 		}
-		id := ""
-		if idHeader != "" {
-			id = resp.Header.Get(idHeader)
+		belongs, err := c.belongsTo(resp, r, idHeader)
+		if err != nil {
+			return nil, err
 		}
-		if id == "" || id == r.ID {
+		if belongs {
 			return resp, nil
 		}
 		if err := c.discard(resp.Body); err != nil {
@@ -175,6 +179,19 @@
 	return nil, errors.New("received only responses to other requests")
 }
 
+// belongsTo reports whether resp is the response to r, and not a copy of an earlier one.
+// The first response of a connection needs no ID for that.
+func (c *conn) belongsTo(resp *http.Response, r *Request, idHeader string) (bool, error) {
+	if idHeader == "" {
+		return true, nil
+	}
+	id := resp.Header.Get(idHeader)
+	if id == "" && c.used {
+		return false, errNoID
+	}
+	return id == "" || id == r.ID, nil
+}
+
 // discard reads the body of a stale response to its end.
 func (c *conn) discard(body io.Reader) error {
 	budget := c.counter.headBudget
--- a/internal/request/relay/quarantine_test.go
+++ b/internal/request/relay/quarantine_test.go
@@ -66,6 +66,8 @@
 func (m *crashingMesh) run(inst *instance, n int, w http.ResponseWriter, r *http.Request) {
 	time.Sleep(60 * time.Millisecond)
 	if r.URL.Path != deadlyPath {
+		id := DefaultNames().RequestID
+		w.Header().Set(id, r.Header.Get(id))
 		_, _ = w.Write([]byte("ok"))
 		return
 	}
