Capacity and failures: what a target finishes counts

A deadline that passed at the target was a failure for one interface and none for the other.

Change: the limiter is told what the end of a request shows (completed, abandoned, no evidence); only completed requests, and abandoned ones that took longer than the average, are service times. One function, routing.EffectOf, decides for both interfaces what the end of an attempt shows about its target; a timeout is a failure.

Ruled out: counting errors with their time, which a target that fails fast turns into capacity.

--- a/internal/process/limiter/limiter.go
+++ b/internal/process/limiter/limiter.go
@@ -202,12 +202,25 @@
 	t.Started = now
 }
 
-// Done releases the slot of a running request and dispatches waiting ones.
-// responded is true if took is the service time of a complete response, which
-// updates the average.
-func (l *Limiter) Done(now time.Time, took time.Duration, responded bool) {
+// End is what the end of a request shows about the service time.
+type End int
+
+const (
+	// NoEvidence is the end of a request that the target did not run or that failed.
+	// How long that took says nothing about the work that the target can finish.
+	NoEvidence End = iota
+	// Completed is the end of a request that the target ran.
+	Completed
+	// Abandoned is the end of a request that still ran when its sender stopped
+	// waiting. Its service time is longer than the time that it took.
+	Abandoned
+)
+
+// Done releases the slot of a running request, which it held for took, and dispatches
+// waiting ones.
+func (l *Limiter) Done(now time.Time, took time.Duration, end End) {
 	l.running--
-	if responded {
+	if end == Completed || end == Abandoned && took > l.serviceTime {
 		l.serviceTime += (took - l.serviceTime) / serviceWindow
 	}
 	l.Dispatch(now)
--- a/internal/process/limiter/limiter_test.go
+++ b/internal/process/limiter/limiter_test.go
@@ -39,7 +39,7 @@
 	retry, _ := l.Offer(now, Request{Rank: 2, ClientRetry: true, ObjectiveRemaining: time.Second})
 	call, _ := l.Offer(now, Request{Rank: 2, Call: true, ObjectiveRemaining: time.Second})
 	for _, want := range []*Ticket{call, high, retry, low} {
-		l.Done(now, time.Millisecond, true)
+		l.Done(now, time.Millisecond, Completed)
 		select {
 		case <-want.Ready:
 			must.False(t, want.Rejected)
@@ -104,7 +104,7 @@
 			if now.Sub(r.ticket.arrived) > objective {
 				late++
 			}
-			l.Done(now, now.Sub(r.ticket.Started), true)
+			l.Done(now, now.Sub(r.ticket.Started), Completed)
 		}
 		active = kept
 		if rng.Float64() < 0.273 { // 1.5 times the capacity of ten slots at 55 ms
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -220,6 +220,9 @@
 	ticket *limiter.Ticket
 	// Content identifies the request; set it before Done.
 	Content quarantine.Fingerprint
+	// Ran is true if the target ran the request without failing; set it before Done.
+	// Only the time that such requests take is a service time.
+	Ran bool
 	// heartbeat is the last one of the target when the request was admitted.
 	heartbeat Heartbeat
 }
@@ -296,8 +299,8 @@
 
 // release frees the slot of a running request and starts waiting ones. See
 // limiter.Limiter.Done.
-func (t *Target) release(now time.Time, took time.Duration, responded bool) {
-	t.limiter.Done(now, took, responded)
+func (t *Target) release(now time.Time, took time.Duration, end limiter.End) {
+	t.limiter.Done(now, took, end)
 	t.scheduleDispatch()
 }
 
@@ -308,7 +311,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.limiter.Cancel(ticket) && !ticket.Rejected {
-		t.release(t.options.Now(), 0, false)
+		t.release(t.options.Now(), 0, limiter.NoEvidence)
 	}
 	if ctx.Err() == context.DeadlineExceeded {
 		return fault.New(fault.DeadlineNotRun, "deadline exceeded before the request was sent to the target")
@@ -335,7 +338,7 @@
 		}
 	}
 	if err != nil {
-		t.release(now, 0, false)
+		t.release(now, 0, limiter.NoEvidence)
 		return nil, retryAfter, err
 	}
 	return &Slot{ID: t.lastHeartbeat.ID, target: t, ticket: ticket, heartbeat: t.lastHeartbeat}, 0, nil
@@ -346,7 +349,7 @@
 	t := s.target
 	t.mu.Lock()
 	now := t.options.Now()
-	t.release(now, now.Sub(s.ticket.Started), err == nil)
+	t.release(now, now.Sub(s.ticket.Started), s.end(err))
 	changed := t.detectRestart(err)
 	detected := t.detectCrash(now, s, err)
 	t.mu.Unlock()
@@ -356,6 +359,17 @@
 	}
 }
 
+// end returns what the end of the request shows about the service time of the target.
+func (s *Slot) end(err error) limiter.End {
+	switch {
+	case err == nil && s.Ran:
+		return limiter.Completed
+	case fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.CallerGone):
+		return limiter.Abandoned
+	}
+	return limiter.NoEvidence
+}
+
 // detectRestart looks for signs that the target process has restarted: a
 // connection cannot be opened, or several in a row break. It reports whether this
 // call is the first to suspect a restart.
--- a/internal/process/routing/effect.go
+++ b/internal/process/routing/effect.go
@@ -2,31 +2,32 @@
 
 import "github.com/teaselrack/teaselrack/internal/fault"
 
-// effect is what the end of an attempt shows about its target.
-type effect uint8
+// Effect is what the end of an attempt shows about its target.
+type Effect uint8
 
+// Effects. Neutral is no evidence about the target, for example because the caller
+// canceled the request or the target shed it.
 const (
-	// neutral is no evidence about the target, for example because the caller
-	// canceled the request or the target shed it.
-	neutral effect = iota
-	succeeded
-	failed
-	leaving
-	cold
+	Neutral Effect = iota
+	Succeeded
+	Failed
+	Leaving
+	Cold
 )
 
-// effectOf returns what an attempt that ended with err shows about its target.
-func effectOf(err error) effect {
+// EffectOf returns what an attempt that ended with err shows about its target. A deadline
+// that passes while the target works is a failure: its callers get nothing.
+func EffectOf(err error) Effect {
 	if err == nil {
-		return succeeded
+		return Succeeded
 	}
 	switch fault.KindOf(err) {
 	case fault.ConnectFailed, fault.ConnectionLost, fault.AnswerBroken, fault.DeadlineUnknown, fault.Internal:
-		return failed
+		return Failed
 	case fault.TargetLeaving, fault.ShuttingDown, fault.OutOfService, fault.NoTarget:
-		return leaving
+		return Leaving
 	case fault.TargetCold:
-		return cold
+		return Cold
 	}
-	return neutral
+	return Neutral
 }
--- a/internal/process/routing/service_state.go
+++ b/internal/process/routing/service_state.go
@@ -241,17 +241,17 @@
 		s.passRates[i-version.Critical].observe(now, passFraction(*level, i), err == nil)
 		t.passRates[i-version.Critical].observe(now, passFraction(*level, i), err == nil)
 	}
-	switch effectOf(err) {
-	case succeeded:
+	switch EffectOf(err) {
+	case Succeeded:
 		t.observe(now, latency, false)
-	case failed:
+	case Failed:
 		t.observe(now, latency, true)
 		s.eject(now, t)
-	case leaving:
+	case Leaving:
 		t.pause(now, leavingPause)
-	case cold:
+	case Cold:
 		t.pause(now, coldPause)
-	case neutral:
+	case Neutral:
 	}
 }
 
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -16,6 +16,7 @@
 	"github.com/teaselrack/teaselrack/internal/process/balancing"
 	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/retrybudget"
+	"github.com/teaselrack/teaselrack/internal/process/routing"
 	"github.com/teaselrack/teaselrack/internal/process/shedding"
 	"github.com/teaselrack/teaselrack/internal/version"
 )
@@ -296,15 +297,22 @@
 // recordOutcome updates the statistics of a target with the outcome of one
 // request.
 func recordOutcome(now time.Time, t *balancing.Target, response *Response, err error) {
-	switch fault.KindOf(err) {
-	case "":
-		t.RecordResult(now, response.NotRun || response.Status == http.StatusInternalServerError || response.Status == http.StatusBadGateway)
-	case fault.ConnectFailed, fault.NoTarget, fault.ShuttingDown:
+	switch routing.EffectOf(err) {
+	case routing.Succeeded:
+		t.RecordResult(now, response.NotRun || response.Status >= http.StatusInternalServerError)
+	case routing.Failed:
+		t.RecordResult(now, true)
+		if fault.Is(err, fault.ConnectFailed) {
+			t.Penalize(now, unreachableBackoff)
+		}
+	case routing.Leaving:
 		t.Penalize(now, unreachableBackoff)
-	case fault.Overloaded, fault.TargetCold, fault.TargetLeaving, fault.OutOfService, fault.LeaseExpired:
+	case routing.Cold:
 		t.RecordRejection(now)
-	case fault.ConnectionLost, fault.AnswerBroken:
-		t.RecordResult(now, true)
+	case routing.Neutral:
+		if fault.Is(err, fault.Overloaded) || fault.Is(err, fault.LeaseExpired) {
+			t.RecordRejection(now)
+		}
 	}
 }
 
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -191,8 +191,9 @@
 		return nil, err
 	}
 	response.onComplete(func(err error) {
+		slot.Ran = response.succeeded()
 		slot.Done(err)
-		if err == nil && response.succeeded() {
+		if err == nil && slot.Ran {
 			p.Quarantine.Completed(content)
 		}
 	})
