Retry budget: repeats go to calls whose request is far on

Cause: tokens went by order of arrival. With four calls under each request and a service that rejects half of them, most repeats were spent on requests that failed later, and the budget was kept at an eighth for fear of calls of repeated runs, which count as repeats further down.

Change: calls of a repeated run are counted as repeats, so that more of the budget can be used; a call tells which part of its request's calls is still to come, and the fewer tokens there are the less may remain.

Ruled out: nothing.

--- a/internal/process/retrybudget/budget.go
+++ b/internal/process/retrybudget/budget.go
@@ -1,12 +1,16 @@
-// Package retrybudget limits how many requests this process retries. It does no
-// I/O; time is passed in.
+// Package retrybudget limits how many requests this process repeats. It does no I/O;
+// time is passed in.
 //
-// It is built for a deep service that fails part of its requests while demand
-// is at its highest. Each retry causes calls to the services downstream, so the
-// retries of all processes together must stay a small fraction of the requests.
+// It is built for services that fail or reject part of their requests while demand is at
+// its highest. A request needs several calls further down, one after the other, and is
+// lost with any of them. So repeats are worth most for the last calls of a request, where
+// least is still to fail and most has been done. The repeats of all processes together must stay a
+// small fraction of the requests for a service. The calls of a run that was itself a
+// repeat count too.
 package retrybudget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -14,10 +18,10 @@
 // Options configure a Budget.
 type Options struct {
 	// Ratio is the fraction of the requests for a service that all processes
-	// together may retry.
+	// together may repeat.
 	Ratio float64
-	// Window is the time over which retries are counted, and Slack the number
-	// of retries allowed in it in addition to the ratio.
+	// Window is the time over which repeats are counted, and Slack the number
+	// of repeats allowed in it in addition to the ratio.
 	Window time.Duration
 	Slack  float64
 	// Processes returns the number of processes that share the slack.
@@ -25,12 +29,12 @@
 }
 
 const (
-	// amplification is the assumed maximum number of calls that one retry causes
-	// at a service downstream. Each of them counts as a retry there.
-	amplification = 8
-	// safetyFactor is the fraction of the budget that is used, since requests
-	// counted here may never reach the service.
-	safetyFactor = 0.5
+	// safetyFactor is the fraction of the budget that is used, since requests counted
+	// here may never reach the service.
+	safetyFactor = 0.75
+	// burstWindows is the part of a window whose repeats may accumulate. Together with
+	// safetyFactor, no window sees more than the ratio.
+	burstWindows = 0.25
 )
 
 // Budget holds a token bucket for each service. Its methods are safe for
@@ -42,9 +46,13 @@
 	buckets map[string]*bucket
 }
 
+// bucket holds the repeats that are allowed for one service.
 type bucket struct {
 	tokens float64
 	last   time.Time
+	// requests is the number of requests per second, as a moving average over a
+	// quarter of the window.
+	requests float64
 }
 
 // New returns a Budget that has counted no requests.
@@ -56,38 +64,60 @@
 func (b *Budget) CountRequest(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tokenBucket := b.refill(now, service)
-	tokenBucket.tokens = min(tokenBucket.tokens+b.options.Ratio*safetyFactor/amplification, b.maxTokens())
+	s := b.refill(now, service)
+	s.requests += 1 / b.averageTime().Seconds()
+	s.tokens = min(s.tokens+b.options.Ratio*safetyFactor, b.capacity(s))
 }
 
-// Take reports whether a request for the service may be retried, and takes a
-// token if so.
-func (b *Budget) Take(now time.Time, service string) bool {
+// CountRepeat counts a request for a service that repeats another one although Take was
+// not asked: a call of a run that is itself a repeat.
+func (b *Budget) CountRepeat(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tokenBucket := b.refill(now, service)
-	if tokenBucket.tokens < 1 {
+	s := b.refill(now, service)
+	s.tokens = max(s.tokens-1, -b.capacity(s))
+}
+
+// Take reports whether a request for the service may be repeated, and takes a token if
+// so. remaining, from 0 to 1, is the part of the calls that its request still has to make
+// after this one: the fewer tokens there are, the less may remain.
+func (b *Budget) Take(now time.Time, service string, remaining float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.refill(now, service)
+	if s.tokens < 1 || s.tokens < remaining*b.capacity(s) {
 		return false
 	}
-	tokenBucket.tokens--
+	s.tokens--
 	return true
 }
 
-// refill adds this process's share of the slack for the time since the last
-// refill, and returns the bucket of the service. A new bucket is half full.
+// refill adds this process's share of the slack for the time since the last refill, and
+// returns the bucket of the service. A new bucket has one token.
 func (b *Budget) refill(now time.Time, service string) *bucket {
-	tokenBucket, ok := b.buckets[service]
+	s, ok := b.buckets[service]
 	if !ok {
-		tokenBucket = &bucket{last: now, tokens: b.maxTokens() / 2}
-		b.buckets[service] = tokenBucket
+		s = &bucket{last: now, tokens: 1}
+		b.buckets[service] = s
 	}
-	share := b.options.Slack * safetyFactor / amplification / float64(max(b.options.Processes(), 1))
-	tokenBucket.tokens = min(tokenBucket.tokens+share*now.Sub(tokenBucket.last).Seconds()/b.options.Window.Seconds(), b.maxTokens())
-	tokenBucket.last = now
-	return tokenBucket
+	elapsed := now.Sub(s.last).Seconds()
+	s.last = now
+	s.requests *= math.Exp(-elapsed / b.averageTime().Seconds())
+	s.tokens = min(s.tokens+b.slackPerSecond()*elapsed, b.capacity(s))
+	return s
+}
+
+func (b *Budget) averageTime() time.Duration {
+	return time.Duration(burstWindows * float64(b.options.Window))
+}
+
+// slackPerSecond returns this process's share of the slack.
+func (b *Budget) slackPerSecond() float64 {
+	return b.options.Slack * safetyFactor / float64(max(b.options.Processes(), 1)) / b.options.Window.Seconds()
 }
 
-// maxTokens returns the capacity of a bucket, in retries.
-func (b *Budget) maxTokens() float64 {
-	return max(1, b.options.Slack*safetyFactor/amplification/float64(max(b.options.Processes(), 1)))
+// capacity returns the number of repeats that may accumulate.
+func (b *Budget) capacity(s *bucket) float64 {
+	perSecond := b.options.Ratio*safetyFactor*s.requests + b.slackPerSecond()
+	return max(1, perSecond*b.averageTime().Seconds())
 }
--- a/internal/process/shedding/call_graph.go
+++ b/internal/process/shedding/call_graph.go
@@ -30,7 +30,7 @@
 // deadline and subtracted. Its methods are safe for concurrent use.
 type CallGraph struct {
 	mu      sync.Mutex
-	running map[uint64]parent
+	running map[uint64]*parent
 	lastID  uint64
 	routes  map[string]*callCounts
 }
@@ -39,6 +39,19 @@
 type parent struct {
 	route    string
 	deadline time.Time
+	// repeat is true for a run that repeats another one.
+	repeat bool
+	// calls is the number of calls attributed to the request.
+	calls int
+}
+
+// Call is what is known of a call from the request that makes it.
+type Call struct {
+	// Repeat says that the call belongs to a run that repeats another one.
+	Repeat bool
+	// Remaining is the part of the request's calls that is still to come after this
+	// one, from 0 to 1.
+	Remaining float64
 }
 
 // callCounts holds the decaying counts of one route.
@@ -48,18 +61,18 @@
 	calls     map[string]float64 // by called route, chance matches subtracted
 }
 
-// Begin records a request that runs at the target. The caller must call end
-// when the request has ended.
-func (c *CallGraph) Begin(now time.Time, route string, deadline time.Time) (end func()) {
+// Begin records a request that runs at the target. repeat says that it repeats another
+// one. The caller must call end when the request has ended.
+func (c *CallGraph) Begin(now time.Time, route string, deadline time.Time, repeat bool) (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.running == nil {
-		c.running = make(map[uint64]parent)
+		c.running = make(map[uint64]*parent)
 		c.routes = make(map[string]*callCounts)
 	}
 	c.lastID++
 	id := c.lastID
-	c.running[id] = parent{route, deadline}
+	c.running[id] = &parent{route: route, deadline: deadline, repeat: repeat}
 	c.counts(now, route).requests++
 	return func() {
 		c.mu.Lock()
@@ -69,19 +82,43 @@
 }
 
 // ObserveCall records a call of route that the local target makes, with the
-// call's deadline.
-func (c *CallGraph) ObserveCall(now time.Time, route string, deadline time.Time) {
+// call's deadline. It returns what is known of the call from the candidate with the
+// nearest deadline.
+func (c *CallGraph) ObserveCall(now time.Time, route string, deadline time.Time) Call {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var nearest *parent
 	for _, p := range c.running {
 		offset := deadline.Sub(p.deadline)
 		switch {
 		case offset >= -matchBefore && offset <= matchAfter:
 			c.counts(now, p.route).calls[route]++
+			if nearest == nil || offset.Abs() < deadline.Sub(nearest.deadline).Abs() {
+				nearest = p
+			}
 		case offset >= controlShift-matchBefore && offset <= controlShift+matchAfter:
 			c.counts(now, p.route).calls[route]--
 		}
 	}
+	if nearest == nil {
+		return Call{Remaining: 1}
+	}
+	nearest.calls++
+	return Call{Repeat: nearest.repeat, Remaining: c.remaining(now, nearest)}
+}
+
+// remaining returns the part of the calls of a request that is still to come, judged by
+// the usual number of calls of its route.
+func (c *CallGraph) remaining(now time.Time, p *parent) float64 {
+	counts := c.counts(now, p.route)
+	if counts.requests < minRequests {
+		return 1
+	}
+	usual := 0.0
+	for _, n := range counts.calls {
+		usual += max(n, 0) / counts.requests
+	}
+	return max(1-float64(p.calls)/max(usual, 1), 0)
 }
 
 // CallsPerRequest returns the routes that requests of a route call, with the
--- a/internal/process/shedding/shedding_test.go
+++ b/internal/process/shedding/shedding_test.go
@@ -203,7 +203,7 @@
 			if calls {
 				route = "caller"
 			}
-			running = append(running, runningRequest{c.Begin(now, route, deadline), now.Add(200 * time.Millisecond), deadline, calls})
+			running = append(running, runningRequest{c.Begin(now, route, deadline, false), now.Add(200 * time.Millisecond), deadline, calls})
 		}
 		kept := running[:0]
 		for _, r := range running {
@@ -318,3 +318,24 @@
 	r.Add(now, 3, time.Second)
 	must.False(t, r.Consume(now.Add(time.Minute), 3))
 }
+
+// TestCallsTellHowFarTheirRequestIs checks what is known of the calls of a request: how
+// many are still to come, and whether their run repeats another one.
+func TestCallsTellHowFarTheirRequestIs(t *testing.T) {
+	var c CallGraph
+	now := time.Unix(1, 0)
+	for n := range 40 {
+		now = now.Add(50 * time.Millisecond)
+		deadline := now.Add(5 * time.Second)
+		end := c.Begin(now, "caller", deadline, n%2 == 1)
+		for k := range 4 {
+			call := c.ObserveCall(now, "called", deadline.Truncate(time.Millisecond))
+			must.Eq(t, n%2 == 1, call.Repeat)
+			if n >= 20 {
+				must.Between(t, float64(3-k)/4-0.05, call.Remaining, float64(3-k)/4+0.05)
+			}
+		}
+		end()
+	}
+	must.Eq(t, Call{Remaining: 1}, c.ObserveCall(now, "called", now.Add(time.Minute)), must.Sprint("no request has that deadline"))
+}
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -140,7 +140,7 @@
 	if err := e.Quarantine.Check(req.content); err != nil {
 		return nil, withRetryAfter(err, quarantine.RetryAfter)
 	}
-	e.RetryBudget.CountRequest(req.receivedAt, req.service)
+	e.count(req)
 	if err := e.shed(req); err != nil {
 		return nil, err
 	}
@@ -152,11 +152,22 @@
 	return e.send(ctx, req)
 }
 
+// count counts the request in the call graph and the retry budget.
+func (e *EntryHandler) count(req *inboundRequest) {
+	if req.fromTarget {
+		req.call = e.CallGraph.ObserveCall(req.receivedAt, req.route.Name, req.callerDeadline)
+	}
+	if req.call.Repeat {
+		e.RetryBudget.CountRepeat(req.receivedAt, req.service)
+		return
+	}
+	e.RetryBudget.CountRequest(req.receivedAt, req.service)
+}
+
 // shed rejects a fraction of the requests that would load an overloaded service.
 // It does not reject the requests of targets. Errors: Overloaded.
 func (e *EntryHandler) shed(req *inboundRequest) error {
 	if req.fromTarget {
-		e.CallGraph.ObserveCall(req.receivedAt, req.route.Name, req.callerDeadline)
 		return nil
 	}
 	req.clientRetry = e.Rejections.Consume(req.receivedAt, req.fingerprint())
@@ -228,7 +239,7 @@
 		if !ok {
 			return nil, history.failure(fault.New(fault.NoTarget, "no target of service %s is available", req.service))
 		}
-		response, err := e.attempt(ctx, req, choice)
+		response, err := e.attempt(ctx, req, choice, history.delivered > 0)
 		if err == nil && !response.NotRun {
 			return response, nil
 		}
@@ -262,12 +273,13 @@
 		return false
 	}
 	maxAttempts := max(req.route.Retries+1, 1)
-	return history.delivered < maxAttempts && e.RetryBudget.Take(time.Now(), req.service)
+	return history.delivered < maxAttempts && e.RetryBudget.Take(time.Now(), req.service, req.call.Remaining)
 }
 
-// attempt forwards the request to one target and records the outcome.
-func (e *EntryHandler) attempt(ctx context.Context, req *inboundRequest, choice balancing.Choice) (*Response, error) {
-	response, err := e.forward(ctx, req, choice)
+// attempt forwards the request to one target and records the outcome. again says that
+// another target may have received the request before.
+func (e *EntryHandler) attempt(ctx context.Context, req *inboundRequest, choice balancing.Choice, again bool) (*Response, error) {
+	response, err := e.forward(ctx, req, choice, again)
 	now := time.Now()
 	choice.Update(func(t *balancing.Target) {
 		if response != nil && response.Load >= 0 {
@@ -316,12 +328,12 @@
 	}
 }
 
-func (e *EntryHandler) forward(ctx context.Context, req *inboundRequest, choice balancing.Choice) (*Response, error) {
+func (e *EntryHandler) forward(ctx context.Context, req *inboundRequest, choice balancing.Choice, again bool) (*Response, error) {
 	now := time.Now()
 	m := &ForwardingMetadata{
 		RequestID: req.id, Service: req.service, Route: req.route.Name, Team: req.team, Origin: e.Service, Rank: req.rank, FromTarget: req.fromTarget, ClientRetry: req.clientRetry,
 		Idempotent: req.route.Mode == version.Idempotent, Remaining: req.deadline.Sub(now), ObjectiveRemaining: req.objectiveDeadline.Sub(now),
-		Known: choice.Stated(),
+		Known: choice.Stated(), Repeat: again || req.call.Repeat,
 	}
 	if m.Remaining <= 0 {
 		return nil, fault.New(fault.DeadlineNotRun, "deadline exceeded before the request was sent")
--- a/internal/request/relay/forwarding_metadata.go
+++ b/internal/request/relay/forwarding_metadata.go
@@ -32,6 +32,9 @@
 	Idempotent bool
 	// ClientRetry is true if the same request was rejected a short time ago.
 	ClientRetry bool
+	// Repeat is true if a target may have received the request before, or if it is a
+	// call of a run that repeats another one.
+	Repeat bool
 	// Remaining is the time until the final response is due.
 	Remaining time.Duration
 	// ObjectiveRemaining is the time until the latency objective ends. It is
@@ -50,6 +53,7 @@
 	flagFromTarget  = "c"
 	flagIdempotent  = "r"
 	flagClientRetry = "b"
+	flagRepeat      = "a"
 )
 
 // Encode returns m as the value of a header. Durations are in microseconds.
@@ -64,6 +68,9 @@
 	if m.ClientRetry {
 		flags += flagClientRetry
 	}
+	if m.Repeat {
+		flags += flagRepeat
+	}
 	return strings.Join([]string{
 		"1", m.Service, m.Team, m.Origin, strconv.Itoa(m.Rank), flags,
 		formatMicroseconds(m.Remaining), formatMicroseconds(m.ObjectiveRemaining), m.RequestID, m.Route,
@@ -96,6 +103,7 @@
 		FromTarget:         strings.Contains(fields[5], flagFromTarget),
 		Idempotent:         strings.Contains(fields[5], flagIdempotent),
 		ClientRetry:        strings.Contains(fields[5], flagClientRetry),
+		Repeat:             strings.Contains(fields[5], flagRepeat),
 		Remaining:          time.Duration(remaining) * time.Microsecond,
 		ObjectiveRemaining: time.Duration(objectiveRemaining) * time.Microsecond,
 		RequestID:          fields[8],
--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/teaselrack/teaselrack/internal/process/quarantine"
+	"github.com/teaselrack/teaselrack/internal/process/shedding"
 	"github.com/teaselrack/teaselrack/internal/version"
 )
 
@@ -43,6 +44,8 @@
 	fromTarget bool
 	// clientRetry is true if the same request was rejected a short time ago.
 	clientRetry bool
+	// call is what is known of a request of a target. It is zero for other requests.
+	call shedding.Call
 	// callerDeadline is when the caller gives up. deadline is when the final
 	// response is due. objectiveDeadline is when the latency objective of the
 	// route ends. It is deadline if there is no earlier objective or fromTarget is
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -177,7 +177,7 @@
 	p.setTargetHeaders(ctx, m, r, slot.ID)
 	began := time.Now()
 	deadline, _ := ctx.Deadline()
-	defer p.CallGraph.Begin(began, m.Route, deadline)()
+	defer p.CallGraph.Begin(began, m.Route, deadline, m.Repeat)()
 	resp, err := p.TargetClient.Do(ctx, p.Address, r)
 	if err != nil {
 		slot.Done(err)
