Placement: another failure domain is considered once requests would wait

Change: the threshold is 1 request per slot, or a handicap (failures, cold, penalty) of 0.6.

Result: TestNearlyFullTargetIsUsed.

Ruled out: nothing.

--- a/internal/process/balancing/balancing_test.go
+++ b/internal/process/balancing/balancing_test.go
@@ -90,3 +90,14 @@
 	_, ok = b.Choose(time.Unix(1, 0), "s", []string{"c"})
 	must.False(t, ok)
 }
+
+// TestNearlyFullTargetIsUsed replays a target whose slots are nearly all in use beside an
+// idle one in another failure domain: as long as nothing waits, nothing is gained there.
+func TestNearlyFullTargetIsUsed(t *testing.T) {
+	now := time.Unix(1, 0)
+	targets := []*Target{{SameDomain: true, Slots: 10}, {Slots: 10}}
+	targets[0].RecordLoad(now, 0.95, 0)
+	must.Eq(t, 0, Choose(now, targets, excludeNone, seededDraw()))
+	targets[0].RecordLoad(now, 1.1, 0)
+	must.Eq(t, 1, Choose(now, targets, excludeNone, seededDraw()))
+}
--- a/internal/process/balancing/target.go
+++ b/internal/process/balancing/target.go
@@ -16,12 +16,13 @@
 )
 
 const (
-	// spillLoad is the load of the target in the local failure domain, in
-	// requests per slot, from which targets in other failure domains are
-	// considered. spillGain is the difference in load above which they are
-	// chosen.
-	spillLoad = 0.8
+	// spillLoad is the number of requests per slot from which requests wait for the
+	// target in the local failure domain, so that targets in other failure domains are
+	// considered. spillGain is the difference in load above which they are chosen.
+	spillLoad = 1.0
 	spillGain = 0.3
+	// maxHandicap is the handicap from which they are considered too.
+	maxHandicap = 0.6
 	// reportHalfLife is the half-life of a reported load.
 	reportHalfLife = 300 * time.Millisecond
 	// failureHalfLife is the half-life of the failure rate.
@@ -98,17 +99,30 @@
 
 // Load returns the estimated requests per slot, increased for failures that
 // other targets do not share, for a cold target and for a penalized one.
-func (t *Target) Load(now time.Time) float64 {
+func (t *Target) Load(now time.Time) float64 { return t.usage(now) + t.handicap(now) }
+
+// usage returns the estimated requests per slot.
+func (t *Target) usage(now time.Time) float64 {
 	slots := float64(max(t.Slots, 1))
-	load := max(float64(t.outstanding)/slots, t.reported*decay(now.Sub(t.reportedAt), reportHalfLife))
-	load += failureWeight * max(t.Failures(now)-t.commonFailures, 0)
+	return max(float64(t.outstanding)/slots, t.reported*decay(now.Sub(t.reportedAt), reportHalfLife))
+}
+
+// handicap returns what is added to the usage of a target because its requests may fail
+// or be rejected.
+func (t *Target) handicap(now time.Time) float64 {
+	handicap := failureWeight * max(t.Failures(now)-t.commonFailures, 0)
 	if t.Cold {
-		load++
+		handicap++
 	}
 	if now.Before(t.penalizedUntil) {
-		load += failureWeight
+		handicap += failureWeight
 	}
-	return load
+	return handicap
+}
+
+// hasRoom reports whether nothing suggests to look for a target elsewhere.
+func (t *Target) hasRoom(now time.Time) bool {
+	return t.usage(now) < spillLoad && t.handicap(now) < maxHandicap
 }
 
 func decay(age, halfLife time.Duration) float64 {
@@ -124,7 +138,7 @@
 		t.commonFailures = common
 	}
 	local := pickOfTwo(now, targets, func(i int) bool { return excluded(i) || !targets[i].SameDomain }, draw)
-	if local >= 0 && targets[local].Load(now) < spillLoad {
+	if local >= 0 && targets[local].hasRoom(now) {
 		return local
 	}
 	remote := pickOfTwo(now, targets, func(i int) bool { return excluded(i) || targets[i].SameDomain }, draw)
