Shedding: levels of cold targets end when the targets turn warm

Cause: after a final fault 700 requests more were shed for 2 s although the targets were warm: the level fell by feedback only, at entries that hear nothing by 0.2 a second.

Change: a cold target says for how long it is cold. The level that it causes ends then, also at entries that hear nothing; a step of the capacity takes the level along; callers who can wait are told to return just after that moment, spread over a second.

Ruled out: nothing.

--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -423,20 +423,28 @@
 func (t *Target) capacity(now time.Time) shedding.Capacity {
 	_, waiting, slots := t.limiter.Load()
 	c := shedding.Capacity{PerSecond: float64(slots) / t.limiter.ServiceTime().Seconds(), Waiting: waiting}
-	if rate := t.options.ColdRate(); rate > 0 && t.isCold(now) {
-		c.PerSecond = min(c.PerSecond, rate)
+	if rate := t.options.ColdRate(); rate > 0 && rate < c.PerSecond && t.isCold(now) {
+		c.PerSecond = rate
+		if !t.restartSuspected {
+			c.ColdFor = t.coldUntil.Sub(now)
+		}
 	}
 	return c
 }
 
 func (t *Target) isCold(now time.Time) bool { return now.Before(t.coldUntil) || t.restartSuspected }
 
-// Level returns the shedding level of the target and the average service time
-// of a request.
-func (t *Target) Level() (level float64, cost time.Duration) {
+// Bottleneck returns the shedding level of the target, and the average service time of a
+// request as its cost.
+func (t *Target) Bottleneck() shedding.Bottleneck {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.shedding.Level(t.options.Now()), t.limiter.ServiceTime()
+	now := t.options.Now()
+	capacity := t.capacity(now)
+	t.shedding.Observe(now, capacity)
+	return shedding.Bottleneck{
+		Service: t.options.Service, Level: t.shedding.Level(now), Cost: t.limiter.ServiceTime(), EndsIn: capacity.ColdFor,
+	}
 }
 
 // Load returns the number of running and queued requests per request that the target
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -320,8 +320,7 @@
 		n.stats.Write(w)
 		_, _ = fmt.Fprintf(w, "teaselrack_configuration_revision %d\n", n.configuration.Current().Revision())
 		_, _ = fmt.Fprintf(w, "teaselrack_target_load %g\n", n.target.Load())
-		level, _ := n.target.Level()
-		_, _ = fmt.Fprintf(w, "teaselrack_target_level %g\n", level)
+		_, _ = fmt.Fprintf(w, "teaselrack_target_level %g\n", n.target.Bottleneck().Level)
 		if limit, ok := n.target.StatedLimit(); ok {
 			_, _ = fmt.Fprintf(w, "teaselrack_target_stated_limit %g\n", limit)
 		}
--- a/internal/process/shedding/bottleneck.go
+++ b/internal/process/shedding/bottleneck.go
@@ -18,6 +18,9 @@
 	// Cost is the processing time at Service that one request of the route
 	// takes.
 	Cost time.Duration
+	// EndsIn is the time after which Level no longer applies, because its cause is a cold
+	// target that will be warm then. It is 0 if the end is unknown. String leaves it out.
+	EndsIn time.Duration
 }
 
 // String returns the header value of b: level, cost in microseconds and
--- a/internal/process/shedding/controller.go
+++ b/internal/process/shedding/controller.go
@@ -44,6 +44,9 @@
 	// load.
 	surgeLoad = 4
 	holdTime  = 500 * time.Millisecond
+	// stepRatio is the ratio of two capacities above which the level follows the change
+	// at once. Changes of the service time stay below it.
+	stepRatio = 3
 	// drainTime is the time in which the waiting requests should be served.
 	drainTime = 150 * time.Millisecond
 )
@@ -54,6 +57,9 @@
 	PerSecond float64
 	// Waiting is the number of requests that wait for the target.
 	Waiting int
+	// ColdFor is the time after which PerSecond is no longer that of a cold target; 0 if
+	// it is not, or if the time is unknown.
+	ColdFor time.Duration
 }
 
 // Controller computes the level of one target. It is not safe for concurrent
@@ -72,9 +78,19 @@
 
 // Offered counts a request that arrives at the target.
 func (c *Controller) Offered(now time.Time, capacity Capacity) {
+	c.Observe(now, capacity)
+	c.offered++
+}
+
+// Observe updates the capacity. If it has grown in a step, because a cold target has become
+// warm, the admitted fraction grows with it.
+func (c *Controller) Observe(now time.Time, capacity Capacity) {
+	if before := c.capacity.PerSecond; before > 0 && capacity.PerSecond > stepRatio*before {
+		admitted := (1 - c.level) * capacity.PerSecond / before
+		c.level = max(1-admitted, 0)
+	}
 	c.capacity = capacity
 	c.advance(now)
-	c.offered++
 }
 
 // Level returns the level at now, between 0 and MaxLevel.
--- a/internal/process/shedding/levels.go
+++ b/internal/process/shedding/levels.go
@@ -24,10 +24,52 @@
 	routes   map[string]routeBottleneck
 }
 
-// serviceLevel is the level of one service, smoothed over its targets.
+// serviceLevel is the level of one service, smoothed over its targets: the higher of two
+// levels.
 type serviceLevel struct {
-	level     float64
+	// lasting follows the load of the targets.
+	lasting   float64
 	updatedAt time.Time
+	// passing is that of cold targets. It ends at passingEnds, also where no response
+	// tells that the targets are warm.
+	passing     float64
+	passingEnds time.Time
+}
+
+// at returns the level at now.
+func (s *serviceLevel) at(now time.Time) float64 {
+	s.decay(now)
+	if now.Before(s.passingEnds) {
+		return max(s.lasting, s.passing)
+	}
+	return s.lasting
+}
+
+// observe records the level that a response reports.
+func (s *serviceLevel) observe(now time.Time, reported Bottleneck) {
+	s.decay(now)
+	s.updatedAt = now
+	if !now.Before(s.passingEnds) {
+		s.passing = 0
+	}
+	if reported.EndsIn <= 0 {
+		s.lasting += smoothing * (reported.Level - s.lasting)
+		s.passing -= smoothing * s.passing
+		return
+	}
+	s.passing += smoothing * (reported.Level - s.passing)
+	if ends := now.Add(reported.EndsIn); ends.After(s.passingEnds) {
+		s.passingEnds = ends
+	}
+}
+
+// endsIn returns the time until the level falls because cold targets turn warm, or 0 if
+// that is not its cause.
+func (s *serviceLevel) endsIn(now time.Time) time.Duration {
+	if s.passing <= s.lasting {
+		return 0
+	}
+	return max(s.passingEnds.Sub(now), 0)
 }
 
 // routeBottleneck is the bottleneck service of a route, and the time that one
@@ -55,9 +97,7 @@
 		service = &serviceLevel{}
 		l.services[reported.Service] = service
 	}
-	service.decay(now)
-	service.level += smoothing * (reported.Level - service.level)
-	service.updatedAt = now
+	service.observe(now, reported)
 	bottleneck, ok := l.routes[route]
 	if !ok || bottleneck.service != reported.Service {
 		bottleneck = routeBottleneck{service: reported.Service, cost: reported.Cost}
@@ -73,19 +113,16 @@
 	if !ok {
 		return
 	}
-	service := l.services[bottleneck.service]
-	service.decay(now)
-	service.level -= smoothing * service.level
-	service.updatedAt = now
+	l.services[bottleneck.service].observe(now, Bottleneck{})
 }
 
-// decay lowers the level if it has not been reported for decayAfter.
+// decay lowers the lasting level if it has not been reported for decayAfter.
 func (s *serviceLevel) decay(now time.Time) {
 	silent := now.Sub(s.updatedAt) - decayAfter
 	if silent <= 0 {
 		return
 	}
-	s.level = max(s.level-decayRate*silent.Seconds(), 0)
+	s.lasting = max(s.lasting-decayRate*silent.Seconds(), 0)
 	s.updatedAt = now.Add(-decayAfter)
 }
 
@@ -99,8 +136,7 @@
 		return Bottleneck{}
 	}
 	service := l.services[bottleneck.service]
-	service.decay(now)
-	return Bottleneck{Service: bottleneck.service, Level: service.level, Cost: bottleneck.cost}
+	return Bottleneck{Service: bottleneck.service, Level: service.at(now), Cost: bottleneck.cost, EndsIn: service.endsIn(now)}
 }
 
 // Downstream returns the bottleneck with the highest level among the called
--- a/internal/process/shedding/shedding_test.go
+++ b/internal/process/shedding/shedding_test.go
@@ -339,3 +339,52 @@
 	}
 	must.Eq(t, Call{Remaining: 1}, c.ObserveCall(now, "called", now.Add(time.Minute)), must.Sprint("no request has that deadline"))
 }
+
+// TestLevelEndsWhenTargetsTurnWarm replays a power failure: all targets are cold for three
+// seconds and say when that ends. An entry that sheds nearly all hears of nothing, and must
+// shed nothing once they are warm.
+func TestLevelEndsWhenTargetsTurnWarm(t *testing.T) {
+	const warmAfter = 3 * time.Second
+	var l Levels
+	start := time.Unix(1, 0)
+	report := func(after time.Duration, level float64) {
+		l.Observe(start.Add(after), "r", Bottleneck{Service: "s", Level: level, Cost: second, EndsIn: max(warmAfter-after, 0)})
+	}
+	for n := range 30 {
+		report(time.Duration(n)*10*time.Millisecond, 0.95)
+	}
+	late := start.Add(warmAfter - 10*time.Millisecond)
+	got := l.ForRoute(late, "r")
+	must.Greater(t, 0.9, got.Level, must.Sprint("the level lasts while the targets are cold, however long nothing is heard"))
+	must.Eq(t, 10*time.Millisecond, got.EndsIn)
+	must.Eq(t, 0, l.ForRoute(start.Add(warmAfter), "r").Level)
+	must.Eq(t, 0, l.Downstream(start.Add(warmAfter), map[string]float64{"r": 2}).Level)
+}
+
+// TestWarmTargetsLowerThePassingLevel checks that one cold target among warm ones does not
+// keep the level up, and that the load of the warm ones counts beside it.
+func TestWarmTargetsLowerThePassingLevel(t *testing.T) {
+	var l Levels
+	now := time.Unix(1, 0)
+	for range 40 {
+		l.Observe(now, "r", Bottleneck{Service: "s", Level: 0.9, Cost: second, EndsIn: time.Minute})
+		for range 3 {
+			l.Observe(now, "r", Bottleneck{Service: "s", Level: 0.2, Cost: second})
+		}
+	}
+	must.Between(t, 0.19, l.ForRoute(now, "r").Level, 0.45)
+	must.Between(t, 0.15, l.services["s"].lasting, 0.21)
+}
+
+// TestLevelFollowsAStepOfTheCapacity checks that a target admits all that it can as soon as
+// it is warm: its level falls with the step of its capacity.
+func TestLevelFollowsAStepOfTheCapacity(t *testing.T) {
+	const demand, cold, warm = 800.0, 39.0, 1500.0
+	d := newDelayedTarget()
+	for range 30 {
+		d.step(demand, cold)
+	}
+	must.Greater(t, 0.9, d.controller.Level(d.now))
+	d.controller.Observe(d.now, Capacity{PerSecond: warm})
+	must.Less(t, 0.05, d.controller.Level(d.now))
+}
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -64,7 +64,7 @@
 var strippedHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-	headerMetadata, headerErrorKind, headerLoad, headerRetryAfter, headerShedLevel, headerStatement,
+	headerMetadata, headerErrorKind, headerLoad, headerRetryAfter, headerShedLevel, headerShedLevelEnds, headerStatement,
 }
 
 // forwardedHeaders returns a copy of h without strippedHeaders and without the
--- a/internal/request/relay/capacity_test.go
+++ b/internal/request/relay/capacity_test.go
@@ -35,7 +35,7 @@
 			})
 		}
 		wg.Wait()
-		_, learned = inst.target.Level()
+		learned = inst.target.Bottleneck().Cost
 		network.Close()
 		time.Sleep(time.Minute)
 	})
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -28,6 +29,9 @@
 	// unreachableBackoff is how long a target that cannot be reached gets no
 	// requests.
 	unreachableBackoff = 500 * time.Millisecond
+	// maxLevelEnd is the longest time for which the level of a cold target applies
+	// without being reported again.
+	maxLevelEnd = 30 * time.Second
 )
 
 // Configuration provides the configuration state that this daemon holds.
@@ -177,7 +181,7 @@
 		return nil
 	}
 	err := fault.New(fault.Overloaded, "service %s is overloaded: it sheds a fraction of %.2f of its work, which is %.2f of the requests of rank %d on route %s", bottleneck.Service, bottleneck.Level, fraction, req.rank, req.route.Name)
-	return withRetryAfter(err, req.retryAfter())
+	return withRetryAfter(err, req.retryAfterLevel(bottleneck.EndsIn, rand.Float64()))
 }
 
 // identify determines the route, the team, the rank and the deadlines of a
@@ -351,7 +355,7 @@
 		e.Levels.Observe(time.Now(), m.Route, e.Local.Bottleneck(m.Route))
 		if response != nil {
 			response.Load = e.Local.Target.Load()
-			response.ShedLevel, _ = e.Local.Target.Level()
+			response.ShedLevel = e.Local.Target.Bottleneck().Level
 		}
 		return response, err
 	}
@@ -396,15 +400,12 @@
 // load, and records the shedding level. If no level is reported, nothing is to
 // be shed. load is -1 and retryAfter is 0 if the daemon reports none.
 func (e *EntryHandler) readLoadHeaders(route string, h http.Header) (load float64, bottleneck shedding.Bottleneck, retryAfter time.Duration) {
-	if text := h.Get(headerShedLevel); text != "" {
-		parsed, err := shedding.ParseBottleneck(text)
-		if err != nil {
-			e.Log.Warn("malformed shedding level in a response", zap.String("route", route), zap.Error(err))
-		}
-		bottleneck = parsed
+	bottleneck, err := readBottleneck(h)
+	if err != nil {
+		e.Log.Warn("malformed shedding level in a response", zap.String("route", route), zap.Error(err))
 	}
 	e.Levels.Observe(time.Now(), route, bottleneck)
-	load, err := strconv.ParseFloat(h.Get(headerLoad), 64)
+	load, err = strconv.ParseFloat(h.Get(headerLoad), 64)
 	if err != nil {
 		load = -1
 	}
@@ -415,10 +416,31 @@
 	return load, bottleneck, time.Duration(us) * time.Microsecond
 }
 
+// readBottleneck returns the bottleneck that a daemon reports, or the zero value if it
+// reports none.
+func readBottleneck(h http.Header) (shedding.Bottleneck, error) {
+	text := h.Get(headerShedLevel)
+	if text == "" {
+		return shedding.Bottleneck{}, nil
+	}
+	bottleneck, err := shedding.ParseBottleneck(text)
+	if err != nil {
+		return shedding.Bottleneck{}, err
+	}
+	if ends := h.Get(headerShedLevelEnds); ends != "" {
+		ms, err := strconv.ParseUint(ends, 10, 31)
+		if err != nil {
+			return shedding.Bottleneck{}, fmt.Errorf("malformed end %q of a shedding level", ends)
+		}
+		bottleneck.EndsIn = min(time.Duration(ms)*time.Millisecond, maxLevelEnd)
+	}
+	return bottleneck, nil
+}
+
 // loadReportBytes returns the size of the headers that report load and shedding.
 func loadReportBytes(h http.Header) int {
 	size := 0
-	for _, name := range []string{headerLoad, headerShedLevel} {
+	for _, name := range []string{headerLoad, headerShedLevel, headerShedLevelEnds} {
 		for _, value := range h[name] {
 			size += len(name) + len(": ") + len(value) + len("\r\n")
 		}
--- a/internal/request/relay/header_names.go
+++ b/internal/request/relay/header_names.go
@@ -51,4 +51,6 @@
 	headerRetryAfter = "Teaselrack-Wait"      // in microseconds
 	headerShedLevel  = "Teaselrack-Level"     // a shedding.Bottleneck
 	headerStatement  = "Teaselrack-Statement" // a protocol.Statement, if not empty
+	// headerShedLevelEnds is the EndsIn of the shedding.Bottleneck, in milliseconds.
+	headerShedLevelEnds = "Teaselrack-Level-Ends"
 )
--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -29,6 +29,12 @@
 	// wait longer than the maximum.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// retryTimeDivisor divides the time that a caller has left. The quotient is the
+	// longest retry-after time that it follows.
+	retryTimeDivisor = 3
+	// returnSpread is the time over which callers return after cold targets have become
+	// warm.
+	returnSpread = time.Second
 )
 
 // inboundRequest is one request as the entry received it.
@@ -72,6 +78,17 @@
 	return min(max(r.objectiveDeadline.Sub(r.receivedAt)/retryAfterDivisor, minRetryAfter), maxRetryAfter)
 }
 
+// retryAfterLevel returns the time after which a caller is told to retry whose request was
+// shed. If the level ends in time because cold targets turn warm, that is a time after it;
+// draw, from 0 to 1, spreads the callers.
+func (r *inboundRequest) retryAfterLevel(endsIn time.Duration, draw float64) time.Duration {
+	longest := r.callerDeadline.Sub(r.receivedAt) / retryTimeDivisor
+	if endsIn <= 0 || endsIn >= longest {
+		return r.retryAfter()
+	}
+	return endsIn + time.Duration(draw*float64(min(returnSpread, longest-endsIn)))
+}
+
 // fingerprint returns a hash of the team, the method, the host and the URI of
 // the request. It is the same for all attempts of one caller's request.
 func (r *inboundRequest) fingerprint() uint64 {
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -84,6 +84,9 @@
 	h.Set(headerLoad, strconv.FormatFloat(p.Target.Load(), 'f', 2, 64))
 	if bottleneck := p.Bottleneck(m.Route); bottleneck.Level >= minReportedLevel {
 		h.Set(headerShedLevel, bottleneck.String())
+		if bottleneck.EndsIn > 0 {
+			h.Set(headerShedLevelEnds, strconv.FormatInt(bottleneck.EndsIn.Milliseconds(), 10))
+		}
 	}
 	h["Date"] = nil
 }
@@ -93,12 +96,12 @@
 // that the route's requests call.
 func (p *PeerHandler) Bottleneck(route string) shedding.Bottleneck {
 	now := time.Now()
-	level, cost := p.Target.Level()
+	own := p.Target.Bottleneck()
 	downstream := p.Levels.Downstream(now, p.CallGraph.CallsPerRequest(now, route))
-	if downstream.Service != "" && downstream.Level >= level {
+	if downstream.Service != "" && downstream.Level >= own.Level {
 		return downstream
 	}
-	return shedding.Bottleneck{Service: p.Service, Level: level, Cost: cost}
+	return own
 }
 
 // writePeerResponse writes the response of the target. It omits the request ID
