Quota: holders have a standing rate for times without an issuer

Change: the issuer divides a team's rate among its holders by what they spend and tells each its part with the reply to a renewal. It counts the parts of silent holders as spent; a new issuer keeps those of holders that it has not heard of.

Ruled out: replicating the parts, a log entry for each change of demand.

--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -104,6 +104,12 @@
 	// RoundTrip is how long the holder's token requests have lately taken, in
 	// milliseconds. It is unset below the TTL that immediate tokens have at least.
 	RoundTrip int64 `json:"rt,omitempty"`
+	// Renewal is true for a request that is part of a renewal. Only these report a
+	// standing rate, and get one.
+	Renewal bool `json:"r,omitempty"`
+	// Standing and StandingTotal are what the last QuotaGrant with a standing rate said.
+	Standing      float64 `json:"sr,omitempty"`
+	StandingTotal float64 `json:"st,omitempty"`
 }
 
 // QuotaGrant is the reply to a token request of one team.
@@ -128,6 +134,11 @@
 	// NothingToSpare is true if a ready issuer handled the request, but has no tokens
 	// for future requests. Issuers of earlier builds do not set it.
 	NothingToSpare bool `json:"o,omitempty"`
+	// Standing is the rate, in tokens per second, at which the holder may spend without
+	// an issuer if none replies. It is set in the reply to a renewal. The standing rates
+	// of all holders add up to StandingTotal, at most the team's rate.
+	Standing      float64 `json:"sr,omitempty"`
+	StandingTotal float64 `json:"st,omitempty"`
 }
 
 // RenewRequest is sent by a daemon to one control replica, once per renewal interval
--- a/internal/process/control/renew.go
+++ b/internal/process/control/renew.go
@@ -107,7 +107,7 @@
 		now := s.options.Clock()
 		s.leader.record(now, now.Sub(began), grants != nil)
 	}
-	return s.options.Substitute.Complete(s.options.Clock(), req.Quota, grants, s.fairRate)
+	return s.options.Substitute.Complete(s.options.Clock(), holderName(req), req.Quota, grants, s.fairRate)
 }
 
 // requestGrants requests tokens from the issuer. Only the leader grants tokens, so
@@ -122,9 +122,12 @@
 		}
 		return reply.Quota
 	}
-	return s.tokens.grant(ctx, req.Instance+"/"+req.Session, req.Quota)
+	return s.tokens.grant(ctx, holderName(req), req.Quota)
 }
 
+// holderName returns the name of a daemon from its start to its end.
+func holderName(req protocol.RenewRequest) string { return req.Instance + "/" + req.Session }
+
 // fairRate returns this replica's equal share of a team's rate, per second.
 func (s *Service) fairRate(name string) float64 {
 	team, _ := s.options.Machine.State().Team(name)
--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -46,6 +46,7 @@
 	holders map[string]*holderState
 	// evictedAt is when evictHolders last scanned the holders.
 	evictedAt time.Time
+	standing  standingHolders
 }
 
 // holderState is the bucket's record of one holder.
@@ -61,6 +62,12 @@
 	// of its waiting requests that got no token then.
 	lastSeen time.Time
 	unfilled int
+	// spending counts the tokens that the holder spent.
+	spending average
+	// standing is the holder's standing rate in tokens per second as it was last told,
+	// reportedStanding as the holder last reported it. renewed is true once it has.
+	standing, reportedStanding float64
+	renewed                    bool
 }
 
 // lease is one grant of tokens. They may be spent until it expires.
@@ -71,7 +78,7 @@
 
 // newBucket returns a bucket that was empty at emptyAt.
 func newBucket(emptyAt time.Time, team version.Team) *bucket {
-	b := &bucket{refilledAt: emptyAt, evictedAt: emptyAt, holders: make(map[string]*holderState)}
+	b := &bucket{refilledAt: emptyAt, evictedAt: emptyAt, holders: make(map[string]*holderState), standing: standingHolders{since: emptyAt}}
 	b.rate, b.burst = limitsOf(team)
 	return b
 }
@@ -87,8 +94,9 @@
 // the last call.
 func (b *bucket) advance(now time.Time, team version.Team) {
 	rate, burst := limitsOf(team)
-	b.expireLeases(now, min(rate, b.rate))
-	b.refill(now, min(rate, b.rate))
+	refillRate := max(min(rate, b.rate)-int64(math.Ceil(b.silentRate(now)*rateScale)), 0)
+	b.expireLeases(now, refillRate)
+	b.refill(now, refillRate)
 	b.rate = rate
 	b.burst = burst
 	b.clamp()
@@ -155,10 +163,15 @@
 	if !known {
 		h = &holderState{spent: request.Spent}
 		b.holders[holder] = h
+		b.forgetEarlierSessions(holder)
 	}
 	if known && request.Sequence <= h.sequence {
 		return false
 	}
+	b.standing.report(now, h, request)
+	if request.Spent > h.spent {
+		b.countSpent(now, h, int(request.Spent-h.spent))
+	}
 	removed := h.keepNewest(max(request.Remaining, 0))
 	b.outstanding -= amount(removed) * oneToken
 	b.level += amount(removed-h.spentAmong(removed, request.Spent)) * oneToken
@@ -169,6 +182,12 @@
 	return true
 }
 
+// countSpent counts tokens that a holder spent.
+func (b *bucket) countSpent(now time.Time, h *holderState, n int) {
+	h.spending.add(now, n)
+	b.standing.spending.add(now, n)
+}
+
 // spentAmong returns how many of the removed tokens count as spent. total is the
 // number of tokens that the holder reports as spent since its start. If it is
 // below the last report, or exceeds it by more than removed, all of them count as
@@ -218,12 +237,16 @@
 		roundTrip := time.Duration(request.RoundTrip) * time.Millisecond
 		g.ImmediateTTL = min(max(immediateTTL, 2*roundTrip), maxImmediateTTL, ttl)
 		b.issue(g.Immediate, g.ImmediateTTL)
+		b.countSpent(b.refilledAt, b.holders[holder], g.Immediate)
 	}
 	if g.Tokens > 0 {
 		g.TTL = ttl
 		h := b.holders[holder]
 		h.leases = append(h.leases, b.issue(g.Tokens, ttl))
 	}
+	if request.Renewal {
+		b.tellStanding(b.refilledAt, holder, g)
+	}
 }
 
 // unfilled returns the number of requests that wait for a token at any holder. A
--- a/internal/process/quota/holder.go
+++ b/internal/process/quota/holder.go
@@ -251,7 +251,7 @@
 // low on tokens, and returns the number of those teams. Token requests without a
 // grant in the reply count as failed.
 func (h *Holder) requestTokens(ctx context.Context) int {
-	requests := h.collectRequests(h.now(), func(p *pool, now time.Time) bool {
+	requests := h.collectRequests(h.now(), false, func(p *pool, now time.Time) bool {
 		return p.low(now) && !p.backingOff(now)
 	})
 	if len(requests) == 0 {
@@ -279,15 +279,15 @@
 // caller passes a time read before the renewal is sent, and passes the reply to
 // ApplyGrants.
 func (h *Holder) TokenRequests(now time.Time) []protocol.QuotaRequest {
-	return h.collectRequests(now, func(*pool, time.Time) bool { return true })
+	return h.collectRequests(now, true, func(*pool, time.Time) bool { return true })
 }
 
-func (h *Holder) collectRequests(now time.Time, due func(*pool, time.Time) bool) []protocol.QuotaRequest {
+func (h *Holder) collectRequests(now time.Time, renewal bool, due func(*pool, time.Time) bool) []protocol.QuotaRequest {
 	var requests []protocol.QuotaRequest
 	for _, p := range h.allPools() {
 		p.mu.Lock()
 		if due(p, now) {
-			if request, ok := p.nextRequest(now); ok {
+			if request, ok := p.nextRequest(now, renewal); ok {
 				request.RoundTrip = h.reportedRoundTrip()
 				requests = append(requests, request)
 			}
--- a/internal/process/quota/holder_test.go
+++ b/internal/process/quota/holder_test.go
@@ -146,7 +146,7 @@
 	h := NewHolder(func() time.Time { return now }, nil)
 	p := h.pool("a")
 	p.waiting = 4
-	request, ok := p.nextRequest(now)
+	request, ok := p.nextRequest(now, false)
 	must.True(t, ok)
 	h.ApplyGrants(now, []protocol.QuotaGrant{{Team: "a", Sequence: request.Sequence, Tokens: 2, TTL: time.Second, Immediate: 2, ImmediateTTL: immediateTTL}})
 	must.Eq(t, 4, p.remaining())
--- a/internal/process/quota/issuer_test.go
+++ b/internal/process/quota/issuer_test.go
@@ -103,7 +103,7 @@
 func (s *simulation) request(i, want int) {
 	p := s.pools[i]
 	p.waiting = want
-	if r, ok := p.nextRequest(s.now); ok {
+	if r, ok := p.nextRequest(s.now, want%2 == 0); ok {
 		s.requests = append(s.requests, message{holder: i, name: s.names[i], request: r, requestedAt: s.now})
 	}
 }
--- a/internal/process/quota/outage.go
+++ b/internal/process/quota/outage.go
@@ -1,19 +1,14 @@
 package quota
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
-	// usageWindow is the time over which a team's spending rate is averaged.
-	usageWindow = 3 * time.Second
 	// outageBurst is the time in which the allowed rate fills the token bucket of
 	// an outage. The bucket has room for at least one token, and starts with at
 	// most one.
 	outageBurst = 500 * time.Millisecond
 	// outageShare is the part of the earlier spending rate that is allowed during
-	// an outage. If only some daemons are cut off, the others may get the whole
+	// an outage to a holder without a recent standing rate. If only some daemons are cut off, the others may get the whole
 	// rate from the issuer at the same time. With a third of the daemons cut off
 	// and a team that reaches its limit during the outage, total spending stays
 	// within 10 % above rate and burst.
@@ -28,14 +23,16 @@
 	// recentlyAtLimitWindow is how long a team counts as at its limit after the
 	// issuer has reported it.
 	recentlyAtLimitWindow = 3 * time.Second
+	// idleFairShare replaces fairShare for a holder with a standing rate. All standing
+	// rates together are the team's rate, so it is all that comes on top.
+	idleFairShare = 0.1
 )
 
 // outage is the token bucket from which a team spends while no issuer replies.
 type outage struct {
-	// rate is the average number of issued tokens spent per second, updated at
-	// averagedAt. It does not change during an outage.
-	rate       float64
-	averagedAt time.Time
+	// spending counts the issued tokens that were spent. It does not change during an
+	// outage.
+	spending average
 	// startedAt is when the outage began; zero if there is none.
 	startedAt time.Time
 	// allowedRate is the number of tokens per second during the outage.
@@ -47,33 +44,30 @@
 	room float64
 }
 
-// recordSpent adds one spent token of an issuer to the average rate.
-func (o *outage) recordSpent(now time.Time) {
-	o.decay(now)
-	o.rate += 1 / usageWindow.Seconds()
-}
-
-// decay lets the average rate decay from averagedAt to now.
-func (o *outage) decay(now time.Time) {
-	if elapsed := now.Sub(o.averagedAt); elapsed > 0 {
-		o.rate *= math.Exp(-elapsed.Seconds() / usageWindow.Seconds())
-		o.averagedAt = now
-	}
-}
+// recordSpent counts one spent token of an issuer.
+func (o *outage) recordSpent(now time.Time) { o.spending.add(now, 1) }
 
 // begin starts an outage unless one has started. fairRate is this daemon's equal
 // share of the team's rate; it sets the minimum for a daemon that has spent less
 // or has just started. atLimit is true if the team was recently at its limit.
 func (o *outage) begin(now time.Time, fairRate float64, atLimit bool) {
-	if !o.startedAt.IsZero() {
-		return
-	}
-	o.decay(now)
 	share := outageShare
 	if atLimit {
 		share = atLimitShare
 	}
-	o.allowedRate = max(o.rate*share, fairRate*fairShare)
+	o.start(now, max(o.spending.value(now)*share, fairRate*fairShare))
+}
+
+// beginStanding is begin for a holder with a recent standing rate.
+func (o *outage) beginStanding(now time.Time, standing, fairRate float64) {
+	o.start(now, max(standing, fairRate*idleFairShare))
+}
+
+func (o *outage) start(now time.Time, allowedRate float64) {
+	if !o.startedAt.IsZero() {
+		return
+	}
+	o.allowedRate = allowedRate
 	o.startedAt = now
 	o.refilledAt = now
 	o.tokens = min(o.allowedRate*outageBurst.Seconds(), 1)
--- a/internal/process/quota/outage_test.go
+++ b/internal/process/quota/outage_test.go
@@ -20,7 +20,10 @@
 	issuer *Issuer
 	team   version.Team
 	// daemons is the number of daemons that share the rate.
-	daemons  int
+	daemons int
+	// renewals is true if the holders renew. Without renewals no holder has a standing
+	// rate.
+	renewals bool
 	mu       sync.Mutex
 	isolated map[int]bool
 	admitted []time.Time
@@ -62,17 +65,62 @@
 			<-ctx.Done()
 			return nil, sentAt, fault.New(fault.QuotaUnavailable, "cut off")
 		}
-		var grants []protocol.QuotaGrant
-		for _, request := range requests {
-			grants = append(grants, lt.issuer.Grant(time.Now(), string(rune('a'+i)), request, lt.team))
-		}
-		return grants, sentAt, nil
+		return lt.grant(i, requests), sentAt, nil
 	})
 	h.EnableOutageFallback(15*time.Second, func(string) float64 { return lt.team.Rate / float64(lt.daemons) })
 	go func() { _ = h.Run(ctx) }()
+	if lt.renewals {
+		go lt.renew(ctx, h, i)
+	}
 	return h
 }
 
+func (lt *loadTest) grant(i int, requests []protocol.QuotaRequest) []protocol.QuotaGrant {
+	lt.mu.Lock()
+	issuer := lt.issuer
+	lt.mu.Unlock()
+	var grants []protocol.QuotaGrant
+	for _, request := range requests {
+		grants = append(grants, issuer.Grant(time.Now(), string(rune('a'+i))+"/1", request, lt.team))
+	}
+	return grants
+}
+
+// renew sends the token requests of renewals until ctx ends.
+func (lt *loadTest) renew(ctx context.Context, h *Holder, i int) {
+	for ctx.Err() == nil {
+		sentAt := time.Now()
+		requests := h.TokenRequests(sentAt)
+		if !lt.isIsolated(i) {
+			h.ApplyGrants(sentAt, lt.grant(i, requests))
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// replaceIssuer replaces the issuer by one that knows nothing of the earlier grants.
+func (lt *loadTest) replaceIssuer() {
+	issuer := NewIssuer()
+	issuer.Reset(time.Now())
+	lt.mu.Lock()
+	defer lt.mu.Unlock()
+	lt.issuer = issuer
+}
+
+// mostInAWindow returns the highest number of requests that were admitted in any window.
+func (lt *loadTest) mostInAWindow(window time.Duration) int {
+	lt.mu.Lock()
+	defer lt.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range lt.admitted {
+		for at.Sub(lt.admitted[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // run sends requests through each holder at perHolder requests per second for d.
 // It returns how many were sent and how many were admitted.
 func (lt *loadTest) run(holders []*Holder, perHolder float64, d time.Duration) (sent, admitted int) {
@@ -192,7 +240,7 @@
 	request := []protocol.QuotaRequest{{Team: "a", Sequence: 1, Want: 1, Waiting: 1, Immediate: 1}}
 	rate := 100.0
 	complete := func(grants ...protocol.QuotaGrant) protocol.QuotaGrant {
-		return s.Complete(epoch, request, grants, func(string) float64 { return rate })[0]
+		return s.Complete(epoch, "one/1", request, grants, func(string) float64 { return rate })[0]
 	}
 	must.Eq(t, 50, complete(protocol.QuotaGrant{Team: "a", Tokens: 50}).Tokens)
 	must.Eq(t, 1, complete().Immediate)
--- a/internal/process/quota/pool.go
+++ b/internal/process/quota/pool.go
@@ -91,8 +91,9 @@
 	surge      float64
 	averagedAt time.Time
 
-	// outage limits spending while no issuer replies.
-	outage outage
+	// outage limits spending while no issuer replies, standing says how far.
+	outage   outage
+	standing standing
 	// fairRate returns this daemon's equal share of the team's rate; nil if
 	// EnableOutageFallback was not called.
 	fairRate func(team string) float64
@@ -254,7 +255,11 @@
 // beginOutage starts an outage, because no issuer replied. Without
 // Holder.EnableOutageFallback it does nothing.
 func (p *pool) beginOutage(now time.Time) {
-	if p.fairRate != nil {
+	switch {
+	case p.fairRate == nil:
+	case p.standing.valid(now):
+		p.outage.beginStanding(now, p.standing.rate, p.fairRate(p.team))
+	default:
 		p.outage.begin(now, p.fairRate(p.team), p.recentlyAtLimit(now))
 	}
 }
@@ -272,9 +277,9 @@
 }
 
 // nextRequest returns the next token request, or false if one is in flight or there
-// is nothing to request or report. It gives back the tokens that exceed the desired
+// is nothing to request or report. A renewal also keeps the standing rate. It gives back the tokens that exceed the desired
 // number by more than a quarter and one, or all if none are desired.
-func (p *pool) nextRequest(now time.Time) (protocol.QuotaRequest, bool) {
+func (p *pool) nextRequest(now time.Time, renewal bool) (protocol.QuotaRequest, bool) {
 	if p.inFlight(now) {
 		return protocol.QuotaRequest{}, false
 	}
@@ -282,7 +287,7 @@
 	desired := p.desired(now)
 	surplus := p.trim(desired + (desired+3)/4)
 	want := max(desired-p.remaining(), 0)
-	if want == 0 && !surplus && p.spent == p.reported {
+	if want == 0 && !surplus && p.spent == p.reported && !(renewal && p.standing.rate > 0) {
 		return protocol.QuotaRequest{}, false
 	}
 	p.sequence++
@@ -297,6 +302,10 @@
 		Spent:     p.spent,
 		Remaining: p.returnable(),
 		Immediate: p.waiting,
+		Renewal:   renewal,
+	}
+	if renewal && now.Sub(p.standing.toldAt) < standingRetention {
+		request.Standing, request.StandingTotal = p.standing.rate, p.standing.total
 	}
 	return request, true
 }
@@ -343,6 +352,9 @@
 	if grant.Immediate > 0 {
 		p.batches = slices.Insert(p.batches, 0, batch{tokens: grant.Immediate, expires: from.Add(grant.ImmediateTTL), immediate: true})
 	}
+	if grant.StandingTotal > 0 {
+		p.standing = standing{rate: grant.Standing, total: grant.StandingTotal, toldAt: from}
+	}
 	p.manyRejected = p.rejected >= maxNoTokenWaiters
 	p.rejected = 0
 	p.shortAt = time.Time{}
--- a/internal/process/quota/rejection_test.go
+++ b/internal/process/quota/rejection_test.go
@@ -170,7 +170,7 @@
 	}
 	if n := len(c.substitutes); n > 0 {
 		i, _ := strconv.Atoi(name)
-		grants = c.substitutes[i%n].Complete(time.Now(), requests, grants, func(team string) float64 { return c.byName[team].Rate / float64(n) })
+		grants = c.substitutes[i%n].Complete(time.Now(), name, requests, grants, func(team string) float64 { return c.byName[team].Rate / float64(n) })
 	}
 	time.Sleep(c.oneWay)
 	return grants
--- a/internal/process/quota/substitute.go
+++ b/internal/process/quota/substitute.go
@@ -31,6 +31,8 @@
 	outage outage
 	// limitReportedAt is when the issuer last reported that the team is at its limit.
 	limitReportedAt time.Time
+	// standing holds the standing rates of the holders, and when they reported them.
+	standing map[string]standing
 }
 
 // NewSubstitute returns a Substitute for outages of at most maxOutage.
@@ -39,9 +41,9 @@
 }
 
 // Complete returns a grant for each request: that of grants if an issuer handled the
-// request, and one of its own otherwise. fairRate returns this replica's equal share
-// of a team's rate.
-func (s *Substitute) Complete(now time.Time, requests []protocol.QuotaRequest, grants []protocol.QuotaGrant, fairRate func(team string) float64) []protocol.QuotaGrant {
+// request, and one of its own otherwise. All requests are those of holder. fairRate
+// returns this replica's equal share of a team's rate.
+func (s *Substitute) Complete(now time.Time, holder string, requests []protocol.QuotaRequest, grants []protocol.QuotaGrant, fairRate func(team string) float64) []protocol.QuotaGrant {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	issued := make(map[string]protocol.QuotaGrant, len(grants))
@@ -52,6 +54,9 @@
 	for _, r := range requests {
 		g, ok := issued[r.Team]
 		t := s.team(r.Team)
+		if r.Renewal {
+			t.standing[holder] = standing{rate: r.Standing, toldAt: now}
+		}
 		if ok && handled(g) {
 			t.recordGrant(now, g)
 		} else {
@@ -70,7 +75,7 @@
 func (s *Substitute) team(name string) *substituteTeam {
 	t, ok := s.teams[name]
 	if !ok {
-		t = &substituteTeam{outage: outage{room: substituteRoom}}
+		t = &substituteTeam{outage: outage{room: substituteRoom}, standing: make(map[string]standing)}
 		s.teams[name] = t
 	}
 	return t
@@ -94,7 +99,11 @@
 	}
 	atLimit := !t.limitReportedAt.IsZero() && now.Sub(t.limitReportedAt) < recentlyAtLimitWindow
 	if t.outage.startedAt.IsZero() {
-		t.outage.begin(now, fairRate, atLimit)
+		if rate := t.standingRate(now); rate > 0 {
+			t.outage.beginStanding(now, rate, fairRate)
+		} else {
+			t.outage.begin(now, fairRate, atLimit)
+		}
 		t.outage.tokens = max(t.outage.tokens, min(fairRate, 1))
 	}
 	g := protocol.QuotaGrant{Team: r.Team, Sequence: r.Sequence, NothingToSpare: r.Immediate == 0}
@@ -110,3 +119,17 @@
 	}
 	return g
 }
+
+// standingRate returns the sum of the holders' standing rates, which this replica may
+// spend in their place.
+func (t *substituteTeam) standingRate(now time.Time) float64 {
+	sum := 0.0
+	for holder, s := range t.standing {
+		if !s.valid(now) {
+			delete(t.standing, holder)
+			continue
+		}
+		sum += s.rate
+	}
+	return sum
+}
