Placement: a request moves in place of its calls

Cause: where the called service is full or absent in a failure domain, the request stayed there and its four calls crossed one by one.

Change: a daemon reports the load of the services that requests of a route call in its failure domain; that load counts when a target is chosen for the route.

Result: TestRequestMovesInsteadOfItsCalls.

Ruled out: nothing.

--- a/internal/process/balancing/balancer.go
+++ b/internal/process/balancing/balancer.go
@@ -14,6 +14,10 @@
 	// leavingStaleAfter is the same for a target that has said that it leaves. It may
 	// be listed again while the control replicas have not learned of that.
 	leavingStaleAfter = 10 * time.Minute
+	// absentLoad is the load of a service without a target in the failure domain, and
+	// maxDomainLoad the highest load of one with a target there.
+	absentLoad    = 1.0
+	maxDomainLoad = 2.0
 )
 
 // Balancer selects targets by the state that this daemon has observed, kept
@@ -49,9 +53,9 @@
 	service *serviceTargets
 }
 
-// Choose returns a target of the service other than the excluded instances. ok
-// is false if there is none; otherwise the caller must call Ended once.
-func (b *Balancer) Choose(now time.Time, service string, excluded []string) (c Choice, ok bool) {
+// Choose returns a target of the service for a request of a route, other than the excluded
+// instances. ok is false if there is none; otherwise the caller must call Ended once.
+func (b *Balancer) Choose(now time.Time, service, route string, excluded []string) (c Choice, ok bool) {
 	records := b.List(service)
 	s := b.service(service)
 	s.mu.Lock()
@@ -60,12 +64,12 @@
 	states := make([]*targetState, len(records))
 	for i, r := range records {
 		states[i] = s.update(now, r, b.FailureDomain)
+		states[i].selectRoute(now, route)
 		targets[i] = &states[i].Target
 	}
 	s.removeStale(now)
 	at := Choose(now, targets, func(i int) bool {
-		r := records[i]
-		return r.DaemonLeaving || r.State == protocol.Leaving || states[i].isLeaving(r.Incarnation) || contains(excluded, r.Instance)
+		return states[i].unusable(records[i]) || contains(excluded, records[i].Instance)
 	}, rand.IntN)
 	if at < 0 {
 		return Choice{}, false
@@ -74,6 +78,40 @@
 	return Choice{Record: records[at], target: states[at], service: s}, true
 }
 
+// unusable reports whether the target gets no more requests because it or its daemon
+// leaves.
+func (t *targetState) unusable(r protocol.TargetRecord) bool {
+	return r.DaemonLeaving || r.State == protocol.Leaving || t.isLeaving(r.Incarnation)
+}
+
+// DomainLoad returns the load of a service in the failure domain of this daemon: that of the
+// least loaded target there, or absentLoad if there is none. It is 0 for a service that has
+// no targets anywhere.
+func (b *Balancer) DomainLoad(now time.Time, service string) float64 {
+	records := b.List(service)
+	if len(records) == 0 {
+		return 0
+	}
+	s := b.service(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	least, found := maxDomainLoad, false
+	for _, r := range records {
+		if r.FailureDomain != b.FailureDomain {
+			continue
+		}
+		state := s.update(now, r, b.FailureDomain)
+		if !state.unusable(r) {
+			found = true
+			least = min(least, state.Load(now))
+		}
+	}
+	if !found {
+		return absentLoad
+	}
+	return least
+}
+
 func contains(names []string, name string) bool {
 	for _, n := range names {
 		if n == name {
--- a/internal/process/balancing/balancing_test.go
+++ b/internal/process/balancing/balancing_test.go
@@ -83,11 +83,11 @@
 		{Service: "s", Instance: "c", FailureDomain: "y", State: protocol.Warm, Slots: 1},
 	}
 	b := &Balancer{FailureDomain: "z", List: func(string) []protocol.TargetRecord { return records }}
-	choice, ok := b.Choose(time.Unix(1, 0), "s", nil)
+	choice, ok := b.Choose(time.Unix(1, 0), "s", "r", nil)
 	must.True(t, ok)
 	must.Eq(t, "c", choice.Record.Instance)
 	choice.Ended()
-	_, ok = b.Choose(time.Unix(1, 0), "s", []string{"c"})
+	_, ok = b.Choose(time.Unix(1, 0), "s", "r", []string{"c"})
 	must.False(t, ok)
 }
 
@@ -101,3 +101,35 @@
 	targets[0].RecordLoad(now, 1.1, 0)
 	must.Eq(t, 1, Choose(now, targets, excludeNone, seededDraw()))
 }
+
+// TestRequestMovesInsteadOfItsCalls replays a failure domain whose deep service is full, or
+// gone: a request that makes several calls to it moves to another failure domain, so that
+// one message crosses instead of one for each call. Requests of other routes stay.
+func TestRequestMovesInsteadOfItsCalls(t *testing.T) {
+	now := time.Unix(1, 0)
+	records := map[string][]protocol.TargetRecord{
+		"upper": {{Instance: "a", FailureDomain: "z", Slots: 10}, {Instance: "b", FailureDomain: "y", Slots: 10}},
+		"deep":  {{Instance: "c", FailureDomain: "z", Slots: 10}, {Instance: "d", FailureDomain: "y", Slots: 10}},
+		"far":   {{Instance: "e", FailureDomain: "y", Slots: 10}},
+	}
+	b := &Balancer{FailureDomain: "z", List: func(service string) []protocol.TargetRecord { return records[service] }}
+	choose := func(service, route string) Choice {
+		choice, ok := b.Choose(now, service, route, nil)
+		must.True(t, ok)
+		choice.Ended()
+		return choice
+	}
+	must.Eq(t, 0, b.DomainLoad(now, "none"))
+	must.Eq(t, absentLoad, b.DomainLoad(now, "far"))
+	must.Eq(t, 0, b.DomainLoad(now, "deep"))
+	choose("deep", "call").Update(func(deep *Target) { deep.RecordLoad(now, 1.2, 0) })
+	must.Eq(t, 1.2, b.DomainLoad(now, "deep"))
+
+	upper := choose("upper", "with calls")
+	must.Eq(t, "a", upper.Record.Instance)
+	upper.Update(func(u *Target) { u.RecordCalledLoad(now, "with calls", 1.2) })
+	must.Eq(t, "b", choose("upper", "with calls").Record.Instance)
+	must.Eq(t, "a", choose("upper", "without").Record.Instance)
+	now = now.Add(time.Second)
+	must.Eq(t, "a", choose("upper", "with calls").Record.Instance, must.Sprint("the report is old"))
+}
--- a/internal/process/balancing/target.go
+++ b/internal/process/balancing/target.go
@@ -45,9 +45,13 @@
 	// Cold is true for a cold target, whose load counts 1 higher.
 	Cold bool
 
-	outstanding    int
-	reported       float64 // load plus the shed level, as of reportedAt
-	reportedAt     time.Time
+	outstanding int
+	reported    float64 // load plus the shed level, as of reportedAt
+	reportedAt  time.Time
+	// byRoute holds the loads of the services that requests of a route call. calledLoad
+	// is the one that counts for the request at hand.
+	byRoute        map[string]calledLoad
+	calledLoad     float64
 	failures       float64 // 0 to 1
 	failedAt       time.Time
 	penalizedUntil time.Time
@@ -74,6 +78,28 @@
 	t.reportedAt = now
 }
 
+// calledLoad is the load of the services that requests of a route call.
+type calledLoad struct {
+	load float64
+	at   time.Time
+}
+
+// RecordCalledLoad records what the target's daemon reported for a route whose requests
+// make several calls each: the load of the called service in the target's failure domain.
+// Where that is full or absent, one request moves instead of all its calls.
+func (t *Target) RecordCalledLoad(now time.Time, route string, load float64) {
+	if t.byRoute == nil {
+		t.byRoute = make(map[string]calledLoad)
+	}
+	t.byRoute[route] = calledLoad{load, now}
+}
+
+// selectRoute makes the load of the services that requests of a route call count.
+func (t *Target) selectRoute(now time.Time, route string) {
+	called := t.byRoute[route]
+	t.calledLoad = called.load * decay(now.Sub(called.at), reportHalfLife)
+}
+
 // RecordResult updates the failure rate with the result of one request.
 func (t *Target) RecordResult(now time.Time, failed bool) {
 	t.failures = t.Failures(now)
@@ -101,10 +127,11 @@
 // other targets do not share, for a cold target and for a penalized one.
 func (t *Target) Load(now time.Time) float64 { return t.usage(now) + t.handicap(now) }
 
-// usage returns the estimated requests per slot.
+// usage returns the estimated requests per slot, at the target or at the services that
+// the request will call.
 func (t *Target) usage(now time.Time) float64 {
 	slots := float64(max(t.Slots, 1))
-	return max(float64(t.outstanding)/slots, t.reported*decay(now.Sub(t.reportedAt), reportHalfLife))
+	return max(float64(t.outstanding)/slots, t.reported*decay(now.Sub(t.reportedAt), reportHalfLife), t.calledLoad)
 }
 
 // handicap returns what is added to the usage of a target because its requests may fail
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -184,17 +184,18 @@
 		Received:      func(address string, bytes int) { n.traffic.Add(address, traffic.Response, bytes) },
 	})
 	n.targetClient = http1.NewClient(http1.Options{IDHeader: t.HeaderNames.RequestID})
+	balancer := &balancing.Balancer{FailureDomain: n.options.FailureDomain, List: n.registry.Targets}
 	levels := new(shedding.Levels)
 	callGraph := new(shedding.CallGraph)
 	n.peerHandler = &relay.PeerHandler{
-		Levels: levels, CallGraph: callGraph,
+		Levels: levels, CallGraph: callGraph, Balancer: balancer,
 		HeaderNames: t.HeaderNames, Service: t.Service, Address: t.Target, Target: n.target,
 		TargetClient: n.targetClient, Quarantine: n.quarantine, Log: n.log, Stats: n.stats,
 	}
 	n.entryHandler = &relay.EntryHandler{
 		HeaderNames: t.HeaderNames, Instance: n.options.Instance, Service: t.Service,
 		Configuration: n.configuration, Quota: n.quota,
-		Balancer: &balancing.Balancer{FailureDomain: n.options.FailureDomain, List: n.registry.Targets},
+		Balancer: balancer,
 		RetryBudget: retrybudget.New(retrybudget.Options{
 			Ratio: t.RetryRatio, Window: t.RetryWindow, Slack: t.RetrySlack, Processes: n.processes,
 		}),
--- a/internal/process/shedding/call_graph.go
+++ b/internal/process/shedding/call_graph.go
@@ -33,6 +33,8 @@
 	running map[uint64]*parent
 	lastID  uint64
 	routes  map[string]*callCounts
+	// services holds the service that the last call of a route was for.
+	services map[string]string
 }
 
 // parent is a running request that may be the parent of a call.
@@ -69,6 +71,7 @@
 	if c.running == nil {
 		c.running = make(map[uint64]*parent)
 		c.routes = make(map[string]*callCounts)
+		c.services = make(map[string]string)
 	}
 	c.lastID++
 	id := c.lastID
@@ -81,10 +84,10 @@
 	}
 }
 
-// ObserveCall records a call of route that the local target makes, with the
-// call's deadline. It returns what is known of the call from the candidate with the
+// ObserveCall records a call of route, for a service, that the local target makes, with
+// the call's deadline. It returns what is known of the call from the candidate with the
 // nearest deadline.
-func (c *CallGraph) ObserveCall(now time.Time, route string, deadline time.Time) Call {
+func (c *CallGraph) ObserveCall(now time.Time, route, service string, deadline time.Time) Call {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var nearest *parent
@@ -103,6 +106,7 @@
 	if nearest == nil {
 		return Call{Remaining: 1}
 	}
+	c.services[route] = service
 	nearest.calls++
 	return Call{Repeat: nearest.repeat, Remaining: c.remaining(now, nearest)}
 }
@@ -143,6 +147,13 @@
 	return perRequest
 }
 
+// Service returns the service that a called route is for.
+func (c *CallGraph) Service(route string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.services[route]
+}
+
 // counts returns the counts of a route, decayed up to now.
 func (c *CallGraph) counts(now time.Time, route string) *callCounts {
 	counts, ok := c.routes[route]
--- a/internal/process/shedding/shedding_test.go
+++ b/internal/process/shedding/shedding_test.go
@@ -217,7 +217,7 @@
 				if rng.IntN(3) == 0 {
 					deadline = now.Add(700 * time.Millisecond)
 				}
-				c.ObserveCall(now, "called", deadline)
+				c.ObserveCall(now, "called", "s", deadline)
 			}
 		}
 		running = kept
@@ -329,7 +329,7 @@
 		deadline := now.Add(5 * time.Second)
 		end := c.Begin(now, "caller", deadline, n%2 == 1)
 		for k := range 4 {
-			call := c.ObserveCall(now, "called", deadline.Truncate(time.Millisecond))
+			call := c.ObserveCall(now, "called", "s", deadline.Truncate(time.Millisecond))
 			must.Eq(t, n%2 == 1, call.Repeat)
 			if n >= 20 {
 				must.Between(t, float64(3-k)/4-0.05, call.Remaining, float64(3-k)/4+0.05)
@@ -337,7 +337,7 @@
 		}
 		end()
 	}
-	must.Eq(t, Call{Remaining: 1}, c.ObserveCall(now, "called", now.Add(time.Minute)), must.Sprint("no request has that deadline"))
+	must.Eq(t, Call{Remaining: 1}, c.ObserveCall(now, "called", "s", now.Add(time.Minute)), must.Sprint("no request has that deadline"))
 }
 
 // TestLevelEndsWhenTargetsTurnWarm replays a power failure: all targets are cold for three
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -64,7 +64,7 @@
 var strippedHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-	headerMetadata, headerErrorKind, headerLoad, headerRetryAfter, headerShedLevel, headerShedLevelEnds, headerStatement,
+	headerMetadata, headerErrorKind, headerLoad, headerRetryAfter, headerShedLevel, headerShedLevelEnds, headerCalledLoad, headerStatement,
 }
 
 // forwardedHeaders returns a copy of h without strippedHeaders and without the
@@ -97,6 +97,9 @@
 	// of the work on the target that should be shed, between 0 and 1.
 	Load      float64
 	ShedLevel float64
+	// CalledLoad is the load of the services that requests of the route call; 0 if it
+	// is low or not reported.
+	CalledLoad float64
 	// Statement is what the target says about itself.
 	Statement protocol.Statement
 	// source is closed once the response has been forwarded. It is nil if the
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -32,6 +33,8 @@
 	// maxLevelEnd is the longest time for which the level of a cold target applies
 	// without being reported again.
 	maxLevelEnd = 30 * time.Second
+	// maxCalledLoad is the highest load of called services that a daemon reports.
+	maxCalledLoad = 100
 )
 
 // Configuration provides the configuration state that this daemon holds.
@@ -159,7 +162,7 @@
 // count counts the request in the call graph and the retry budget.
 func (e *EntryHandler) count(req *inboundRequest) {
 	if req.fromTarget {
-		req.call = e.CallGraph.ObserveCall(req.receivedAt, req.route.Name, req.callerDeadline)
+		req.call = e.CallGraph.ObserveCall(req.receivedAt, req.route.Name, req.service, req.callerDeadline)
 	}
 	if req.call.Repeat {
 		e.RetryBudget.CountRepeat(req.receivedAt, req.service)
@@ -239,7 +242,7 @@
 func (e *EntryHandler) send(ctx context.Context, req *inboundRequest) (*Response, error) {
 	var history attempts
 	for {
-		choice, ok := e.Balancer.Choose(time.Now(), req.service, history.excluded)
+		choice, ok := e.Balancer.Choose(time.Now(), req.service, req.route.Name, history.excluded)
 		if !ok {
 			return nil, history.failure(fault.New(fault.NoTarget, "no target of service %s is available", req.service))
 		}
@@ -288,6 +291,7 @@
 	choice.Update(func(t *balancing.Target) {
 		if response != nil && response.Load >= 0 {
 			t.RecordLoad(now, response.Load, response.ShedLevel)
+			t.RecordCalledLoad(now, req.route.Name, response.CalledLoad)
 		}
 		if response != nil {
 			t.RecordStatement(now, response.Statement)
@@ -356,6 +360,7 @@
 		if response != nil {
 			response.Load = e.Local.Target.Load()
 			response.ShedLevel = e.Local.Target.Bottleneck().Level
+			response.CalledLoad = e.Local.CalledLoad(m.Route)
 		}
 		return response, err
 	}
@@ -381,6 +386,10 @@
 		return nil, readPeerError(resp, kind, retryAfter)
 	}
 	notRun := resp.Header.Get(e.HeaderNames.NotRun) != ""
+	calledLoad, err := readCalledLoad(resp.Header)
+	if err != nil {
+		e.Log.Warn("malformed load in a response", zap.String("request", m.RequestID), zap.Error(err))
+	}
 	response, err := newResponse(resp)
 	if err != nil {
 		return nil, err
@@ -390,6 +399,7 @@
 		response.ShedLevel = bottleneck.Level
 	}
 	response.NotRun = notRun
+	response.CalledLoad = calledLoad
 	if response.Statement, err = readPeerStatement(resp.Header); err != nil {
 		e.Log.Warn("malformed statement in a response", zap.String("request", m.RequestID), zap.Error(err))
 	}
@@ -437,10 +447,24 @@
 	return bottleneck, nil
 }
 
+// readCalledLoad returns the load of called services that a daemon reports, or 0 if it
+// reports none.
+func readCalledLoad(h http.Header) (float64, error) {
+	text := h.Get(headerCalledLoad)
+	if text == "" {
+		return 0, nil
+	}
+	load, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(load) || load < 0 || load > maxCalledLoad {
+		return 0, fmt.Errorf("malformed load %q of called services", text)
+	}
+	return load, nil
+}
+
 // loadReportBytes returns the size of the headers that report load and shedding.
 func loadReportBytes(h http.Header) int {
 	size := 0
-	for _, name := range []string{headerLoad, headerShedLevel, headerShedLevelEnds} {
+	for _, name := range []string{headerLoad, headerShedLevel, headerShedLevelEnds, headerCalledLoad} {
 		for _, value := range h[name] {
 			size += len(name) + len(": ") + len(value) + len("\r\n")
 		}
--- a/internal/request/relay/header_names.go
+++ b/internal/request/relay/header_names.go
@@ -53,4 +53,7 @@
 	headerStatement  = "Teaselrack-Statement" // a protocol.Statement, if not empty
 	// headerShedLevelEnds is the EndsIn of the shedding.Bottleneck, in milliseconds.
 	headerShedLevelEnds = "Teaselrack-Level-Ends"
+	// headerCalledLoad is the load of the services that the request calls, in requests
+	// per slot, where that may decide on the target.
+	headerCalledLoad = "Teaselrack-Calls-Load"
 )
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -12,15 +12,23 @@
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/balancing"
 	"github.com/teaselrack/teaselrack/internal/process/limiter"
 	"github.com/teaselrack/teaselrack/internal/process/local"
 	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/shedding"
 )
 
-// minReportedLevel is the lowest shedding level that responses report. Nothing
-// is shed for a lower one.
-const minReportedLevel = 0.005
+const (
+	// minReportedLevel is the lowest shedding level that responses report. Nothing
+	// is shed for a lower one.
+	minReportedLevel = 0.005
+	// minReportedCalledLoad is the lowest load of called services that responses report.
+	minReportedCalledLoad = 0.5
+	// minCallsToMove is the number of calls to a service that a request must make for
+	// that service's load to count: moving the request then saves messages.
+	minCallsToMove = 2
+)
 
 // PeerHandler admits requests and sends them to the local target.
 type PeerHandler struct {
@@ -31,8 +39,10 @@
 	Target  *local.Target
 	// Levels and CallGraph give the shedding level of the services that the
 	// target calls.
-	Levels       *shedding.Levels
-	CallGraph    *shedding.CallGraph
+	Levels    *shedding.Levels
+	CallGraph *shedding.CallGraph
+	// Balancer tells the load of the services that the target calls.
+	Balancer     *balancing.Balancer
 	TargetClient *http1.Client
 	// Quarantine holds the requests that no target may get.
 	Quarantine *quarantine.List
@@ -88,9 +98,25 @@
 			h.Set(headerShedLevelEnds, strconv.FormatInt(bottleneck.EndsIn.Milliseconds(), 10))
 		}
 	}
+	if load := p.CalledLoad(m.Route); load >= minReportedCalledLoad {
+		h.Set(headerCalledLoad, strconv.FormatFloat(load, 'f', 2, 64))
+	}
 	h["Date"] = nil
 }
 
+// CalledLoad returns the highest load, in this failure domain, of the services to which
+// each request of a route makes several calls. It is 0 if there are none.
+func (p *PeerHandler) CalledLoad(route string) float64 {
+	now := time.Now()
+	highest := 0.0
+	for called, n := range p.CallGraph.CallsPerRequest(now, route) {
+		if n >= minCallsToMove {
+			highest = max(highest, p.Balancer.DomainLoad(now, p.CallGraph.Service(called)))
+		}
+	}
+	return highest
+}
+
 // Bottleneck returns the bottleneck that responses to requests of a route report:
 // the service with the highest shedding level among the local target's and those
 // that the route's requests call.
@@ -193,6 +219,10 @@
 		p.logFailure(m, content, slot.ID, time.Since(began), err)
 		return nil, err
 	}
+	if !response.succeeded() {
+		p.Log.Info("target failed the request", zap.String("request", m.RequestID), zap.String("service", m.Service), zap.Bool("call", m.FromTarget),
+			zap.String("target", slot.ID), zap.Int("status", response.Status), zap.Bool("not_run", response.NotRun), zap.Duration("took", time.Since(began)))
+	}
 	response.onComplete(func(err error) {
 		slot.Ran = response.succeeded()
 		slot.Done(err)
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -210,6 +210,7 @@
 func (m *mesh) newPeerHandler(name, service, address string, list *quarantine.List, levels *shedding.Levels, callGraph *shedding.CallGraph) (*local.Target, *PeerHandler) {
 	target := m.newTarget(name, service, address, list)
 	return target, &PeerHandler{
+		Balancer:    &balancing.Balancer{FailureDomain: "z", List: m.list},
 		HeaderNames: DefaultNames(), Service: service, Address: address, Target: target, Levels: levels, CallGraph: callGraph,
 		TargetClient: http1.NewClient(m.clientOptions(http1.Options{IDHeader: "Teaselrack-Request"})), Quarantine: list, Log: zap.NewNop(), Stats: NewStats(),
 	}
--- a/internal/request/relay/retry_after_test.go
+++ b/internal/request/relay/retry_after_test.go
@@ -33,6 +33,11 @@
 		must.Error(t, err, must.Sprint(ends))
 		must.Eq(t, "", bottleneck.Service)
 	}
+	for _, load := range []string{"x", "NaN", "-1", "1e9", "+Inf"} {
+		got, err := readCalledLoad(http.Header{headerCalledLoad: {load}})
+		must.Error(t, err, must.Sprint(load))
+		must.Eq(t, 0, got)
+	}
 	bottleneck, err := readBottleneck(http.Header{headerShedLevel: {"0.9 1000 s"}, headerShedLevelEnds: {"999999999"}})
 	must.NoError(t, err)
 	must.Eq(t, maxLevelEnd, bottleneck.EndsIn)
