--- a/cmd/teaselrack/logs.go
+++ b/cmd/teaselrack/logs.go
@@ -1,18 +1,25 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/operate"
 )
 
-// logs prints the log lines of one request from the logs of several processes.
+// logs prints the log lines of one request from the logs of several processes, or a summary
+// of all refusals and failures in them.
 type logs struct {
 	global  *globalOptions
-	Request string `long:"request" required:"yes" value-name:"ID" description:"id of the request"`
+	Request string        `long:"request" value-name:"ID" description:"id of the request"`
+	Summary bool          `long:"summary" description:"count refusals and failures by reason, service and time"`
+	Bucket  time.Duration `long:"bucket" default:"2s" value-name:"TIME" description:"length of a time bucket of the summary"`
+	JSON    bool          `long:"json" description:"print the summary as JSON"`
+	Plot    bool          `long:"plot" description:"print the summary as a plot over time"`
 	Args    struct {
 		Files []string `positional-arg-name:"FILE" required:"1" description:"logs of processes, one file each or joined"`
 	} `positional-args:"yes" required:"yes"`
@@ -20,6 +27,12 @@
 
 // Execute implements flags.Commander.
 func (c *logs) Execute([]string) error {
+	switch {
+	case c.Summary == (c.Request != ""):
+		return usageError("name one request with --request, or count all with --summary")
+	case c.JSON && c.Plot || (c.JSON || c.Plot) && !c.Summary:
+		return usageError("--json and --plot are two forms of the --summary")
+	}
 	readers := make(map[string]io.Reader, len(c.Args.Files))
 	for _, name := range c.Args.Files {
 		file, err := os.Open(name)
@@ -29,6 +42,13 @@
 		defer func() { _ = file.Close() }()
 		readers[name] = file
 	}
+	if c.Summary {
+		return c.printSummary(readers)
+	}
+	return c.printRequest(readers)
+}
+
+func (c *logs) printRequest(readers map[string]io.Reader) error {
 	lines, err := operate.FilterRequest(c.Request, readers)
 	if err != nil {
 		return err
@@ -43,3 +63,17 @@
 	}
 	return nil
 }
+
+func (c *logs) printSummary(readers map[string]io.Reader) error {
+	summary, err := operate.Summarize(readers, c.Bucket)
+	if err != nil {
+		return err
+	}
+	switch {
+	case c.JSON:
+		return json.NewEncoder(c.global.out).Encode(summary)
+	case c.Plot:
+		return summary.WritePlot(c.global.out)
+	}
+	return summary.WriteTable(c.global.out)
+}
--- a/cmd/teaselrack/run.go
+++ b/cmd/teaselrack/run.go
@@ -95,7 +95,7 @@
 		{"export", "Write the state in force as a release note", &export{global: g}, nil},
 		{"status", "Show replicas, daemons and targets", &status{global: g}, nil},
 		{"timeline", "Show the events of all processes in causal order", &timeline{global: g}, nil},
-		{"logs", "Follow one request through the logs of several processes", &logs{global: g}, nil},
+		{"logs", "Follow one request through the logs of several processes, or count what failed in them", &logs{global: g}, nil},
 		{"version", "Show the version of this command", &versionCommand{global: g}, nil},
 	}
 }
