Retries: an idempotent request that a target failed goes to another one

Change: such a request is sent to another target if as much time is left as the first one took, within the retry budget; if that fails too, the first response is passed on.

Result: TestFailedRequestIsRepeated, TestLateFailureIsNotRepeated.

Ruled out: nothing.

--- a/internal/request/relay/attempts.go
+++ b/internal/request/relay/attempts.go
@@ -19,14 +19,25 @@
 	mayHaveRun bool
 	// lastErr is the error of the last attempt.
 	lastErr error
+	// failed is the complete response of a target that failed the request.
+	failed *Response
 }
 
-// add records one attempt at the daemon of an instance. If err is nil,
-// response is a rejection by the target.
+// add records one attempt at the daemon of an instance. If err is nil, response is that
+// of a target that rejected or failed the request. add closes it.
 func (a *attempts) add(instance string, response *Response, err error) {
+	if response != nil {
+		response.Close(nil)
+	}
 	a.excluded = append(a.excluded, instance)
 	a.forwards++
 	a.lastErr = err
+	if err == nil && !response.NotRun {
+		a.delivered++
+		a.mayHaveRun = true
+		a.failed = response
+		return
+	}
 	if err == nil {
 		a.delivered++
 		a.lastErr = withRetryAfter(fault.New(fault.Overloaded, "the target rejected the request with status %d", response.Status), 0)
@@ -38,13 +49,13 @@
 	}
 }
 
-// finalError returns the error for a request that is not retried. It closes
-// response, which is that of the last attempt and may be nil.
-func finalError(a *attempts, response *Response) (*Response, error) {
-	if response != nil {
-		response.Close(nil)
+// result returns what to respond to a request that is not retried: the response of a target
+// that failed it, or an error. err is the error if there was no attempt.
+func (a *attempts) result(err error) (*Response, error) {
+	if a.failed != nil {
+		return a.failed, nil
 	}
-	return nil, a.failure(a.lastErr)
+	return nil, a.failure(err)
 }
 
 // failure returns the error to respond with: that of the last attempt, or err
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -33,6 +33,9 @@
 	// maxLevelEnd is the longest time for which the level of a cold target applies
 	// without being reported again.
 	maxLevelEnd = 30 * time.Second
+	// maxCommonFailures is the failure rate of the best target of a service above which
+	// failed requests are not repeated.
+	maxCommonFailures = 0.2
 	// maxCalledLoad is the highest load of called services that a daemon reports.
 	maxCalledLoad = 100
 )
@@ -238,29 +241,50 @@
 }
 
 // send forwards the request to one target after the other, until one responds
-// or no further attempt is allowed.
+// or no further attempt is allowed. If a target fails the request and the repeat brings no
+// response, that of the first one is returned.
 func (e *EntryHandler) send(ctx context.Context, req *inboundRequest) (*Response, error) {
 	var history attempts
 	for {
 		choice, ok := e.Balancer.Choose(time.Now(), req.service, req.route.Name, history.excluded)
 		if !ok {
-			return nil, history.failure(fault.New(fault.NoTarget, "no target of service %s is available", req.service))
+			return history.result(fault.New(fault.NoTarget, "no target of service %s is available", req.service))
 		}
+		began := time.Now()
 		response, err := e.attempt(ctx, req, choice, history.delivered > 0)
-		if err == nil && !response.NotRun {
+		ran := err == nil && !response.NotRun
+		if ran && (response.succeeded() || response.rest != nil) {
 			return response, nil
 		}
 		history.add(choice.Record.Instance, response, err)
-		if !e.mayRetry(ctx, req, &history, response, err) {
-			return finalError(&history, response)
+		retry := false
+		if ran {
+			retry = e.mayRepeatFailed(ctx, req, &history, time.Since(began))
+		} else {
+			retry = e.mayRetry(ctx, req, &history, response, err)
 		}
-		if response != nil {
-			response.Close(nil)
+		if !retry {
+			return history.result(nil)
 		}
 		e.Log.Debug("request retried on another target", zap.String("request", req.id), zap.String("after", choice.Record.Instance), zap.Int("offers", history.forwards))
 	}
 }
 
+// mayRepeatFailed reports whether a request that a target ran and failed may be sent to
+// another one, and takes a token from the retry budget for that. Where all targets fail, a
+// repeat would fail too and take the budget of the calls below. took is the time that the
+// target took; a repeat needs as much again.
+func (e *EntryHandler) mayRepeatFailed(ctx context.Context, req *inboundRequest, history *attempts, took time.Duration) bool {
+	if req.route.Mode != version.Idempotent || req.body.rest != nil || ctx.Err() != nil || history.forwards >= maxForwards {
+		return false
+	}
+	now := time.Now()
+	if history.delivered > req.route.Retries || now.Add(took).After(req.deadline) || e.Balancer.CommonFailures(now, req.service) > maxCommonFailures {
+		return false
+	}
+	return e.RetryBudget.Take(now, req.service, req.call.Remaining)
+}
+
 // mayRetry reports whether the request may be sent to another target. If a
 // target may have received the request, the retry takes a token from the retry
 // budget.
