Placement: the load of called services fades slower

Cause: requests that stay away from a failure domain bring no report of its called services; with a half-life of 300 ms they went back and forth.

Change: half-life 1 s; a service without a target in the failure domain counts as a load of 2.

Ruled out: nothing.

--- a/internal/process/balancing/balancer.go
+++ b/internal/process/balancing/balancer.go
@@ -16,7 +16,7 @@
 	leavingStaleAfter = 10 * time.Minute
 	// absentLoad is the load of a service without a target in the failure domain, and
 	// maxDomainLoad the highest load of one with a target there.
-	absentLoad    = 1.0
+	absentLoad    = 2.0
 	maxDomainLoad = 2.0
 )
 
--- a/internal/process/balancing/target.go
+++ b/internal/process/balancing/target.go
@@ -25,6 +25,9 @@
 	maxHandicap = 0.6
 	// reportHalfLife is the half-life of a reported load.
 	reportHalfLife = 300 * time.Millisecond
+	// calledHalfLife is the half-life of the reported load of called services. Requests
+	// that stay away bring no new report.
+	calledHalfLife = time.Second
 	// failureHalfLife is the half-life of the failure rate.
 	failureHalfLife = 2 * time.Second
 	// failureWeight is the load added for a target that fails every request, and
@@ -97,7 +100,7 @@
 // selectRoute makes the load of the services that requests of a route call count.
 func (t *Target) selectRoute(now time.Time, route string) {
 	called := t.byRoute[route]
-	t.calledLoad = called.load * decay(now.Sub(called.at), reportHalfLife)
+	t.calledLoad = called.load * decay(now.Sub(called.at), calledHalfLife)
 }
 
 // RecordResult updates the failure rate with the result of one request.
