--- a/internal/process/quota/outage.go
+++ b/internal/process/quota/outage.go
@@ -35,8 +35,9 @@
 	spending average
 	// startedAt is when the outage began; zero if there is none.
 	startedAt time.Time
-	// allowedRate is the number of tokens per second during the outage.
-	allowedRate float64
+	// allowedRate is the number of tokens per second during the outage. standingRate, if
+	// it is not 0, replaces it for maxStandingOutage.
+	allowedRate, standingRate float64
 	// refilledAt is when tokens was last refilled.
 	refilledAt time.Time
 	tokens     float64
@@ -51,26 +52,36 @@
 // share of the team's rate; it sets the minimum for a daemon that has spent less
 // or has just started. atLimit is true if the team was recently at its limit.
 func (o *outage) begin(now time.Time, fairRate float64, atLimit bool) {
+	if !o.startedAt.IsZero() {
+		return
+	}
 	share := outageShare
 	if atLimit {
 		share = atLimitShare
 	}
-	o.start(now, max(o.spending.value(now)*share, fairRate*fairShare))
-}
-
-// beginStanding is begin for a holder with a recent standing rate.
-func (o *outage) beginStanding(now time.Time, standing, fairRate float64) {
-	o.start(now, max(standing, fairRate*idleFairShare))
+	o.allowedRate = max(o.spending.value(now)*share, fairRate*fairShare)
+	o.startedAt = now
+	o.refilledAt = now
+	o.standingRate = 0
+	o.tokens = min(o.allowedRate*outageBurst.Seconds(), 1)
 }
 
-func (o *outage) start(now time.Time, allowedRate float64) {
+// beginStanding is begin for a holder with a recent standing rate, which replaces the
+// allowed rate for maxStandingOutage.
+func (o *outage) beginStanding(now time.Time, standing, fairRate float64, atLimit bool) {
 	if !o.startedAt.IsZero() {
 		return
 	}
-	o.allowedRate = allowedRate
-	o.startedAt = now
-	o.refilledAt = now
-	o.tokens = min(o.allowedRate*outageBurst.Seconds(), 1)
+	o.begin(now, fairRate, atLimit)
+	o.standingRate = max(standing, fairRate*idleFairShare)
+}
+
+// rate returns the number of tokens per second that may be spent at now.
+func (o *outage) rate(now time.Time) float64 {
+	if o.standingRate > 0 && now.Sub(o.startedAt) < maxStandingOutage {
+		return o.standingRate
+	}
+	return o.allowedRate
 }
 
 // end ends the outage after an issuer has replied.
@@ -82,8 +93,9 @@
 	if o.startedAt.IsZero() || now.Sub(o.startedAt) >= maxOutage {
 		return false
 	}
-	capacity := max(o.allowedRate*outageBurst.Seconds(), o.room, 1)
-	o.tokens = min(o.tokens+o.allowedRate*now.Sub(o.refilledAt).Seconds(), capacity)
+	rate := o.rate(now)
+	capacity := max(rate*outageBurst.Seconds(), o.room, 1)
+	o.tokens = min(o.tokens+rate*now.Sub(o.refilledAt).Seconds(), capacity)
 	o.refilledAt = now
 	if o.tokens < 1 {
 		return false
@@ -95,9 +107,9 @@
 // nextToken returns the time from the last refill until the bucket has a token, at
 // most maxWait.
 func (o *outage) nextToken() time.Duration {
-	missing := 1 - o.tokens
-	if missing > o.allowedRate*maxWait.Seconds() {
+	missing, rate := 1-o.tokens, o.rate(o.refilledAt)
+	if missing > rate*maxWait.Seconds() {
 		return maxWait
 	}
-	return time.Duration(missing / o.allowedRate * float64(time.Second))
+	return time.Duration(missing / rate * float64(time.Second))
 }
--- a/internal/process/quota/pool.go
+++ b/internal/process/quota/pool.go
@@ -258,7 +258,7 @@
 	switch {
 	case p.fairRate == nil:
 	case p.standing.valid(now):
-		p.outage.beginStanding(now, p.standing.rate, p.fairRate(p.team))
+		p.outage.beginStanding(now, p.standing.rate, p.fairRate(p.team), p.recentlyAtLimit(now))
 	default:
 		p.outage.begin(now, p.fairRate(p.team), p.recentlyAtLimit(now))
 	}
--- a/internal/process/quota/substitute.go
+++ b/internal/process/quota/substitute.go
@@ -100,7 +100,7 @@
 	atLimit := !t.limitReportedAt.IsZero() && now.Sub(t.limitReportedAt) < recentlyAtLimitWindow
 	if t.outage.startedAt.IsZero() {
 		if rate := t.standingRate(now); rate > 0 {
-			t.outage.beginStanding(now, rate, fairRate)
+			t.outage.beginStanding(now, rate, fairRate, atLimit)
 		} else {
 			t.outage.begin(now, fairRate, atLimit)
 		}
