Variants: rows are printed as they are measured; linter and comments

Cause: the table of tools/variant came after all plays, so that an interrupted run left nothing. golangci-lint failed on a value that was assigned and never used.

Result: go test of tools, relay and quota pass; no decision changed.

Ruled out: nothing.

--- a/internal/process/quota/outage.go
+++ b/internal/process/quota/outage.go
@@ -8,10 +8,10 @@
 	// most one.
 	outageBurst = 500 * time.Millisecond
 	// outageShare is the part of the earlier spending rate that is allowed during
-	// an outage to a holder without a recent standing rate. If only some daemons are cut off, the others may get the whole
-	// rate from the issuer at the same time. With a third of the daemons cut off
-	// and a team that reaches its limit during the outage, total spending stays
-	// within 10 % above rate and burst.
+	// an outage to a holder without a recent standing rate. If only some daemons are
+	// cut off, the others may get the whole rate from the issuer at the same time.
+	// With a third of the daemons cut off and a team that reaches its limit during the
+	// outage, total spending stays within 10 % above rate and burst.
 	outageShare = 0.6
 	// atLimitShare replaces outageShare for a team that was at its limit before
 	// the outage.
--- a/internal/process/quota/pool.go
+++ b/internal/process/quota/pool.go
@@ -277,8 +277,9 @@
 }
 
 // nextRequest returns the next token request, or false if one is in flight or there
-// is nothing to request or report. A renewal also keeps the standing rate. It gives back the tokens that exceed the desired
-// number by more than a quarter and one, or all if none are desired.
+// is nothing to request or report. A renewal also keeps the standing rate. It gives
+// back the tokens that exceed the desired number by more than a quarter and one, or all
+// if none are desired.
 func (p *pool) nextRequest(now time.Time, renewal bool) (protocol.QuotaRequest, bool) {
 	if p.inFlight(now) {
 		return protocol.QuotaRequest{}, false
--- a/internal/process/quota/standing.go
+++ b/internal/process/quota/standing.go
@@ -8,9 +8,10 @@
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 )
 
-// Standing rates let teams go on spending without an issuer for some seconds. The issuer divides the rate
-// of a team among its holders in proportion to what they spend, and tells each its part
-// with the reply to a renewal. A holder that loses the issuer spends at its standing rate.
+// Standing rates let teams go on spending without an issuer for some seconds. The issuer
+// divides the rate of a team among its holders in proportion to what they spend, and
+// tells each its part with the reply to a renewal. A holder that loses the issuer spends
+// at its standing rate for maxStandingOutage.
 //
 // The issuer counts the standing rate of a holder that has fallen silent as spent, so
 // that both together stay within the team's rate. It does not know the holders of an
--- a/internal/process/retrybudget/budget.go
+++ b/internal/process/retrybudget/budget.go
@@ -4,9 +4,9 @@
 // It is built for services that fail or reject part of their requests while demand is at
 // its highest. A request needs several calls further down, one after the other, and is
 // lost with any of them. So repeats are worth most for the last calls of a request, where
-// least is still to fail and most has been done. The repeats of all processes together must stay a
-// small fraction of the requests for a service. The calls of a run that was itself a
-// repeat count too.
+// least is still to fail and most has been done. The repeats of all processes together
+// must stay a small fraction of the requests for a service. The calls of a run that was
+// itself a repeat count too.
 package retrybudget
 
 import (
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -257,13 +257,10 @@
 			return response, nil
 		}
 		history.add(choice.Record.Instance, response, err)
-		retry := false
-		if ran {
-			retry = e.mayRepeatFailed(ctx, req, &history, time.Since(began))
-		} else {
-			retry = e.mayRetry(ctx, req, &history, response, err)
+		if ran && !e.mayRepeatFailed(ctx, req, &history, time.Since(began)) {
+			return history.result(nil)
 		}
-		if !retry {
+		if !ran && !e.mayRetry(ctx, req, &history, response, err) {
 			return history.result(nil)
 		}
 		e.Log.Debug("request retried on another target", zap.String("request", req.id), zap.String("after", choice.Record.Instance), zap.Int("offers", history.forwards))
--- a/tools/variant/main.go
+++ b/tools/variant/main.go
@@ -47,15 +47,19 @@
 	}
 	defer func() { _ = os.RemoveAll(scratch) }()
 	b := &bench{options: o, scratch: scratch}
-	results := make([]result, 0, len(variants)+1)
-	for _, name := range append([]string{""}, variants...) {
+	base, err := b.play("")
+	if err != nil {
+		return err
+	}
+	printHeader(os.Stdout)
+	printRow(os.Stdout, base, base)
+	for _, name := range variants {
 		r, err := b.play(name)
 		if err != nil {
 			return err
 		}
-		results = append(results, r)
+		printRow(os.Stdout, base, r)
 	}
-	printTable(os.Stdout, results)
 	return nil
 }
 
--- a/tools/variant/table.go
+++ b/tools/variant/table.go
@@ -10,21 +10,21 @@
 // barScale is the number of characters of a bar for a difference of 0.1.
 const barScale = 20
 
-// printTable prints the mean figures of each variant, the difference in worth to the first
-// one, which is the unchanged code, and the least and the greatest difference of a day.
-func printTable(w io.Writer, results []result) {
-	_, _ = fmt.Fprintf(w, "%-16s %7s %7s %8s %17s\n", "variant", "worth", "served", "without", "least, greatest")
-	base := results[0]
-	for _, r := range results {
-		worth, served := mean(r.plays, func(p play) float64 { return p.Worth }), mean(r.plays, func(p play) float64 { return p.Served })
-		least, greatest, sum := math.Inf(1), math.Inf(-1), 0.0
-		for i, p := range r.plays {
-			d := p.Worth - base.plays[i].Worth
-			least, greatest, sum = min(least, d), max(greatest, d), sum+d
-		}
-		difference := sum / float64(len(r.plays))
-		_, _ = fmt.Fprintf(w, "%-16s %7.3f %7.3f %+8.3f %+8.3f %+8.3f %s%s\n", nameOf(r.variant), worth, served, difference, least, greatest, bar(difference), broken(r.plays))
+func printHeader(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%-22s %7s %7s %8s %17s\n", "variant", "worth", "served", "without", "least, greatest")
+}
+
+// printRow prints the mean figures of a variant, the difference in worth to the unchanged
+// code, and the least and the greatest difference of a day.
+func printRow(w io.Writer, base, r result) {
+	worth, served := mean(r.plays, func(p play) float64 { return p.Worth }), mean(r.plays, func(p play) float64 { return p.Served })
+	least, greatest, sum := math.Inf(1), math.Inf(-1), 0.0
+	for i, p := range r.plays {
+		d := p.Worth - base.plays[i].Worth
+		least, greatest, sum = min(least, d), max(greatest, d), sum+d
 	}
+	difference := sum / float64(len(r.plays))
+	_, _ = fmt.Fprintf(w, "%-22s %7.3f %7.3f %+8.3f %+8.3f %+8.3f %s%s\n", nameOf(r.variant), worth, served, difference, least, greatest, bar(difference), broken(r.plays))
 }
 
 func mean(plays []play, figure func(play) float64) float64 {
--- a/tools/variant/variant_test.go
+++ b/tools/variant/variant_test.go
@@ -28,16 +28,15 @@
 	must.NoError(t, err)
 	o := options{Patches: "patches", Bench: bench, Site: "s", Days: []string{"a", "b"}, Jobs: 2}
 	b := newBench(t, o)
-	var results []result
-	for _, name := range []string{"", "less"} {
-		r, err := b.play(name)
-		must.NoError(t, err)
-		results = append(results, r)
-	}
+	base, err := b.play("")
+	must.NoError(t, err)
+	less, err := b.play("less")
+	must.NoError(t, err)
 	var table strings.Builder
-	printTable(&table, results)
-	must.StrContains(t, table.String(), "none               0.500   0.900   +0.000")
-	must.StrContains(t, table.String(), "less               0.400   0.900   -0.100")
+	printRow(&table, base, base)
+	printRow(&table, base, less)
+	must.StrContains(t, table.String(), "none                     0.500   0.900   +0.000")
+	must.StrContains(t, table.String(), "less                     0.400   0.900   -0.100")
 	_, err = b.play("missing")
 	must.ErrorContains(t, err, `apply the patch of variant "missing"`)
 }
