Placement: a target that takes too long for the objective is avoided

Cause: a target that turns twelve times as slow has so many slots that it is never full.

Change: each daemon keeps, by target and route, the time that requests take in units of their objective, also of those that are still outstanding. What exceeds the fastest target's is added to the load. It fades while a target gets nothing; one request at a time then shows whether it is still slow.

--- a/internal/process/balancing/balancer.go
+++ b/internal/process/balancing/balancer.go
@@ -51,11 +51,13 @@
 	Record  protocol.TargetRecord
 	target  *targetState
 	service *serviceTargets
+	sentRequest
 }
 
-// Choose returns a target of the service for a request of a route, other than the excluded
-// instances. ok is false if there is none; otherwise the caller must call Ended once.
-func (b *Balancer) Choose(now time.Time, service, route string, excluded []string) (c Choice, ok bool) {
+// Choose returns a target of the service for a request of a route with a latency objective,
+// other than the excluded instances. ok is false if there is none; otherwise the caller must
+// call Ended once.
+func (b *Balancer) Choose(now time.Time, service, route string, objective time.Duration, excluded []string) (c Choice, ok bool) {
 	records := b.List(service)
 	s := b.service(service)
 	s.mu.Lock()
@@ -64,7 +66,7 @@
 	states := make([]*targetState, len(records))
 	for i, r := range records {
 		states[i] = s.update(now, r, b.FailureDomain)
-		states[i].selectRoute(now, route)
+		states[i].selectRoute(now, route, objective)
 		targets[i] = &states[i].Target
 	}
 	s.removeStale(now)
@@ -74,8 +76,9 @@
 	if at < 0 {
 		return Choice{}, false
 	}
-	states[at].Sent()
-	return Choice{Record: records[at], target: states[at], service: s}, true
+	request := sentRequest{route: route, objective: objective, sentAt: now}
+	states[at].sent(request)
+	return Choice{Record: records[at], target: states[at], service: s, sentRequest: request}, true
 }
 
 // unusable reports whether the target gets no more requests because it or its daemon
@@ -103,6 +106,7 @@
 		state := s.update(now, r, b.FailureDomain)
 		if !state.unusable(r) {
 			found = true
+			state.delay = 0
 			least = min(least, state.Load(now))
 		}
 	}
@@ -169,4 +173,6 @@
 }
 
 // Ended records that the request has ended.
-func (c Choice) Ended() { c.Update((*Target).Ended) }
+func (c Choice) Ended() {
+	c.Update(func(t *Target) { t.ended(c.sentRequest) })
+}
--- a/internal/process/balancing/balancing_test.go
+++ b/internal/process/balancing/balancing_test.go
@@ -83,11 +83,11 @@
 		{Service: "s", Instance: "c", FailureDomain: "y", State: protocol.Warm, Slots: 1},
 	}
 	b := &Balancer{FailureDomain: "z", List: func(string) []protocol.TargetRecord { return records }}
-	choice, ok := b.Choose(time.Unix(1, 0), "s", "r", nil)
+	choice, ok := b.Choose(time.Unix(1, 0), "s", "r", time.Second, nil)
 	must.True(t, ok)
 	must.Eq(t, "c", choice.Record.Instance)
 	choice.Ended()
-	_, ok = b.Choose(time.Unix(1, 0), "s", "r", []string{"c"})
+	_, ok = b.Choose(time.Unix(1, 0), "s", "r", time.Second, []string{"c"})
 	must.False(t, ok)
 }
 
@@ -114,7 +114,7 @@
 	}
 	b := &Balancer{FailureDomain: "z", List: func(service string) []protocol.TargetRecord { return records[service] }}
 	choose := func(service, route string) Choice {
-		choice, ok := b.Choose(now, service, route, nil)
+		choice, ok := b.Choose(now, service, route, time.Second, nil)
 		must.True(t, ok)
 		choice.Ended()
 		return choice
--- a/internal/process/balancing/statement_test.go
+++ b/internal/process/balancing/statement_test.go
@@ -16,7 +16,7 @@
 	records := []protocol.TargetRecord{{Service: "s", Instance: "a", FailureDomain: "z", State: protocol.Warm, Slots: 1, Incarnation: "a/1"}}
 	listed := records
 	b := &Balancer{FailureDomain: "z", List: func(string) []protocol.TargetRecord { return listed }}
-	choice, ok := b.Choose(now, "s", "r", nil)
+	choice, ok := b.Choose(now, "s", "r", time.Second, nil)
 	must.True(t, ok)
 	choice.Update(func(target *Target) {
 		target.RecordStatement(now, protocol.Statement{Incarnation: "a/1", Leaving: true})
@@ -25,13 +25,13 @@
 	listed = nil
 	for range 100 {
 		now = now.Add(time.Second)
-		_, ok = b.Choose(now, "s", "r", nil)
+		_, ok = b.Choose(now, "s", "r", time.Second, nil)
 		must.False(t, ok)
 	}
 	listed = records
-	_, ok = b.Choose(now, "s", "r", nil)
+	_, ok = b.Choose(now, "s", "r", time.Second, nil)
 	must.False(t, ok)
 	listed[0].Incarnation = "a/2"
-	_, ok = b.Choose(now, "s", "r", nil)
+	_, ok = b.Choose(now, "s", "r", time.Second, nil)
 	must.True(t, ok)
 }
--- a/internal/process/balancing/target.go
+++ b/internal/process/balancing/target.go
@@ -4,8 +4,9 @@
 // It is built for targets of one service that differ in speed, for targets that
 // respond with errors while their health checks pass, and for traffic between
 // failure domains that is expensive. Requests stay in their own failure domain
-// while it has capacity, and a target that fails more than the others is
-// avoided.
+// while it has capacity. A target that fails more than the others is avoided, and so is
+// one that takes so much longer that requests would miss their latency objective, although
+// it may have many free slots.
 package balancing
 
 import (
@@ -53,11 +54,15 @@
 	reportedAt  time.Time
 	// byRoute holds the loads of the services that requests of a route call. calledLoad
 	// is the one that counts for the request at hand.
-	byRoute        map[string]calledLoad
-	calledLoad     float64
-	failures       float64 // 0 to 1
-	failedAt       time.Time
-	penalizedUntil time.Time
+	byRoute    map[string]calledLoad
+	calledLoad float64
+	// delays holds the delay of each route. delay and knownDelay are those of the request
+	// at hand, commonDelay is that of the fastest target.
+	delays                         map[string]*delay
+	delay, knownDelay, commonDelay float64
+	failures                       float64 // 0 to 1
+	failedAt                       time.Time
+	penalizedUntil                 time.Time
 	// commonFailures is the failure rate that all targets of the service share.
 	commonFailures float64
 	// stated is what the target says about itself.
@@ -66,12 +71,6 @@
 	leaving string
 }
 
-// Sent records that a request was sent to the target.
-func (t *Target) Sent() { t.outstanding++ }
-
-// Ended records that a request has ended.
-func (t *Target) Ended() { t.outstanding-- }
-
 // RecordLoad records what the target's daemon reported: its load, in running
 // and waiting requests per slot, and the fraction of the work on it that it
 // wants shed. That fraction counts as load, so that work moves to another
@@ -97,10 +96,15 @@
 	t.byRoute[route] = calledLoad{load, now}
 }
 
-// selectRoute makes the load of the services that requests of a route call count.
-func (t *Target) selectRoute(now time.Time, route string) {
+// selectRoute makes the load of the services that requests of a route call, and the delay
+// of these requests, count.
+func (t *Target) selectRoute(now time.Time, route string, objective time.Duration) {
 	called := t.byRoute[route]
 	t.calledLoad = called.load * decay(now.Sub(called.at), calledHalfLife)
+	t.delay, t.knownDelay = 0, 0
+	if d, ok := t.delays[route]; ok && objective > 0 {
+		t.delay, t.knownDelay = d.estimate(now, objective), d.known(now)
+	}
 }
 
 // RecordResult updates the failure rate with the result of one request.
@@ -137,10 +141,10 @@
 	return max(float64(t.outstanding)/slots, t.reported*decay(now.Sub(t.reportedAt), reportHalfLife), t.calledLoad)
 }
 
-// handicap returns what is added to the usage of a target because its requests may fail
-// or be rejected.
+// handicap returns what is added to the usage of a target because its requests may fail,
+// be rejected or come late.
 func (t *Target) handicap(now time.Time) float64 {
-	handicap := failureWeight * max(t.Failures(now)-t.commonFailures, 0)
+	handicap := failureWeight*max(t.Failures(now)-t.commonFailures, 0) + max(t.delay-t.commonDelay, 0)
 	if t.Cold {
 		handicap++
 	}
@@ -163,9 +167,9 @@
 // excluded reports which targets must not be used. draw returns a uniform
 // random number in [0, n).
 func Choose(now time.Time, targets []*Target, excluded func(i int) bool, draw func(n int) int) int {
-	common := commonFailures(now, targets)
+	failures, delay := commonFailures(now, targets), commonDelay(targets)
 	for _, t := range targets {
-		t.commonFailures = common
+		t.commonFailures, t.commonDelay = failures, delay
 	}
 	local := pickOfTwo(now, targets, func(i int) bool { return excluded(i) || !targets[i].SameDomain }, draw)
 	if local >= 0 && targets[local].hasRoom(now) {
@@ -193,6 +197,15 @@
 	return common
 }
 
+// commonDelay returns the delay of the fastest target.
+func commonDelay(targets []*Target) float64 {
+	common := math.Inf(1)
+	for _, t := range targets {
+		common = min(common, t.knownDelay)
+	}
+	return common
+}
+
 // pickOfTwo returns the index of the less loaded of two random targets, or -1
 // if all are excluded. The random draw keeps daemons with the same view of
 // the load from all choosing the same target.
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -243,7 +243,7 @@
 func (e *EntryHandler) send(ctx context.Context, req *inboundRequest) (*Response, error) {
 	var history attempts
 	for {
-		choice, ok := e.Balancer.Choose(time.Now(), req.service, req.route.Name, history.excluded)
+		choice, ok := e.Balancer.Choose(time.Now(), req.service, req.route.Name, req.objectiveDeadline.Sub(req.receivedAt), history.excluded)
 		if !ok {
 			return history.result(fault.New(fault.NoTarget, "no target of service %s is available", req.service))
 		}
@@ -323,6 +323,7 @@
 		}
 		recordOutcome(now, t, response, err)
 	})
+	choice.RecordTime(now, timeTaken(response, err))
 	if fault.Is(err, fault.ConnectionLost) || fault.Is(err, fault.AnswerBroken) {
 		e.Quarantine.Lost(req.content)
 	}
@@ -361,6 +362,17 @@
 	}
 }
 
+// timeTaken returns what the end of an attempt shows about the time that its target takes.
+func timeTaken(response *Response, err error) balancing.TimeTaken {
+	switch {
+	case err == nil && response.succeeded():
+		return balancing.WholeTimeTaken
+	case fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.CallerGone):
+		return balancing.LeastTimeTaken
+	}
+	return balancing.NoTimeTaken
+}
+
 func (e *EntryHandler) forward(ctx context.Context, req *inboundRequest, choice balancing.Choice, again bool) (*Response, error) {
 	now := time.Now()
 	m := &ForwardingMetadata{
