--- a/Makefile
+++ b/Makefile
@@ -8,13 +8,13 @@
 PROOF := $(GO) run github.com/teaselrack/teaselrack/tools/proof --results build/unit.jsonl --results build/faults.jsonl --results build/bench.jsonl --results build/e2e.jsonl
 VERDICT := $(GO) run github.com/teaselrack/teaselrack/tools/verdict
 
-.PHONY: build test one test-race test-faults test-bench test-e2e proof proof-check demo up down bench capacity lint fmt gopls clean
+.PHONY: build test one test-race test-faults test-bench test-tools test-e2e proof proof-check demo up down bench capacity lint fmt gopls clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/... ./emulator/cmd/...
 
 # test runs every test, and checks that the page of proofs names tests that ran.
-test: test-race test-faults test-bench test-e2e proof-check
+test: test-race test-faults test-bench test-tools test-e2e proof-check
 
 test-race:
 	@mkdir -p build
@@ -37,6 +37,11 @@
 	@mkdir -p build
 	cd bench && $(GO) test -json ./... | (cd .. && $(VERDICT) --save build/bench.jsonl)
 
+# test-tools tests the programs that judge runs, and that the patches of tools/variant fit.
+test-tools:
+	@mkdir -p build
+	cd tools && $(GO) test -json ./... | (cd .. && $(VERDICT) --save build/tools.jsonl)
+
 # test-e2e starts real processes on free loopback ports and stops them by id.
 test-e2e: build
 	@mkdir -p build
--- a/tools/variant/variant_test.go
+++ b/tools/variant/variant_test.go
@@ -42,3 +42,15 @@
 }
 
 func newBench(t *testing.T, o options) *bench { return &bench{options: o, scratch: t.TempDir()} }
+
+// TestPatchesApply checks that each patch still fits the code.
+func TestPatchesApply(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("*", "*.patch"))
+	must.NoError(t, err)
+	must.Greater(t, 30, len(files))
+	for _, file := range files {
+		path, err := filepath.Abs(file)
+		must.NoError(t, err)
+		must.NoError(t, command(filepath.Join("..", ".."), "git", "apply", "--check", path))
+	}
+}
