--- a/internal/process/balancing/balancing_test.go
+++ b/internal/process/balancing/balancing_test.go
@@ -133,3 +133,13 @@
 	now = now.Add(time.Second)
 	must.Eq(t, "a", choose("upper", "with calls").Record.Instance, must.Sprint("the report is old"))
 }
+
+// TestRejectionMovesRequestsForAMoment replays a target that has just rejected a request
+// although its slots looked free.
+func TestRejectionMovesRequestsForAMoment(t *testing.T) {
+	now := time.Unix(1, 0)
+	targets := []*Target{{SameDomain: true, Slots: 10}, {Slots: 10}}
+	targets[0].RecordRejection(now)
+	must.Eq(t, 1, Choose(now, targets, excludeNone, seededDraw()))
+	must.Eq(t, 0, Choose(now.Add(rejectionPenalty), targets, excludeNone, seededDraw()))
+}
