Quota: standing rates of a team at its limit count whole

A team sent far more than its rate, then two replicas and the daemons that use them were cut off from the issuer. These went on at their standing rates; the issuer counted them as spent after 1.2 s, less three tenths of what they spent before and four hundredths of the rate, which are left out because most silent holders have ended. At the limit nothing may be left out.

TestLimitHoldsForATeamAtItsLimit.

Ruled out: standing rates that add up to less than the rate, which a team inside its rate would lose in each outage.

--- a/internal/process/balancing/balancer.go
+++ b/internal/process/balancing/balancer.go
@@ -14,6 +14,9 @@
 	// leavingStaleAfter is the same for a target that has said that it leaves. It may
 	// be listed again while the control replicas have not learned of that.
 	leavingStaleAfter = 10 * time.Minute
+	// routeStaleAfter is how long what is known of a target and a route is kept without a
+	// request. Its weight has faded by then.
+	routeStaleAfter = time.Minute
 	// absentLoad is the load of a service without a target in the failure domain, and
 	// maxDomainLoad the highest load of one with a target there.
 	absentLoad    = 2.0
@@ -42,8 +45,9 @@
 // targetState is the observed state of one target.
 type targetState struct {
 	Target
-	// lastListed is when List last returned the target.
-	lastListed time.Time
+	// lastListed is when List last returned the target, routesCleanedAt when
+	// removeStaleRoutes last did its work.
+	lastListed, routesCleanedAt time.Time
 }
 
 // Choice is a selected target.
@@ -161,6 +165,7 @@
 		if state.outstanding == 0 && now.Sub(state.lastListed) > keep {
 			delete(s.targets, instance)
 		}
+		state.removeStaleRoutes(now)
 	}
 }
 
--- a/internal/process/balancing/balancing_test.go
+++ b/internal/process/balancing/balancing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -143,3 +144,23 @@
 	must.Eq(t, 1, Choose(now, targets, excludeNone, seededDraw()))
 	must.Eq(t, 0, Choose(now.Add(rejectionPenalty), targets, excludeNone, seededDraw()))
 }
+
+// TestOldRoutesAreForgotten replays a configuration whose routes are replaced again and
+// again while the target stays.
+func TestOldRoutesAreForgotten(t *testing.T) {
+	now := time.Unix(1, 0)
+	records := []protocol.TargetRecord{{Service: "s", Instance: "a", FailureDomain: "z", Slots: 10}}
+	b := &Balancer{FailureDomain: "z", List: func(string) []protocol.TargetRecord { return records }}
+	for n := range 1000 {
+		now = now.Add(time.Second)
+		route := strconv.Itoa(n)
+		choice, ok := b.Choose(now, "s", route, time.Second, nil)
+		must.True(t, ok)
+		choice.Update(func(target *Target) { target.RecordCalledLoad(now, route, 0) })
+		choice.RecordTime(now, WholeTimeTaken)
+		choice.Ended()
+	}
+	state := b.services["s"].targets["a"]
+	must.LessEq(t, 121, len(state.delays))
+	must.LessEq(t, 121, len(state.byRoute))
+}
--- a/internal/process/balancing/delay.go
+++ b/internal/process/balancing/delay.go
@@ -82,6 +82,24 @@
 	return d
 }
 
+// removeStaleRoutes forgets routes that have had no request for routeStaleAfter.
+func (t *targetState) removeStaleRoutes(now time.Time) {
+	if now.Sub(t.routesCleanedAt) < routeStaleAfter {
+		return
+	}
+	t.routesCleanedAt = now
+	for route, d := range t.delays {
+		if len(d.pending) == 0 && now.Sub(d.at) > routeStaleAfter {
+			delete(t.delays, route)
+		}
+	}
+	for route, called := range t.byRoute {
+		if now.Sub(called.at) > routeStaleAfter {
+			delete(t.byRoute, route)
+		}
+	}
+}
+
 // TimeTaken is what the end of a request shows about the time that its target takes.
 type TimeTaken int
 
--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -47,6 +47,8 @@
 	// evictedAt is when evictHolders last scanned the holders.
 	evictedAt time.Time
 	standing  standingHolders
+	// limitedAt is when a request last got no token.
+	limitedAt time.Time
 }
 
 // holderState is the bucket's record of one holder.
@@ -228,6 +230,7 @@
 	g.AtLimit = n < waiting
 	b.holders[holder].unfilled = waiting - n
 	if g.AtLimit {
+		b.limitedAt = b.refilledAt
 		g.Wait = b.waitFor(b.unfilled())
 	}
 	g.Immediate = min(n, request.Immediate)
--- a/internal/process/quota/outage.go
+++ b/internal/process/quota/outage.go
@@ -67,12 +67,16 @@
 }
 
 // beginStanding is begin for a holder with a recent standing rate, which replaces the
-// allowed rate for maxStandingOutage.
+// allowed rate for maxStandingOutage. If the team was at its limit, it is only a part of
+// it: the issuer may take a moment to notice that the holder is silent.
 func (o *outage) beginStanding(now time.Time, standing, fairRate float64, atLimit bool) {
 	if !o.startedAt.IsZero() {
 		return
 	}
 	o.begin(now, fairRate, atLimit)
+	if atLimit {
+		standing *= outageShare
+	}
 	o.standingRate = max(standing, fairRate*idleFairShare)
 }
 
--- a/internal/process/quota/outage_test.go
+++ b/internal/process/quota/outage_test.go
@@ -24,9 +24,13 @@
 	// renewals is true if the holders renew. Without renewals no holder has a standing
 	// rate.
 	renewals bool
-	mu       sync.Mutex
-	isolated map[int]bool
-	admitted []time.Time
+	// substitute, if set, is that of the replica to which all isolated daemons and no
+	// others send their requests.
+	substitute *Substitute
+	behind     map[int]bool
+	mu         sync.Mutex
+	isolated   map[int]bool
+	admitted   []time.Time
 	// rejectedAfter holds how long each rejected request waited.
 	rejectedAfter []time.Duration
 }
@@ -37,6 +41,23 @@
 	return lt.isolated[i]
 }
 
+func (lt *loadTest) isBehind(i int) bool {
+	lt.mu.Lock()
+	defer lt.mu.Unlock()
+	return lt.behind[i]
+}
+
+// putBehind makes a substitute serve the first n daemons.
+func (lt *loadTest) putBehind(s *Substitute, n int) {
+	lt.mu.Lock()
+	defer lt.mu.Unlock()
+	lt.substitute = s
+	lt.behind = make(map[int]bool)
+	for i := range n {
+		lt.behind[i] = true
+	}
+}
+
 func (lt *loadTest) isolate(daemons ...int) {
 	lt.mu.Lock()
 	defer lt.mu.Unlock()
@@ -61,7 +82,7 @@
 func (lt *loadTest) holder(ctx context.Context, i int) *Holder {
 	h := NewHolder(time.Now, func(ctx context.Context, requests []protocol.QuotaRequest) ([]protocol.QuotaGrant, time.Time, error) {
 		sentAt := time.Now()
-		if lt.isIsolated(i) {
+		if lt.isIsolated(i) && !lt.isBehind(i) {
 			<-ctx.Done()
 			return nil, sentAt, fault.New(fault.QuotaUnavailable, "cut off")
 		}
@@ -79,9 +100,15 @@
 	lt.mu.Lock()
 	issuer := lt.issuer
 	lt.mu.Unlock()
+	name := string(rune('a'+i)) + "/1"
 	var grants []protocol.QuotaGrant
 	for _, request := range requests {
-		grants = append(grants, issuer.Grant(time.Now(), string(rune('a'+i))+"/1", request, lt.team))
+		if !lt.isIsolated(i) {
+			grants = append(grants, issuer.Grant(time.Now(), name, request, lt.team))
+		}
+	}
+	if lt.isBehind(i) {
+		return lt.substitute.Complete(time.Now(), name, requests, grants, func(string) float64 { return lt.team.Rate / 5 })
 	}
 	return grants
 }
@@ -91,7 +118,7 @@
 	for ctx.Err() == nil {
 		sentAt := time.Now()
 		requests := h.TokenRequests(sentAt)
-		if !lt.isIsolated(i) {
+		if !lt.isIsolated(i) || lt.isBehind(i) {
 			h.ApplyGrants(sentAt, lt.grant(i, requests))
 		}
 		time.Sleep(500 * time.Millisecond)
@@ -107,13 +134,17 @@
 	lt.issuer = issuer
 }
 
-// mostInAWindow returns the highest number of requests that were admitted in any window.
-func (lt *loadTest) mostInAWindow(window time.Duration) int {
+// limitWindow is the time over which the limit of a team is judged.
+const limitWindow = 5 * time.Second
+
+// mostInAWindow returns the highest number of requests that were admitted in any
+// limitWindow.
+func (lt *loadTest) mostInAWindow() int {
 	lt.mu.Lock()
 	defer lt.mu.Unlock()
 	most, first := 0, 0
 	for i, at := range lt.admitted {
-		for at.Sub(lt.admitted[first]) >= window {
+		for at.Sub(lt.admitted[first]) >= limitWindow {
 			first++
 		}
 		most = max(most, i-first+1)
--- a/internal/process/quota/standing.go
+++ b/internal/process/quota/standing.go
@@ -31,12 +31,12 @@
 	// minStanding is the least standing rate of a holder, in tokens per second. A
 	// holder that spends less seldom needs a token during an outage.
 	minStanding = 0.1
-	// unreservedUsage is the part of what a silent holder spent before that is not counted:
-	// without a standing rate it may go on spending as much of it.
+	// unreservedUsage is the part of what a silent holder spent before that is not counted
+	// for a team below its limit, since most silent holders have ended and are not cut off.
 	unreservedUsage = 0.3
-	// unreservedShare is the part of a team's rate that silent holders may hold without
-	// being counted, since most of them have ended and are not cut off. It is also the
-	// part by which all standing rates may exceed the rate while they change.
+	// unreservedShare is the part of such a team's rate that silent holders may hold
+	// without being counted. It is also the part by which all standing rates may exceed
+	// the rate while they change.
 	unreservedShare = 0.04
 )
 
@@ -105,6 +105,10 @@
 	if now.Sub(s.reservedAt) < unfilledTTL {
 		return s.reserved
 	}
+	unreservedUsage, unreserved := unreservedUsage, unreservedShare*float64(b.rate)/rateScale
+	if now.Sub(b.limitedAt) < recentlyAtLimitWindow {
+		unreservedUsage, unreserved = 0, 0
+	}
 	s.reservedAt = now
 	s.reserved = s.unknown(now)
 	for _, h := range b.holders {
@@ -113,7 +117,7 @@
 			s.reserved += max(h.held()-unreservedUsage*h.silentUsage(), 0)
 		}
 	}
-	s.reserved = max(s.reserved-unreservedShare*float64(b.rate)/rateScale, 0)
+	s.reserved = max(s.reserved-unreserved, 0)
 	return s.reserved
 }
 
--- a/internal/process/quota/standing_test.go
+++ b/internal/process/quota/standing_test.go
@@ -74,7 +74,57 @@
 				lt.run(holders, rate*8/6, 6*time.Second)
 				lt.stop(cancel)
 				limit := (rate*5+rate)*1.1 + 20
-				must.LessEq(t, int(limit), lt.mostInAWindow(5*time.Second), must.Sprintf("%s, rate %g", name, rate))
+				must.LessEq(t, int(limit), lt.mostInAWindow(), must.Sprintf("%s, rate %g", name, rate))
+			})
+		}
+	}
+}
+
+// TestLimitHoldsForATeamAtItsLimit replays a team that sends eight times its rate before and
+// while some of its daemons are cut off, in turn and for a short time each.
+func TestLimitHoldsForATeamAtItsLimit(t *testing.T) {
+	for _, rate := range []float64{20, 80, 240} {
+		for _, daemons := range []int{6, 16} {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				lt, holders := renewingLoad(ctx, rate, daemons)
+				each := rate * 8 / float64(daemons)
+				lt.run(holders, each, 6*time.Second)
+				for n := range 3 {
+					cut := lt.all()[n*daemons/3 : (n+1)*daemons/3]
+					lt.isolate(cut...)
+					lt.run(holders, each, 5*time.Second)
+					lt.isolate()
+					lt.run(holders, each, time.Second)
+				}
+				lt.stop(cancel)
+				limit := (rate*5+rate)*1.1 + 20
+				must.LessEq(t, int(limit), lt.mostInAWindow(), must.Sprintf("rate %g, %d daemons", rate, daemons))
+			})
+		}
+	}
+}
+
+// TestLimitHoldsBehindAReplicaThatIsCutOff replays a team that sends eight times its rate
+// while a replica, and the daemons that use it, are cut off from the issuer.
+func TestLimitHoldsBehindAReplicaThatIsCutOff(t *testing.T) {
+	const daemons = 20
+	for _, rate := range []float64{40, 230} {
+		for _, behind := range []int{4, 8, 10} {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				lt, holders := renewingLoad(ctx, rate, daemons)
+				lt.putBehind(NewSubstitute(15*time.Second), behind)
+				lt.run(holders, rate*0.7/daemons, 6*time.Second)
+				lt.run(holders, rate*8/daemons, time.Second)
+				lt.isolate(lt.all()[:behind]...)
+				lt.run(holders, rate*8/daemons, 5*time.Second)
+				lt.isolate()
+				lt.run(holders, rate*8/daemons, 2*time.Second)
+				lt.stop(cancel)
+				limit := (rate*5+rate)*1.1 + 20
+				t.Logf("rate %g, %d behind: at most %d, %d allowed", rate, behind, lt.mostInAWindow(), int(limit))
+				must.LessEq(t, int(limit), lt.mostInAWindow())
 			})
 		}
 	}
--- a/internal/process/retrybudget/budget_test.go
+++ b/internal/process/retrybudget/budget_test.go
@@ -8,9 +8,12 @@
 	"github.com/shoenig/test/must"
 )
 
-const window = 10 * time.Second
+const (
+	window = 10 * time.Second
+	ratio  = 0.2
+)
 
-func newBudget(ratio, slack float64, processes int) *Budget {
+func newBudget(slack float64, processes int) *Budget {
 	return New(Options{Ratio: ratio, Window: window, Slack: slack, Processes: func() int { return processes }})
 }
 
@@ -19,7 +22,7 @@
 
 // mostAbove returns by how much the repeats of the worst window exceed what ratio and slack
 // allow there.
-func (a *arrivals) mostAbove(ratio, slack float64) float64 {
+func (a *arrivals) mostAbove(slack float64) float64 {
 	worst := -slack
 	for i, from := range a.repeats {
 		repeats := within(a.repeats[i:], from)
@@ -43,11 +46,11 @@
 // window and at both services, the repeats stay within ratio and slack. The calls of a run
 // that was a repeat count as repeats, and are no requests.
 func TestAllProcessesTogether(t *testing.T) {
-	const processes, requestsPerSecond, calls, ratio, slack = 16, 10, 4, 0.2, 49.0
+	const processes, requestsPerSecond, calls, slack = 16, 10, 4, 49.0
 	rng := rand.New(rand.NewPCG(1, 1))
 	var budgets []*Budget
 	for range processes {
-		budgets = append(budgets, newBudget(ratio, slack, processes))
+		budgets = append(budgets, newBudget(slack, processes))
 	}
 	var upper, lower arrivals
 	start := time.Unix(1, 0)
@@ -79,14 +82,14 @@
 			}
 		}
 	}
-	must.LessEq(t, 0, upper.mostAbove(ratio, slack))
-	must.LessEq(t, 0, lower.mostAbove(ratio, slack))
+	must.LessEq(t, 0, upper.mostAbove(slack))
+	must.LessEq(t, 0, lower.mostAbove(slack))
 	must.Greater(t, 600, len(upper.repeats), must.Sprint("of 960 that ratio and requests allow"))
 	must.Greater(t, 2600, len(lower.repeats), must.Sprint("of 5120 that ratio and requests allow"))
 }
 
 func TestUnusedRetryTokensAreBounded(t *testing.T) {
-	b := newBudget(0.2, 16, 1)
+	b := newBudget(16, 1)
 	now := time.Unix(1, 0)
 	b.CountRequest(now, "s")
 	now = now.Add(time.Hour)
@@ -105,7 +108,7 @@
 	const calls = 4
 	finished := func(remaining func(call int) float64) (n int) {
 		rng := rand.New(rand.NewPCG(2, 2))
-		b := newBudget(0.2, 0, 1)
+		b := newBudget(0, 1)
 		now := time.Unix(1, 0)
 		for range 20_000 {
 			now = now.Add(5 * time.Millisecond)
@@ -192,11 +195,11 @@
 // so that requests fail at every service above it. The repeats that arrive at each of them
 // stay within ratio and slack, also those of runs that repeat others.
 func TestRepeatsOfAFailureThatSpreads(t *testing.T) {
-	const processes, requestsPerSecond, ratio, slack = 16, 6, 0.2, 48.0
+	const processes, requestsPerSecond, slack = 16, 6, 48.0
 	mostAbove := func(takeRerun func(*Budget, time.Time, string, float64) bool) float64 {
 		c := &chain{rng: rand.New(rand.NewPCG(3, 3)), takeRerun: takeRerun, services: make([]arrivals, 3)}
 		for range processes {
-			c.budgets = append(c.budgets, newBudget(ratio, slack, processes))
+			c.budgets = append(c.budgets, newBudget(slack, processes))
 		}
 		start := time.Unix(1, 0)
 		for c.now = start; c.now.Sub(start) < 30*time.Second; c.now = c.now.Add(time.Second / requestsPerSecond) {
@@ -207,8 +210,8 @@
 		worst := -slack
 		for i := range c.services {
 			s := &c.services[i]
-			t.Logf("service %d: %d requests, %d repeats, %.0f above in the worst window", i, len(s.requests), len(s.repeats), s.mostAbove(ratio, slack))
-			worst = max(worst, s.mostAbove(ratio, slack))
+			t.Logf("service %d: %d requests, %d repeats, %.0f above in the worst window", i, len(s.requests), len(s.repeats), s.mostAbove(slack))
+			worst = max(worst, s.mostAbove(slack))
 		}
 		return worst
 	}
@@ -218,7 +221,7 @@
 
 // TestRerunsThatFailAreFew replays a service that fails all its requests for a while.
 func TestRerunsThatFailAreFew(t *testing.T) {
-	b := newBudget(0.2, 0, 1)
+	b := newBudget(0, 1)
 	now := time.Unix(1, 0)
 	reruns := func(succeed bool) (n int) {
 		for range 2000 {
