Shedding: the level falls faster once nothing waits

Cause: when cold targets turn warm their callers return within a second. The level rose to 0.5 and took 1.5 s to fall after the burst had been served, at 0.4 of the capacity.

Change: below 0.7 of the capacity, and with nothing waiting, the admitted fraction follows the load 2.5 times as fast.

--- a/internal/process/shedding/controller.go
+++ b/internal/process/shedding/controller.go
@@ -32,6 +32,11 @@
 	// about half a second to show up in the load. Twice this gain would
 	// oscillate.
 	gain = 0.12
+	// idleGain replaces gain while the load is below idleLoad and nothing waits: a burst
+	// that has been served is no reason to go on shedding. A target that keeps shedding is
+	// busy.
+	idleGain = 0.3
+	idleLoad = 0.7
 	// minLoad and maxLoad clamp the load measured in one interval. The capacity
 	// of a target changes by such factors between cold and warm.
 	minLoad = 0.02
@@ -126,10 +131,18 @@
 	if load > targetLoad && now.Before(c.holdUntil) {
 		return
 	}
-	admitted := (1 - c.level) * math.Pow(targetLoad/load, gain*steps)
+	admitted := (1 - c.level) * math.Pow(targetLoad/load, c.gainAt(load)*steps)
 	c.level = min(max(1-admitted, 0), MaxLevel)
 }
 
+// gainAt returns the gain for a load.
+func (c *Controller) gainAt(load float64) float64 {
+	if load < idleLoad && c.capacity.Waiting == 0 {
+		return idleGain
+	}
+	return gain
+}
+
 // load returns the arriving and the waiting work as a fraction of the capacity.
 func (c *Controller) load(elapsed time.Duration) float64 {
 	if c.capacity.PerSecond <= 0 {
--- a/internal/process/shedding/shedding_test.go
+++ b/internal/process/shedding/shedding_test.go
@@ -388,3 +388,23 @@
 	d.controller.Observe(d.now, Capacity{PerSecond: warm})
 	must.Less(t, 0.05, d.controller.Level(d.now))
 }
+
+// TestLevelEndsAfterABurst replays the callers who return when cold targets are warm: one
+// second at twice the capacity, then half of it. The level must not outlast the burst by
+// more than half a second.
+func TestLevelEndsAfterABurst(t *testing.T) {
+	const capacity = 200 // per second
+	var c Controller
+	now := time.Unix(1, 0)
+	send := func(perSecond int, d time.Duration) {
+		for range int(d.Seconds() * float64(perSecond)) {
+			now = now.Add(time.Second / time.Duration(perSecond))
+			c.Offered(now, Capacity{PerSecond: capacity})
+		}
+	}
+	send(capacity/2, time.Second)
+	send(2*capacity, time.Second)
+	must.Greater(t, 0.4, c.Level(now))
+	send(capacity/2, 500*time.Millisecond)
+	must.Less(t, 0.05, c.Level(now))
+}
