Cold targets: callers return as late as they can, and wait for the last part

Cause: after a final fault all targets are cold for seconds. Callers who could not wait until then were told to return after a third of their objective, were rejected again while the targets were still cold, and do not return twice. Those who returned shortly before the end were rejected too.

Change: a caller whose wait would end before the targets are warm is told to return as late as it can; a request that has the time is held until the targets are warm. The end of a level is reported only while all targets of the service are cold.

--- a/internal/process/balancing/balancer.go
+++ b/internal/process/balancing/balancer.go
@@ -120,6 +120,16 @@
 	return least
 }
 
+// AllCold reports whether every listed target of the service is cold.
+func (b *Balancer) AllCold(service string) bool {
+	for _, r := range b.List(service) {
+		if r.State == protocol.Warm {
+			return false
+		}
+	}
+	return true
+}
+
 func contains(names []string, name string) bool {
 	for _, n := range names {
 		if n == name {
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -334,7 +334,7 @@
 		rate := t.options.ColdRate()
 		if !t.coldLimiter.Allow(now, t.isCold(now) && rate > 0, rate) {
 			err = fault.New(fault.TargetCold, "the target is cold and has reached its limit of %v requests per second", rate)
-			retryAfter = t.coldLimiter.RetryAfter(now)
+			retryAfter = max(t.coldLimiter.RetryAfter(now), t.warmIn(now))
 		}
 	}
 	if err != nil {
@@ -425,13 +425,19 @@
 	c := shedding.Capacity{PerSecond: float64(slots) / t.limiter.ServiceTime().Seconds(), Waiting: waiting}
 	if rate := t.options.ColdRate(); rate > 0 && rate < c.PerSecond && t.isCold(now) {
 		c.PerSecond = rate
-		if !t.restartSuspected {
-			c.ColdFor = t.coldUntil.Sub(now)
-		}
+		c.ColdFor = t.warmIn(now)
 	}
 	return c
 }
 
+// warmIn returns the time until a cold target is warm, or 0 if that is unknown.
+func (t *Target) warmIn(now time.Time) time.Duration {
+	if t.restartSuspected {
+		return 0
+	}
+	return max(t.coldUntil.Sub(now), 0)
+}
+
 func (t *Target) isCold(now time.Time) bool { return now.Before(t.coldUntil) || t.restartSuspected }
 
 // Bottleneck returns the shedding level of the target, and the average service time of a
--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -35,6 +35,12 @@
 	// returnSpread is the time over which callers return after cold targets have become
 	// warm.
 	returnSpread = time.Second
+	// lastReturns is the inverse of the part of the longest retry-after time over which
+	// callers return who cannot wait until cold targets are warm.
+	lastReturns = 5
+	// holdSpread is the time over which held requests go on after cold targets have become
+	// warm.
+	holdSpread = 100 * time.Millisecond
 )
 
 // inboundRequest is one request as the entry received it.
@@ -78,17 +84,45 @@
 	return min(max(r.objectiveDeadline.Sub(r.receivedAt)/retryAfterDivisor, minRetryAfter), maxRetryAfter)
 }
 
+// longestRetryAfter returns the longest retry-after time that the caller follows.
+func (r *inboundRequest) longestRetryAfter() time.Duration {
+	return r.callerDeadline.Sub(r.receivedAt) / retryTimeDivisor
+}
+
+// followed returns a retry-after time that the caller follows: after, unless that is too
+// long.
+func (r *inboundRequest) followed(after time.Duration) time.Duration {
+	if r.callerDeadline.IsZero() {
+		return after
+	}
+	return min(after, r.longestRetryAfter())
+}
+
 // retryAfterLevel returns the time after which a caller is told to retry whose request was
 // shed. If the level ends in time because cold targets turn warm, that is a time after it;
 // draw, from 0 to 1, spreads the callers.
 func (r *inboundRequest) retryAfterLevel(endsIn time.Duration, draw float64) time.Duration {
-	longest := r.callerDeadline.Sub(r.receivedAt) / retryTimeDivisor
-	if endsIn <= 0 || endsIn >= longest {
+	longest := r.longestRetryAfter()
+	switch {
+	case endsIn <= 0:
 		return r.retryAfter()
+	case endsIn >= longest:
+		return longest - time.Duration(draw*float64(longest/lastReturns))
 	}
 	return endsIn + time.Duration(draw*float64(min(returnSpread, longest-endsIn)))
 }
 
+// holdFor returns how long a request may be held that would be shed, because cold targets
+// turn warm in time: half of what is left then is for the work. draw, from 0 to 1, spreads
+// the requests. ok is false if they do not.
+func (r *inboundRequest) holdFor(endsIn time.Duration, draw float64) (hold time.Duration, ok bool) {
+	longest := r.deadline.Sub(r.receivedAt) / 2
+	if endsIn <= 0 || endsIn >= longest {
+		return 0, false
+	}
+	return endsIn + time.Duration(draw*float64(min(holdSpread, longest-endsIn))), true
+}
+
 // fingerprint returns a hash of the team, the method, the host and the URI of
 // the request. It is the same for all attempts of one caller's request.
 func (r *inboundRequest) fingerprint() uint64 {
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -119,10 +119,14 @@
 
 // Bottleneck returns the bottleneck that responses to requests of a route report:
 // the service with the highest shedding level among the local target's and those
-// that the route's requests call.
+// that the route's requests call. The end of a cold target's level is left out while other
+// targets of the service are warm.
 func (p *PeerHandler) Bottleneck(route string) shedding.Bottleneck {
 	now := time.Now()
 	own := p.Target.Bottleneck()
+	if own.EndsIn > 0 && !p.Balancer.AllCold(p.Service) {
+		own.EndsIn = 0
+	}
 	downstream := p.Levels.Downstream(now, p.CallGraph.CallsPerRequest(now, route))
 	if downstream.Service != "" && downstream.Level >= own.Level {
 		return downstream
