--- a/internal/request/relay/chain_test.go
+++ b/internal/request/relay/chain_test.go
@@ -279,7 +279,7 @@
 	if route.Access == version.Keyed {
 		r.Header.Set("Teaselrack-Key", key)
 	}
-	resp, err := c.mesh.client.Do(r)
+	resp, err := c.client.Do(r)
 	if err != nil {
 		return reply{}
 	}
