Shutdown: the product's own interface refuses what could outlast it

What callers saw: in a graceful shutdown of a daemon with YAML settings, a request that was accepted seconds after SIGTERM got no response: its connection was closed when the shutdown ended.

Cause: the time limit of a request was found by asking whether the server's handler implements TimeLimiter. The handlers of package hop did not, and the one of the peer listener is wrapped twice. For them a request was expected to take as long as the longest that had ended since SIGTERM: nothing, while long requests are still running.

Change: Track gets the TimeLimiter of a server, so that a wrapper cannot hide it, and hop's handlers implement it. The calls of a target are never refused: they belong to a request that was accepted, and that fails with them.

Ruled out: a limit on calls by their parent's time, since a refused call fails its parent for certain.

--- a/internal/connection/drain/drain.go
+++ b/internal/connection/drain/drain.go
@@ -87,9 +87,11 @@
 func (d *Drain) Begin() { d.draining.Store(true) }
 
 // Track includes server in the graceful shutdown; call it before the server
-// starts. Run waits for the connections of tracked servers.
-func (d *Drain) Track(server *http.Server) {
-	server.Handler = &handler{drain: d, next: server.Handler}
+// starts. Run waits for the connections of tracked servers. limiter knows the time
+// limits of the server's requests. If it is nil, a request is expected to take as long
+// as the longest that ended during the shutdown.
+func (d *Drain) Track(server *http.Server, limiter TimeLimiter) {
+	server.Handler = &handler{drain: d, limiter: limiter, next: server.Handler}
 	previousHook := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		d.trackState(conn, state)
--- a/internal/connection/drain/handler.go
+++ b/internal/connection/drain/handler.go
@@ -10,15 +10,13 @@
 	// request that was accepted late is expected to run.
 	endMargin = 100 * time.Millisecond
 	// refusalRetryAfter is the Retry-After time of a refused request, in seconds, where
-	// the handler does not refuse it itself.
+	// no TimeLimiter refuses it.
 	refusalRetryAfter = "1"
 )
 
-// TimeLimiter is implemented by handlers that know how long a request can take. For
-// other handlers it is assumed that a request takes as long as the longest that ended
-// during the shutdown.
+// TimeLimiter knows how long the requests of a server can take.
 type TimeLimiter interface {
-	// TimeLimit returns the time within which the handler responds to r, whatever the
+	// TimeLimit returns the time within which the server responds to r, whatever the
 	// targets do.
 	TimeLimit(r *http.Request) time.Duration
 	// Refuse responds to a request that could outlast the shutdown. The request has
@@ -26,10 +24,18 @@
 	Refuse(w http.ResponseWriter, r *http.Request)
 }
 
+// LimitedHandler serves requests whose time limits it knows.
+type LimitedHandler interface {
+	http.Handler
+	TimeLimiter
+}
+
 // handler serves the requests of one tracked server.
 type handler struct {
 	drain *Drain
-	next  http.Handler
+	// limiter may be nil.
+	limiter TimeLimiter
+	next    http.Handler
 }
 
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -50,8 +56,8 @@
 }
 
 func (h *handler) timeLimit(r *http.Request) time.Duration {
-	if limiter, ok := h.next.(TimeLimiter); ok {
-		return limiter.TimeLimit(r)
+	if h.limiter != nil {
+		return h.limiter.TimeLimit(r)
 	}
 	h.drain.mu.Lock()
 	defer h.drain.mu.Unlock()
@@ -59,8 +65,8 @@
 }
 
 func (h *handler) refuse(w http.ResponseWriter, r *http.Request) {
-	if limiter, ok := h.next.(TimeLimiter); ok {
-		limiter.Refuse(w, r)
+	if h.limiter != nil {
+		h.limiter.Refuse(w, r)
 		return
 	}
 	w.Header().Set("Retry-After", refusalRetryAfter)
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -26,25 +26,29 @@
 	ingress, peer, egress, announce, operators *http.Server
 }
 
+// newServers creates the servers. Those that serve requests take part in the graceful
+// shutdown.
 func (d *Daemon) newServers() *servers {
 	deps := d.hopDeps()
 	errorLog := zap.NewStdLog(d.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
-	return &servers{
-		ingress:   d.callerServer(hop.NewRoot(deps)),
-		peer:      peer.NewServer(d.identity, d.peerHandler(hop.NewPeer(deps)), peer.ServerOptions{ErrorLog: errorLog}),
-		egress:    d.callerServer(hop.NewEgress(deps)),
+	root, forwarded, egress := hop.NewRoot(deps), hop.NewPeer(deps), hop.NewEgress(deps)
+	s := &servers{
+		ingress:   d.callerServer(root),
+		peer:      peer.NewServer(d.identity, d.peerHandler(forwarded), peer.ServerOptions{ErrorLog: errorLog}),
+		egress:    d.callerServer(egress),
 		announce:  d.callerServer(d.localTargets),
 		operators: d.callerServer(d.operatorsHandler()),
 	}
+	d.drain.Track(s.ingress, root)
+	d.drain.Track(s.peer, forwarded)
+	d.drain.Track(s.egress, egress)
+	return s
 }
 
 // addServers adds an actor for each HTTP listener, and the actor that shuts the
 // daemon down after ctx has ended and then ends the group.
 func (d *Daemon) addServers(ctx context.Context, g *run.Group, l *listeners) {
 	s := d.newServers()
-	for _, server := range []*http.Server{s.ingress, s.peer, s.egress} {
-		d.drain.Track(server)
-	}
 	d.drain.RefuseNew = func() { l.refuseNew(d.log) }
 	d.addShutdown(ctx, g, s)
 	addServer(g, s.ingress, l.ingress, false)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -371,10 +371,10 @@
 	if t := n.options.Traffic; t != nil {
 		for _, endpoint := range []struct {
 			address string
-			handler http.Handler
+			handler drain.LimitedHandler
 		}{{t.Entry, n.entryHandler}, {t.Peer, n.peerHandler}} {
 			server := listener.NewServer(endpoint.handler, n.serverOptions())
-			n.drain.Track(server)
+			n.drain.Track(server, endpoint.handler)
 			ln, err := listener.Listen(context.Background(), endpoint.address)
 			if err != nil {
 				return nil, err
--- a/internal/request/hop/egress.go
+++ b/internal/request/hop/egress.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
 	"github.com/teaselrack/teaselrack/internal/request/inflight"
@@ -20,7 +21,7 @@
 // importance it started with, so that an important request does not fail because a
 // less important lookup that it needs is shed, and an unimportant request does not
 // gain importance through the services it calls.
-func NewEgress(d Deps) http.Handler {
+func NewEgress(d Deps) drain.LimitedHandler {
 	return &egress{Deps: d, sender: newSender(d)}
 }
 
--- a/internal/request/hop/peer.go
+++ b/internal/request/hop/peer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
@@ -14,7 +15,7 @@
 // NewPeer returns the handler of the peer listener, which receives requests from
 // other daemons. All requests to the local targets pass through it, so it knows
 // for certain whether a request was dispatched to a target.
-func NewPeer(d Deps) http.Handler {
+func NewPeer(d Deps) drain.LimitedHandler {
 	return &peerHandler{Deps: d}
 }
 
--- a/internal/request/hop/root.go
+++ b/internal/request/hop/root.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
 	"github.com/teaselrack/teaselrack/internal/version"
@@ -12,7 +13,7 @@
 // NewRoot returns the handler of the ingress listener, which serves callers. The
 // handler assigns the ID, team, importance, cohort and deadline of a request, and
 // removes the API key.
-func NewRoot(d Deps) http.Handler {
+func NewRoot(d Deps) drain.LimitedHandler {
 	return &root{Deps: d, sender: newSender(d)}
 }
 
