Departures: an exit counts although the daemon does not know the target yet

Cause: the exit of a target that the daemon knew no heartbeat of was acknowledged and forgotten. A heartbeat that had been sent before the exit and was delayed by two seconds then announced the target as ready.

Change: exits are remembered by ID and start time, without a start time for as long as a heartbeat may be late; heartbeats of what has left are ignored.

Result: TestTargetThatLeftIsUsedAfterARestart and TestExitOfAnUnknownIncarnation fail without it and pass.

Ruled out: refusing to acknowledge the exit of an unknown target, since its sender stops without an acknowledgment after some seconds.

--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -70,6 +70,7 @@
 	mu            sync.Mutex
 	announced     bool
 	lastHeartbeat Heartbeat
+	departures    departures
 	heartbeatAt   time.Time
 	coldUntil     time.Time
 	// restartSuspected is true if the target may have restarted. It is then
@@ -126,9 +127,13 @@
 	defer t.mu.Unlock()
 	now := t.options.Now()
 	if h.Gone {
+		t.departures.add(now, h)
 		changed, err = t.markGone(h)
 		return changed, previous, err
 	}
+	if t.departures.includes(now, h) {
+		return false, previous, fault.New(fault.BadRequest, "heartbeat %d of %q is from before the exit that the target has announced", h.Sequence, h.ID)
+	}
 	if t.announced && !h.newer(t.lastHeartbeat) {
 		return false, previous, fault.New(fault.BadRequest, "heartbeat %d of %q is older than %d of %q", h.Sequence, h.ID, t.lastHeartbeat.Sequence, t.lastHeartbeat.ID)
 	}
@@ -162,7 +167,7 @@
 
 func (t *Target) markGone(h Heartbeat) (changed bool, err error) {
 	if !t.announced || t.lastHeartbeat.ID != h.ID || h.Started != 0 && t.lastHeartbeat.Started != 0 && h.Started != t.lastHeartbeat.Started {
-		return false, fault.New(fault.BadRequest, "target %q, which announces its exit, is not the local target", h.ID)
+		return false, fault.New(fault.BadRequest, "target %q, which announces its exit, is not the one that is known; its heartbeats are ignored from now on", h.ID)
 	}
 	t.lastHeartbeat.Gone = true
 	t.lastHeartbeat.Leaving = true
--- a/internal/process/local/target_test.go
+++ b/internal/process/local/target_test.go
@@ -97,6 +97,38 @@
 	must.False(t, ok)
 }
 
+// TestTargetThatLeftIsUsedAfterARestart guards against a delayed heartbeat that makes a
+// restarted daemon use a target whose exit it has acknowledged before it knew the target.
+func TestTargetThatLeftIsUsedAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		must.Error(t, f.target.Heartbeat(Heartbeat{ID: "a", Started: 1000, Gone: true}))
+		time.Sleep(2 * time.Second)
+		must.Error(t, f.target.Heartbeat(heartbeat(14)))
+		must.Eq(t, fault.NoTarget, fault.KindOf(f.admit(t)))
+		_, ok := f.target.Announcement()
+		must.False(t, ok)
+		restarted := heartbeat(1)
+		restarted.Started = 2000
+		must.NoError(t, f.target.Heartbeat(restarted))
+		must.NoError(t, f.admit(t))
+	})
+}
+
+// TestExitOfAnUnknownIncarnation checks that an exit without a start time counts as long as
+// heartbeats may be delayed, and does not exclude a later start under the same ID.
+func TestExitOfAnUnknownIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		must.Error(t, f.target.Heartbeat(Heartbeat{ID: "a", Gone: true}))
+		time.Sleep(maxHeartbeatDelay - time.Millisecond)
+		must.Error(t, f.target.Heartbeat(heartbeat(14)))
+		time.Sleep(time.Millisecond)
+		must.NoError(t, f.target.Heartbeat(heartbeat(1)))
+		must.NoError(t, f.admit(t))
+	})
+}
+
 // TestNewIncarnation guards against a delayed heartbeat of an earlier
 // incarnation that overrides the state of a target restarted under the same ID.
 func TestNewIncarnation(t *testing.T) {
