Departures: a restarted daemon learns from the replicas that its target leaves

Cause: a daemon keeps no state on disk.

The daemon records them before it accepts a configuration; without one it sends its target nothing.

Ruled out: trusting only the second heartbeat after a start, which costs each restarted daemon 1.5 s without its target; judging the delay by the start time and the sequence, since clocks step. A daemon that is killed before its next renewal, tens of milliseconds after the acknowledgment, and a group of replicas that restarts as a whole, still forget.

--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -156,6 +156,9 @@
 	// Targets are the current announcements of the daemon's local targets.
 	Targets       []Announcement `json:"t,omitempty"`
 	DaemonLeaving bool           `json:"l,omitempty"`
+	// Departed are the incarnations of local targets that have lately announced that
+	// they leave.
+	Departed []string `json:"dp,omitempty"`
 	// Subscriptions are the services whose targets the daemon needs to know.
 	Subscriptions []string `json:"s,omitempty"`
 	// ContentOnly says that the daemon needs the content of the configuration only,
@@ -202,6 +205,9 @@
 	Content     []byte         `json:"ct,omitempty"`
 	Registry    *RegistryDelta `json:"r,omitempty"`
 	Quota       []QuotaGrant   `json:"q,omitempty"`
+	// Departed are the incarnations that the daemon has lately reported as departed,
+	// also before it restarted.
+	Departed []string `json:"dp,omitempty"`
 	// Quarantine is nil if the daemon has the current list.
 	Quarantine *QuarantineUpdate `json:"qn,omitempty"`
 	// Replicas are the control addresses of the members that the replica knows.
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -127,11 +127,12 @@
 	defer t.mu.Unlock()
 	now := t.options.Now()
 	if h.Gone {
-		t.departures.add(now, h)
+		t.departures.add(now, departure{id: h.ID, started: h.Started, gone: true})
 		changed, err = t.markGone(h)
 		return changed, previous, err
 	}
-	if t.departures.includes(now, h) {
+	leaving, gone := t.departures.find(now, h)
+	if gone {
 		return false, previous, fault.New(fault.BadRequest, "heartbeat %d of %q is from before the exit that the target has announced", h.Sequence, h.ID)
 	}
 	if t.announced && !h.newer(t.lastHeartbeat) {
@@ -144,9 +145,10 @@
 		t.responded = false
 		t.forgetStatement(now)
 	}
-	if !newIncarnation && t.lastHeartbeat.Leaving {
-		h.Leaving = true
+	if h.Leaving {
+		t.departures.add(now, departure{id: h.ID, started: h.Started})
 	}
+	h.Leaving = h.Leaving || leaving || !newIncarnation && t.lastHeartbeat.Leaving
 	t.announced = true
 	t.lastHeartbeat = h
 	t.heartbeatAt = now
@@ -165,6 +167,47 @@
 	return before != after, previous, nil
 }
 
+// Departed returns the incarnations that have lately announced that they leave. Replicas
+// remember them for a daemon that restarts.
+func (t *Target) Departed() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.departures.incarnations(t.options.Now())
+}
+
+// AdoptDepartures records incarnations that this daemon, before it restarted, knew to
+// leave. They get no new requests.
+func (t *Target) AdoptDepartures(incarnations []string) {
+	if len(incarnations) > 0 && t.adoptDepartures(incarnations) {
+		t.options.Changed()
+	}
+}
+
+// adoptDepartures reports whether one of the incarnations is the current one, and was not
+// known to leave.
+func (t *Target) adoptDepartures(incarnations []string) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, incarnation := range incarnations {
+		left, ok := parseIncarnation(incarnation)
+		if !ok {
+			t.options.Log.Warn("malformed incarnation of a departed target", zap.String("incarnation", incarnation))
+			continue
+		}
+		if leaving, _ := t.departures.find(t.options.Now(), Heartbeat{ID: left.id, Started: left.started}); leaving {
+			continue
+		}
+		t.departures.add(t.options.Now(), left)
+		if t.announced && !t.lastHeartbeat.Leaving && t.lastHeartbeat.incarnation() == incarnation {
+			t.lastHeartbeat.Leaving = true
+			t.limiter.RejectAll()
+			changed = true
+		}
+		t.options.Log.Info("target is leaving, as known before this process started", zap.String("incarnation", incarnation))
+	}
+	return changed
+}
+
 func (t *Target) markGone(h Heartbeat) (changed bool, err error) {
 	if !t.announced || t.lastHeartbeat.ID != h.ID || h.Started != 0 && t.lastHeartbeat.Started != 0 && h.Started != t.lastHeartbeat.Started {
 		return false, fault.New(fault.BadRequest, "target %q, which announces its exit, is not the one that is known; its heartbeats are ignored from now on", h.ID)
--- a/internal/process/local/target_test.go
+++ b/internal/process/local/target_test.go
@@ -115,6 +115,45 @@
 	})
 }
 
+// TestRestartedDaemonUsesALeavingTarget guards against a delayed heartbeat that makes a
+// daemon use a target again that had announced that it leaves before the daemon restarted.
+func TestRestartedDaemonUsesALeavingTarget(t *testing.T) {
+	before, after := newFixture(), newFixture()
+	leaving := heartbeat(20)
+	leaving.Leaving = true
+	must.NoError(t, before.target.Heartbeat(leaving))
+	for _, late := range []bool{false, true} {
+		if late {
+			must.NoError(t, after.target.Heartbeat(heartbeat(19)))
+			must.NoError(t, after.admit(t))
+		}
+		after.target.AdoptDepartures(before.target.Departed())
+		must.NoError(t, after.target.Heartbeat(heartbeat(21)))
+		must.Eq(t, fault.TargetLeaving, fault.KindOf(after.admit(t)))
+		a, ok := after.target.Announcement()
+		must.True(t, ok)
+		must.Eq(t, protocol.Leaving, a.State)
+		after = newFixture()
+	}
+	after.target.AdoptDepartures([]string{"", "a", "a/x", "a/-1", "b/1000"})
+	must.NoError(t, after.target.Heartbeat(heartbeat(19)))
+	must.NoError(t, after.admit(t))
+}
+
+// TestDeparturesAreReportedForATime checks that reports of a departure end, and that those
+// of many incarnations are bounded.
+func TestDeparturesAreReportedForATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		for started := range int64(2 * maxDepartures) {
+			must.Error(t, f.target.Heartbeat(Heartbeat{ID: "a", Started: started + 1, Gone: true}))
+		}
+		must.Len(t, maxDepartures, f.target.Departed())
+		time.Sleep(departureTTL)
+		must.SliceEmpty(t, f.target.Departed())
+	})
+}
+
 // TestExitOfAnUnknownIncarnation checks that an exit without a start time counts as long as
 // heartbeats may be delayed, and does not exclude a later start under the same ID.
 func TestExitOfAnUnknownIncarnation(t *testing.T) {
--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -68,6 +68,11 @@
 	Quarantine *quarantine.List
 	// Targets returns the announcements of the local targets.
 	Targets func() []protocol.Announcement
+	// Departed, if set, returns the incarnations of local targets that have lately
+	// announced that they leave, and AdoptDepartures gets those that the replicas
+	// remember.
+	Departed        func() []string
+	AdoptDepartures func(incarnations []string)
 	// Leaving reports whether this daemon is shutting down.
 	Leaving  func() bool
 	Clock    func() time.Time
@@ -189,6 +194,9 @@
 		Quota:           l.options.Quota.TokenRequests(l.options.Clock()),
 	}
 	l.options.Configuration.Position(&request)
+	if l.options.Departed != nil {
+		request.Departed = l.options.Departed()
+	}
 	if l.options.Quarantine != nil {
 		l.options.Quarantine.Fill(&request)
 	}
@@ -197,6 +205,10 @@
 
 // apply applies a reply. It reports whether the reply renewed the lease.
 func (l *Loop) apply(sentAt time.Time, reply protocol.RenewReply) bool {
+	// Before the configuration: a daemon without one sends its targets nothing.
+	if l.options.AdoptDepartures != nil {
+		l.options.AdoptDepartures(reply.Departed)
+	}
 	before := l.options.Configuration.Current().Number()
 	if err := l.options.Configuration.Accept(sentAt, reply); err != nil {
 		l.options.Log.Warn("configuration rejected", zap.Error(err))
--- a/internal/process/renewal/loop_test.go
+++ b/internal/process/renewal/loop_test.go
@@ -23,13 +23,14 @@
 	began            time.Time
 	targetKnownAfter atomic.Int64 // time until the target is known, in nanoseconds
 	renewals         atomic.Int64
+	departed         []string
 }
 
 func (r *fakeReplicas) Call(_ context.Context, _, _ string, _, reply any) error {
 	n := r.renewals.Add(1)
 	renewReply := reply.(*protocol.RenewReply)
 	state := version.Initial()
-	*renewReply = protocol.RenewReply{Confirmed: true, Version: state.Number(), Digest: state.Digest()}
+	*renewReply = protocol.RenewReply{Confirmed: true, Version: state.Number(), Digest: state.Digest(), Departed: r.departed}
 	delta := &protocol.RegistryDelta{Epoch: "e", Version: uint64(n), Full: true}
 	if time.Since(r.began) >= time.Duration(r.targetKnownAfter.Load()) {
 		delta.Upserts = []protocol.TargetRecord{{Service: "s", Instance: "a", State: protocol.Warm, Slots: 1}}
@@ -77,3 +78,30 @@
 		must.NoError(t, <-done)
 	})
 }
+
+// TestDeparturesAreKnownBeforeTheConfiguration guards against a restarted daemon that gets
+// its configuration, and so permits requests to its target, before it learns that the
+// target leaves.
+func TestDeparturesAreKnownBeforeTheConfiguration(t *testing.T) {
+	group := &fakeReplicas{departed: []string{"a/1"}}
+	holder := configuration.NewHolder(configuration.HolderOptions{Now: time.Now})
+	var adopted []string
+	loop := New(Options{
+		Instance: "d", Replicas: []string{"r"}, Subscriptions: func() []string { return nil },
+		Caller: group, Configuration: holder, Registry: registry.NewTable(time.Now),
+		Quota: quota.NewHolder(time.Now, func(context.Context, []protocol.QuotaRequest) ([]protocol.QuotaGrant, time.Time, error) {
+			return nil, time.Now(), nil
+		}),
+		Targets: func() []protocol.Announcement { return nil }, Leaving: func() bool { return false },
+		Departed: func() []string { return []string{"b/2"} },
+		AdoptDepartures: func(incarnations []string) {
+			must.Error(t, holder.Fresh())
+			adopted = incarnations
+		},
+		Clock: time.Now, Recorder: discardRecorder{}, Log: zap.NewNop(),
+	})
+	must.True(t, loop.Renew(t.Context()))
+	must.NoError(t, holder.Fresh())
+	must.Eq(t, []string{"a/1"}, adopted)
+	must.Eq(t, []string{"b/2"}, loop.request().Departed)
+}
