Shutdown: the log says which requests are open and what the process waits for

Callers see a request cut off by a process that stops, and operators see processes that are still there at the end of the grace time. The log told neither which request nor which component: one line, `requests were interrupted during shutdown`.

Change: while a shutdown waits, one line a second with the connections that carry a request on each server. Before connections are closed, the 20 oldest open requests with ID, route, age and where each is, and their number. The components of a process have names (package lifecycle, on top of run.Group); a process that does not end 200 ms after the first of them says which it waits for. No decision changes.

Ruled out: internal/request/inflight: its table finds a request of a local target by a random handle and holds its envelope; the relay has neither, and entries of that table for each request would cost a lock and a random number.

--- a/internal/connection/drain/drain.go
+++ b/internal/connection/drain/drain.go
@@ -21,6 +21,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -55,6 +57,8 @@
 	// them. Run calls it before it closes the servers, and then waits for the
 	// requests on connections that were opened before.
 	RefuseNew func()
+	// Log receives what the shutdown waits for. It may be changed before Track is called.
+	Log *zap.Logger
 
 	draining atomic.Bool
 
@@ -65,9 +69,8 @@
 	selectiveFrom, endsAt time.Time
 	// longest is the longest time that a request took which ended since Begin.
 	longest time.Duration
-	// open holds the open connections of the tracked servers. The value is true
-	// while the connection carries a request.
-	open map[net.Conn]bool
+	// open holds the open connections of the tracked servers.
+	open map[net.Conn]*openConn
 }
 
 // New returns a Drain with the default periods.
@@ -75,7 +78,8 @@
 	return &Drain{
 		AnnouncePeriod: DefaultAnnouncePeriod,
 		GracePeriod:    DefaultGracePeriod,
-		open:           make(map[net.Conn]bool),
+		Log:            zap.NewNop(),
+		open:           make(map[net.Conn]*openConn),
 	}
 }
 
@@ -87,9 +91,12 @@
 func (d *Drain) Begin() { d.draining.Store(true) }
 
 // Track includes server in the graceful shutdown; call it before the server
-// starts. Run waits for the connections of tracked servers.
-func (d *Drain) Track(server *http.Server) {
+// starts. Run waits for the connections of tracked servers. The log uses name.
+func (d *Drain) Track(server *http.Server, name string) {
 	server.Handler = &handler{drain: d, next: server.Handler}
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, openConnKey{}, d.trackConn(conn, name))
+	}
 	previousHook := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		d.trackState(conn, state)
@@ -108,6 +115,9 @@
 func (d *Drain) Run(ctx context.Context, servers ...*http.Server) error {
 	d.Begin()
 	start := time.Now()
+	reporting, stopReporting := context.WithCancel(ctx)
+	defer stopReporting()
+	go d.reportWaiting(reporting)
 	d.setEnd(ctx, start.Add(d.AnnouncePeriod))
 	d.wait(ctx, start.Add(d.AnnouncePeriod), start.Add(d.GracePeriod))
 	if d.RefuseNew != nil {
@@ -122,6 +132,9 @@
 		}
 		// Shutdown may notice only after ctx that the last request has ended.
 		if d.activeConns() > 0 {
+			if len(errs) == 0 {
+				d.logOpenRequests()
+			}
 			errs = append(errs, err)
 		}
 		errs = append(errs, s.Close())
@@ -155,6 +168,15 @@
 	}
 }
 
+// trackConn records a new connection of the server with this name.
+func (d *Drain) trackConn(conn net.Conn, server string) *openConn {
+	c := &openConn{server: server}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open[conn] = c
+	return c
+}
+
 // trackState records the state of a connection. HTTP/2 connections are recorded
 // too: net/http reports them as active while they carry a request and as idle
 // otherwise. Their clients learn of the shutdown only in the second phase, in
@@ -164,7 +186,9 @@
 	defer d.mu.Unlock()
 	switch state {
 	case http.StateNew, http.StateActive, http.StateIdle:
-		d.open[conn] = state == http.StateActive
+		if c, ok := d.open[conn]; ok {
+			c.active = state == http.StateActive
+		}
 	case http.StateClosed, http.StateHijacked:
 		delete(d.open, conn)
 	}
@@ -185,8 +209,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	active := 0
-	for _, inRequest := range d.open {
-		if inRequest {
+	for _, c := range d.open {
+		if c.active {
 			active++
 		}
 	}
--- a/internal/connection/drain/drain_test.go
+++ b/internal/connection/drain/drain_test.go
@@ -99,7 +99,7 @@
 		})
 		d := New()
 		a, b := listener.NewServer(handler, listener.Options{}), listener.NewServer(handler, listener.Options{})
-		d.Track(a)
+		d.Track(a, "test")
 		la, lb := network.Listen(firstAddress), network.Listen(secondAddress)
 		go func() { _ = a.Serve(la) }()
 		go func() { _ = b.Serve(lb) }()
@@ -142,7 +142,7 @@
 			}
 		}), listener.Options{})
 		d := New()
-		d.Track(server)
+		d.Track(server, "test")
 		l := network.Listen(firstAddress)
 		go func() { _ = server.Serve(l) }()
 		client := &http.Client{Transport: &http.Transport{DialContext: network.Dial}}
--- a/internal/connection/drain/idle_test.go
+++ b/internal/connection/drain/idle_test.go
@@ -31,7 +31,7 @@
 					time.Sleep(2500 * time.Millisecond)
 				}
 			})}
-			d.Track(server)
+			d.Track(server, "test")
 			go func() { _ = server.Serve(l) }()
 			dial := func() net.Conn {
 				conn, err := network.Dial(t.Context(), "tcp", "10.0.0.1:1")
--- a/internal/connection/drain/late_test.go
+++ b/internal/connection/drain/late_test.go
@@ -32,7 +32,7 @@
 		}), listener.Options{})
 		d := New()
 		d.UntilIdle, d.AnnouncePeriod, d.GracePeriod = true, 2500*time.Millisecond, 4400*time.Millisecond
-		d.Track(server)
+		d.Track(server, "test")
 		ln := network.Listen(firstAddress)
 		go func() { _ = server.Serve(ln) }()
 		ctx, cancel := context.WithTimeout(t.Context(), timeout)
--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -105,6 +105,7 @@
 func (c *conn) roundTrip(ctx context.Context, r *Request, idHeader string) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, c.close)
 	start := time.Now()
+	r.Progress.Sending()
 	writtenBefore := c.counter.written.Load()
 	requestWritten := c.send(r)
 	resp, err := c.receive(r, idHeader)
--- a/internal/connection/http1/request.go
+++ b/internal/connection/http1/request.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"github.com/teaselrack/teaselrack/internal/connection/drain"
 )
 
 // Request is an HTTP request in the form in which it is written to a connection.
@@ -20,6 +22,8 @@
 	Rest io.Reader
 	// Length is the length of the complete body in bytes, or -1 if unknown.
 	Length int64
+	// Progress, if set, is told when the request is sent.
+	Progress *drain.Progress
 	// ID is the value that the response must repeat in Options.IDHeader.
 	ID string
 	// Idempotent says that the caller may send the request again, so that it may
--- a/internal/process/daemon/build.go
+++ b/internal/process/daemon/build.go
@@ -26,11 +26,11 @@
 	s := d.settings
 	d.events = events.New(s.Instance, events.DefaultCapacity, time.Now)
 	d.pool = rpc.NewPool(d.identity)
-	d.closers = append(d.closers, d.pool)
+	d.group.AddCloser("links", d.pool)
 	d.peerClient = peer.NewClient(d.identity, peer.Options{})
-	d.closers = append(d.closers, closeFunc(d.peerClient.Close))
+	d.group.AddCloser("peer connections", closeFunc(d.peerClient.Close))
 	d.targetClient = target.NewClient(target.Options{})
-	d.closers = append(d.closers, closeFunc(d.targetClient.Close))
+	d.group.AddCloser("target connections", closeFunc(d.targetClient.Close))
 	d.inFlight = inflight.NewTable()
 	if err := d.buildState(); err != nil {
 		return err
--- a/internal/process/daemon/controlrole.go
+++ b/internal/process/daemon/controlrole.go
@@ -3,8 +3,6 @@
 import (
 	"net"
 
-	"github.com/oklog/run"
-
 	"github.com/teaselrack/teaselrack/internal/connection/rpc"
 	"github.com/teaselrack/teaselrack/internal/process/control"
 )
@@ -31,16 +29,16 @@
 		return err
 	}
 	d.control = role
-	d.closers = append(d.closers, role)
+	d.group.AddCloser("control role", role)
 	return nil
 }
 
 // addControl adds the actors of the control role if this process has it.
-func (d *Daemon) addControl(g *run.Group, ln net.Listener) {
+func (d *Daemon) addControl(ln net.Listener) {
 	if d.control == nil {
 		return
 	}
 	server := rpc.NewServer(d.identity, d.control.Handlers(), d.log)
-	addLoop(g, d.control.Run)
-	g.Add(func() error { return server.Run(ln) }, func(error) { _ = server.Close() })
+	d.group.AddLoop("control role", d.control.Run)
+	d.group.Add("control links", func() error { return server.Run(ln) }, func(error) { _ = server.Close() })
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"io"
 
-	"github.com/oklog/run"
 	"go.uber.org/zap"
 
 	"github.com/teaselrack/teaselrack/internal/connection/drain"
@@ -21,6 +19,7 @@
 	"github.com/teaselrack/teaselrack/internal/process/control"
 	"github.com/teaselrack/teaselrack/internal/process/events"
 	"github.com/teaselrack/teaselrack/internal/process/ledger"
+	"github.com/teaselrack/teaselrack/internal/process/lifecycle"
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/renewal"
@@ -55,8 +54,8 @@
 	renewal       *renewal.Loop
 	control       *control.Role
 
-	// closers are closed in reverse order when the daemon stops.
-	closers []io.Closer
+	// group holds the components of the process.
+	group *lifecycle.Group
 }
 
 // New creates a daemon from validated settings. It opens the data directory of
@@ -67,9 +66,9 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: s, log: log, identity: identity, drain: drain.New(), clock: clock.New()}
+	d := &Daemon{settings: s, log: log, identity: identity, drain: drain.New(), clock: clock.New(), group: lifecycle.New(log)}
 	if err := d.build(); err != nil {
-		d.close()
+		d.group.Close()
 		return nil, err
 	}
 	return d, nil
@@ -78,33 +77,18 @@
 // Run serves until ctx ends, then shuts down gracefully. It returns early with
 // an error if a component fails, for example with StorageFailed.
 func (d *Daemon) Run(ctx context.Context) error {
-	defer d.close()
+	defer d.group.Close()
 	l, err := listen(d.settings.Listen, d.settings.Limits.Connections)
 	if err != nil {
 		return err
 	}
-	var g run.Group
-	d.addServers(ctx, &g, l)
-	addLoop(&g, d.renewal.Run)
-	addLoop(&g, d.quota.Run)
-	addLoop(&g, d.localTargets.Run)
-	d.addControl(&g, l.control)
+	d.addServers(ctx, l)
+	d.group.AddLoop("renewal", d.renewal.Run)
+	d.group.AddLoop("quota", d.quota.Run)
+	d.group.AddLoop("local targets", d.localTargets.Run)
+	d.addControl(l.control)
 	d.log.Info("daemon started", zap.String("ingress", l.ingress.Addr().String()))
-	return g.Run()
-}
-
-func addLoop(g *run.Group, loop func(context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
-}
-
-func (d *Daemon) close() {
-	for i := len(d.closers) - 1; i >= 0; i-- {
-		if err := d.closers[i].Close(); err != nil {
-			d.log.Warn("closing a component failed", zap.Error(err))
-		}
-	}
-	d.closers = nil
+	return d.group.Run()
 }
 
 // closeFunc adapts a function to io.Closer.
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/oklog/run"
 	"go.uber.org/zap"
 
 	"github.com/teaselrack/teaselrack/internal/connection/drain"
@@ -40,27 +39,28 @@
 
 // addServers adds an actor for each HTTP listener, and the actor that shuts the
 // daemon down after ctx has ended and then ends the group.
-func (d *Daemon) addServers(ctx context.Context, g *run.Group, l *listeners) {
+func (d *Daemon) addServers(ctx context.Context, l *listeners) {
 	s := d.newServers()
-	for _, server := range []*http.Server{s.ingress, s.peer, s.egress} {
-		d.drain.Track(server)
-	}
+	d.drain.Log = d.log
+	d.drain.Track(s.ingress, "ingress")
+	d.drain.Track(s.peer, "peer")
+	d.drain.Track(s.egress, "egress")
 	d.drain.RefuseNew = func() { l.refuseNew(d.log) }
-	d.addShutdown(ctx, g, s)
-	addServer(g, s.ingress, l.ingress, false)
-	addServer(g, s.egress, l.egress, false)
-	addServer(g, s.announce, l.announce, false)
-	addServer(g, s.operators, l.operators, false)
-	addServer(g, s.peer, l.peer, true)
+	d.addShutdown(ctx, s)
+	d.addServer("ingress", s.ingress, l.ingress, false)
+	d.addServer("egress", s.egress, l.egress, false)
+	d.addServer("announcements", s.announce, l.announce, false)
+	d.addServer("operators", s.operators, l.operators, false)
+	d.addServer("peer", s.peer, l.peer, true)
 }
 
 // addShutdown adds the actor that waits for ctx and then shuts down in phases:
 // it announces the shutdown to the senders of requests, waits until the
 // callers' connections have ended, and then stops the servers, the callers'
 // server first.
-func (d *Daemon) addShutdown(ctx context.Context, g *run.Group, s *servers) {
+func (d *Daemon) addShutdown(ctx context.Context, s *servers) {
 	stopped, stop := context.WithCancel(context.Background())
-	g.Add(func() error {
+	d.group.Add("shutdown", func() error {
 		select {
 		case <-ctx.Done():
 			d.shutDown(stopped, s)
@@ -114,12 +114,12 @@
 	return listener.NewServer(handler, listener.Options{HeaderLimit: limit})
 }
 
-// addServer adds the actor of one server. The actor of a server that was shut
-// down returns only when the group ends, because the return of any actor ends
+// addServer adds the component of one server. The component of a server that was shut
+// down returns only when the group ends, because the return of any component ends
 // the group before the shutdown is complete.
-func addServer(g *run.Group, server *http.Server, ln net.Listener, withTLS bool) {
+func (d *Daemon) addServer(name string, server *http.Server, ln net.Listener, withTLS bool) {
 	stop := make(chan struct{})
-	g.Add(func() error {
+	d.group.Add(name, func() error {
 		err := serve(server, ln, withTLS)
 		if !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -15,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/oklog/run"
 	"go.uber.org/zap"
 
 	"github.com/teaselrack/teaselrack/internal/connection/drain"
@@ -31,6 +30,7 @@
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
 	"github.com/teaselrack/teaselrack/internal/process/control"
 	"github.com/teaselrack/teaselrack/internal/process/events"
+	"github.com/teaselrack/teaselrack/internal/process/lifecycle"
 	"github.com/teaselrack/teaselrack/internal/process/local"
 	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/quota"
@@ -94,7 +94,8 @@
 	events  *events.Ring
 	pool    *rpc.Pool
 	drain   *drain.Drain
-	closers []io.Closer
+	// group holds the components of the process.
+	group *lifecycle.Group
 	// refusable are the listeners that refuse new connections at the end of a
 	// graceful shutdown.
 	refusable []*listener.Listener
@@ -124,7 +125,8 @@
 	if err := o.Validate(); err != nil {
 		return nil, err
 	}
-	n := &Node{options: o, log: o.Log, drain: drain.New(), stats: relay.NewStats(), traffic: traffic.NewCounter(o.FailureDomain), clock: clock.New()}
+	n := &Node{options: o, log: o.Log, drain: drain.New(), stats: relay.NewStats(), traffic: traffic.NewCounter(o.FailureDomain), clock: clock.New(), group: lifecycle.New(o.Log)}
+	n.drain.Log = o.Log
 	n.SetSeeds(o.Seeds)
 	n.tuneMemory()
 	n.events = events.New(o.Instance, eventCapacity, time.Now)
@@ -135,13 +137,13 @@
 	if o.Control != nil {
 		n.pool.CompressLinks()
 	}
-	n.closers = append(n.closers, n.pool)
+	n.group.AddCloser("links", n.pool)
 	if o.Traffic != nil {
 		n.buildTraffic(o.Traffic)
 	}
 	if o.Control != nil {
 		if err := n.buildControl(o.Control); err != nil {
-			n.close()
+			n.group.Close()
 			return nil, err
 		}
 	}
@@ -255,7 +257,7 @@
 		return err
 	}
 	n.controlRole = role
-	n.closers = append(n.closers, role)
+	n.group.AddCloser("control role", role)
 	return nil
 }
 
@@ -337,50 +339,50 @@
 
 // Run serves until ctx ends, then shuts down gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	defer n.close()
-	var g run.Group
-	servers, err := n.listen(&g)
+	defer n.group.Close()
+	servers, err := n.listen()
 	if err != nil {
 		return err
 	}
 	if n.options.Traffic != nil {
-		addLoop(&g, n.renewal.Run)
-		addLoop(&g, n.quota.Run)
-		addLoop(&g, n.prune)
+		n.group.AddLoop("renewal", n.renewal.Run)
+		n.group.AddLoop("quota", n.quota.Run)
+		n.group.AddLoop("idle connections", n.prune)
 	}
 	if n.controlRole != nil {
-		addLoop(&g, n.controlRole.Run)
+		n.group.AddLoop("control role", n.controlRole.Run)
 	}
-	n.addShutdown(ctx, &g, servers)
+	n.addShutdown(ctx, servers)
 	n.log.Info("node started", zap.String("instance", n.options.Instance), zap.String("failure_domain", n.options.FailureDomain),
 		zap.Bool("traffic", n.options.Traffic != nil), zap.Bool("control", n.options.Control != nil), zap.Strings("seeds", n.currentSeeds()))
-	err = g.Run()
+	err = n.group.Run()
 	n.log.Info("node stopped", zap.Error(err))
 	return err
 }
 
 // listen opens all listeners and adds their actors. It returns the servers that
 // callers and other daemons use.
-func (n *Node) listen(g *run.Group) ([]*http.Server, error) {
+func (n *Node) listen() ([]*http.Server, error) {
 	var servers []*http.Server
 	for address, newHandler := range n.options.Handlers {
-		if err := n.addServer(g, address, listener.NewServer(newHandler(n), n.serverOptions())); err != nil {
+		if err := n.addServer(address, listener.NewServer(newHandler(n), n.serverOptions())); err != nil {
 			return nil, err
 		}
 	}
 	if t := n.options.Traffic; t != nil {
 		for _, endpoint := range []struct {
+			name    string
 			address string
 			handler http.Handler
-		}{{t.Entry, n.entryHandler}, {t.Peer, n.peerHandler}} {
+		}{{"entry", t.Entry, n.entryHandler}, {"peer", t.Peer, n.peerHandler}} {
 			server := listener.NewServer(endpoint.handler, n.serverOptions())
-			n.drain.Track(server)
+			n.drain.Track(server, endpoint.name)
 			ln, err := listener.Listen(context.Background(), endpoint.address)
 			if err != nil {
 				return nil, err
 			}
 			n.refusable = append(n.refusable, ln)
-			g.Add(actor(server, ln))
+			n.addActor(endpoint.name, server, ln)
 			servers = append(servers, server)
 		}
 	}
@@ -390,7 +392,7 @@
 			return nil, err
 		}
 		server := rpc.NewServer(mesh.NewPlainIdentity(n.options.Instance), n.controlRole.Handlers(), n.log)
-		g.Add(func() error { return server.Run(ln) }, func(error) { _ = server.Close() })
+		n.group.Add("control links", func() error { return server.Run(ln) }, func(error) { _ = server.Close() })
 	}
 	return servers, nil
 }
@@ -399,31 +401,30 @@
 	return listener.Options{ErrorLog: zap.NewStdLog(n.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))}
 }
 
-func (n *Node) addServer(g *run.Group, address string, server *http.Server) error {
+func (n *Node) addServer(address string, server *http.Server) error {
 	ln, err := listener.Listen(context.Background(), address)
 	if err != nil {
 		return err
 	}
-	g.Add(actor(server, ln))
+	n.addActor("server "+address, server, ln)
 	return nil
 }
 
-// actor returns the run.Group functions of a server. The actor of a server that
-// was shut down returns only when the group ends, because the return of any
-// actor ends the group before the shutdown is complete.
-func actor(server *http.Server, ln net.Listener) (func() error, func(error)) {
+// addActor adds a server to the group. The component of a server that was shut down
+// returns only when the group ends, because the return of any component ends the group
+// before the shutdown is complete.
+func (n *Node) addActor(name string, server *http.Server, ln net.Listener) {
 	stop := make(chan struct{})
-	serve := func() error {
+	n.group.Add(name, func() error {
 		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		<-stop
 		return nil
-	}
-	return serve, func(error) {
+	}, func(error) {
 		close(stop)
 		_ = server.Close()
-	}
+	})
 }
 
 // prune closes idle connections periodically until ctx ends. It returns nil.
@@ -440,17 +441,3 @@
 		}
 	}
 }
-
-func addLoop(g *run.Group, loop func(context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
-}
-
-func (n *Node) close() {
-	for i := len(n.closers) - 1; i >= 0; i-- {
-		if err := n.closers[i].Close(); err != nil {
-			n.log.Warn("closing a component failed", zap.Error(err))
-		}
-	}
-	n.closers = nil
-}
--- a/internal/process/node/shutdown.go
+++ b/internal/process/node/shutdown.go
@@ -5,14 +5,13 @@
 	"net/http"
 	"time"
 
-	"github.com/oklog/run"
 	"go.uber.org/zap"
 )
 
 // addShutdown adds the actor that waits for ctx and then shuts down gracefully.
-func (n *Node) addShutdown(ctx context.Context, g *run.Group, servers []*http.Server) {
+func (n *Node) addShutdown(ctx context.Context, servers []*http.Server) {
 	stopped, stop := context.WithCancel(context.Background())
-	g.Add(func() error {
+	n.group.Add("shutdown", func() error {
 		select {
 		case <-ctx.Done():
 			n.shutDown(stopped, servers)
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
 	"github.com/teaselrack/teaselrack/internal/connection/traffic"
 	"github.com/teaselrack/teaselrack/internal/fault"
@@ -78,8 +79,10 @@
 	// The context of the attempt must stay alive until the response has been
 	// forwarded.
 	response, err := e.serve(r.Context(), w, req)
+	req.progress.Reach(drain.BeingAnswered)
 	if req.cancel != nil {
 		defer req.cancel()
+		defer req.stopFollowing()
 	}
 	if err != nil {
 		e.respondWithError(w, req, err)
@@ -132,6 +135,8 @@
 		return nil, err
 	}
 	ctx, req.cancel = context.WithDeadline(ctx, req.deadline)
+	req.progress.ID, req.progress.Route, req.progress.Began = req.id, req.route.Name, req.receivedAt
+	req.stopFollowing = drain.Follow(ctx, &req.progress)
 	if err := e.readBody(ctx, w, req, state.Limits()); err != nil {
 		return nil, err
 	}
@@ -144,6 +149,7 @@
 		return nil, err
 	}
 	if t, ok := state.Team(req.team); ok && t.Rate > 0 {
+		req.progress.Reach(drain.WaitingForToken)
 		if err := e.Quota.Take(ctx, req.team); err != nil {
 			return nil, withRetryAfter(err, req.retryAfter())
 		}
@@ -367,6 +373,7 @@
 		header[name] = values
 	}
 	request := newClientRequest(req.request, header, req.body)
+	request.Progress = &req.progress
 	if choice.Record.Instance == e.Instance && e.Local != nil {
 		response, err := e.Local.Serve(ctx, m, request)
 		e.Levels.Observe(time.Now(), m.Route, e.Local.Bottleneck(m.Route))
@@ -389,6 +396,7 @@
 		r.Header[headerStatement] = []string{m.Known.String()}
 	}
 	r.Idempotent = m.Idempotent
+	r.Progress.Reach(drain.ConnectingToPeer)
 	resp, err := e.PeerClient.Do(ctx, address, r)
 	if err != nil {
 		return nil, err
--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/shedding"
 	"github.com/teaselrack/teaselrack/internal/version"
@@ -75,6 +76,10 @@
 	// content identifies the request across callers and attempts.
 	content  quarantine.Fingerprint
 	revision uint64
+	// progress tells where the request is until stopFollowing is called, which is set
+	// where cancel is.
+	progress      drain.Progress
+	stopFollowing func()
 }
 
 // retryAfter returns the time after which a rejected caller is told to retry.
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
@@ -59,6 +60,8 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), m.Remaining)
 	defer cancel()
+	progress := &drain.Progress{ID: m.RequestID, Route: m.Route, Began: time.Now()}
+	defer drain.Follow(r.Context(), progress)()
 	body, err := bufferBody(r.Body, r.ContentLength)
 	if err != nil {
 		p.writePeerError(w, m, fault.Wrap(fault.BadRequest, err, "the request body was truncated"), 0)
@@ -67,7 +70,10 @@
 	if m.Known, err = readPeerStatement(r.Header); err != nil {
 		p.Log.Warn("malformed statement of another daemon", zap.String("request", m.RequestID), zap.Error(err))
 	}
-	resp, err := p.Serve(ctx, m, newClientRequest(r, forwardedHeaders(r.Header), body))
+	request := newClientRequest(r, forwardedHeaders(r.Header), body)
+	request.Progress = progress
+	resp, err := p.Serve(ctx, m, request)
+	progress.Reach(drain.BeingAnswered)
 	if err != nil {
 		var retryErr *RetryAfterError
 		retryAfter := time.Duration(0)
@@ -199,6 +205,7 @@
 	if err := p.Quarantine.Check(content); err != nil {
 		return nil, withRetryAfter(err, quarantine.RetryAfter)
 	}
+	r.Progress.Reach(drain.WaitingForSlot)
 	slot, retryAfter, err := p.Target.Admit(ctx, limiter.Request{Rank: m.Rank, Call: m.FromTarget, ClientRetry: m.ClientRetry, ObjectiveRemaining: m.ObjectiveRemaining})
 	if err != nil {
 		p.Log.Info("request not sent to the target", zap.String("request", m.RequestID), zap.String("service", m.Service),
@@ -208,6 +215,7 @@
 	}
 	slot.Content = content
 	p.setTargetHeaders(ctx, m, r, slot.ID)
+	r.Progress.Reach(drain.ConnectingToTarget)
 	began := time.Now()
 	deadline, _ := ctx.Deadline()
 	defer p.CallGraph.Begin(began, m.Route, deadline, m.Repeat)()
--- a/internal/request/relay/shed.go
+++ b/internal/request/relay/shed.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/shedding"
 )
@@ -35,6 +36,7 @@
 func (e *EntryHandler) hold(ctx context.Context, req *inboundRequest, bottleneck shedding.Bottleneck, d time.Duration) error {
 	e.Log.Info("request held until targets are warm", zap.String("request", req.id), zap.String("route", req.route.Name), zap.Int("rank", req.rank),
 		zap.String("bottleneck", bottleneck.Service), zap.Float64("level", bottleneck.Level), zap.Duration("for", d))
+	req.progress.Reach(drain.Held)
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/request/relay/shutdown_test.go
+++ b/internal/request/relay/shutdown_test.go
@@ -79,7 +79,7 @@
 		d := drain.New()
 		d.UntilIdle, d.AnnouncePeriod, d.GracePeriod = true, announce, grace
 		server := &http.Server{Handler: inst.entry}
-		d.Track(server)
+		d.Track(server, "test")
 		const address = "10.0.1.1:80"
 		ln := network.Listen(address)
 		go func() { _ = server.Serve(ln) }()
@@ -106,7 +106,7 @@
 	d := drain.New()
 	d.AnnouncePeriod = 0
 	server := &http.Server{Handler: m.instances[0].peerHandler}
-	d.Track(server)
+	d.Track(server, "test")
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
 	must.NoError(t, d.Run(ctx)) // no client is connected, but the handler may still be called
