Relay: a caller that waits is not cut off because a deadline passed

Callers see a connection that is closed without a response at their time limit. Cause: local.Target.dispatch told a context that had ended in any way as caller_gone, a deadline that passed between the turn of a request and its dispatch too. The entry closes the connection on that kind, also where another daemon reported it.

Evidence: by reading; no run of ours shows how often it happens. The entry closes a connection only if its own caller has gone.

Ruled out: admission, connection/target and connection/peer of the native interface tell the two apart already, and hop closes no connection for a caller_gone.

--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -313,10 +313,7 @@
 	if !t.limiter.Cancel(ticket) && !ticket.Rejected {
 		t.release(t.options.Now(), 0, limiter.NoEvidence)
 	}
-	if ctx.Err() == context.DeadlineExceeded {
-		return fault.New(fault.DeadlineNotRun, "deadline exceeded before the request was sent to the target")
-	}
-	return fault.New(fault.CallerGone, "the caller canceled the request")
+	return fault.OfContext(ctx, nil, false)
 }
 
 // dispatch repeats the checks whose result may have changed while the request
@@ -328,7 +325,7 @@
 	err := t.check(now)
 	retryAfter := coldRetryAfter
 	if err == nil && ctx.Err() != nil {
-		err = fault.New(fault.CallerGone, "the caller canceled the request")
+		err = fault.OfContext(ctx, nil, false)
 	}
 	if err == nil {
 		rate := t.options.ColdRate()
--- a/internal/process/local/target_test.go
+++ b/internal/process/local/target_test.go
@@ -57,6 +57,20 @@
 	must.NoError(t, f.admit(t))
 }
 
+// TestDeadlineIsNotTakenForACancellation guards against callers that are cut off because
+// their deadline passes between the turn of a request and its dispatch.
+func TestDeadlineIsNotTakenForACancellation(t *testing.T) {
+	f := newFixture()
+	must.NoError(t, f.target.Heartbeat(heartbeat(1)))
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now())
+	defer cancel()
+	<-ctx.Done()
+	for range 100 { // whether the turn or the deadline is noticed first is random
+		_, _, err := f.target.Admit(ctx, limiter.Request{ObjectiveRemaining: time.Second})
+		must.Eq(t, fault.DeadlineNotRun, fault.KindOf(err))
+	}
+}
+
 func TestHeartbeatsOfOthersChangeNothing(t *testing.T) {
 	f := newFixture()
 	other := heartbeat(1)
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -104,7 +104,8 @@
 }
 
 // respondWithError writes the final response to a request that failed. If the
-// caller canceled the request, it aborts the connection instead.
+// caller canceled the request, it aborts the connection instead. That another process
+// reports a canceled request says nothing about this caller.
 func (e *EntryHandler) respondWithError(w http.ResponseWriter, req *inboundRequest, err error) {
 	kind := fault.KindOf(err)
 	retryAfter := fault.ResponseFor(kind).RetryAfter
@@ -120,7 +121,7 @@
 	if !req.fromTarget && retryAfter > 0 && fault.OutcomeOf(err) == fault.NotRun {
 		e.Rejections.Add(time.Now(), req.fingerprint(), retryAfter)
 	}
-	if kind == fault.CallerGone {
+	if kind == fault.CallerGone && req.request.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
 	writeErrorResponse(w, err, retryAfter)
@@ -199,7 +200,7 @@
 }
 
 // readBody reads the beginning of the request body. Errors: TooLarge,
-// CallerGone, BadRequest.
+// DeadlineNotRun, CallerGone, BadRequest.
 func (e *EntryHandler) readBody(ctx context.Context, w http.ResponseWriter, req *inboundRequest, limits version.Limits) error {
 	r := req.request
 	if limits.BodyBytes > 0 {
@@ -211,7 +212,7 @@
 	body, err := bufferBody(r.Body, r.ContentLength)
 	if err != nil {
 		if ctx.Err() != nil {
-			return fault.Wrap(fault.CallerGone, err, "the caller canceled the request before its body was received")
+			return fault.OfContext(ctx, err, false)
 		}
 		return fault.Wrap(fault.BadRequest, err, "the request body was truncated")
 	}
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -157,29 +157,34 @@
 // newMeshOn is newMesh with all connections in network, or with real ones if it is
 // nil.
 func newMeshOn(t *testing.T, network *memnet.Network, mode version.Mode, retries, targets int) *mesh {
+	m := &mesh{t: t, state: routeState(t, mode, retries, 400*time.Millisecond, 300*time.Millisecond), network: network, client: http.DefaultClient}
+	if network != nil {
+		transport := &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 100}
+		t.Cleanup(transport.CloseIdleConnections)
+		m.client = &http.Client{Transport: transport}
+	}
+	for i := range targets {
+		m.add(fmt.Sprintf("m%d", i), "s")
+	}
+	return m
+}
+
+// routeState returns a state with one route r of service s.
+func routeState(t *testing.T, mode version.Mode, retries int, timeout, objective time.Duration) *version.State {
 	hash := version.HashKey(key)
 	configuration := &version.FullConfiguration{Revision: 1, Entries: version.Entries{
 		Teams: []version.Team{{Name: "team", Weight: 1}},
 		Keys:  []version.Key{{ID: version.KeyID(hash), Team: "team", Hash: hash}},
 		Routes: []version.Route{{
 			Name: "r", Host: host, Path: "/p/", Service: "s", Mode: mode, Access: version.Keyed,
-			Timeout: 400 * time.Millisecond, Objective: 300 * time.Millisecond, Retries: retries,
+			Timeout: timeout, Objective: objective, Retries: retries,
 		}},
 		Services: []version.Service{{Name: "s"}},
 	}}
 	must.NoError(t, configuration.Validate())
 	state, err := version.Initial().ApplyOrder(&version.Order{Configuration: configuration})
 	must.NoError(t, err)
-	m := &mesh{t: t, state: state, network: network, client: http.DefaultClient}
-	if network != nil {
-		transport := &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 100}
-		t.Cleanup(transport.CloseIdleConnections)
-		m.client = &http.Client{Transport: transport}
-	}
-	for i := range targets {
-		m.add(fmt.Sprintf("m%d", i), "s")
-	}
-	return m
+	return state
 }
 
 // add adds an instance whose target is a stub of the service.
--- a/internal/request/relay/shed.go
+++ b/internal/request/relay/shed.go
@@ -14,7 +14,8 @@
 
 // shed rejects a fraction of the requests that would load an overloaded service.
 // It does not reject the requests of targets. A request that can be served in time once
-// cold targets have become warm is held until then. Errors: Overloaded, CallerGone.
+// cold targets have become warm is held until then. Errors: Overloaded,
+// DeadlineNotRun, CallerGone.
 func (e *EntryHandler) shed(ctx context.Context, req *inboundRequest) error {
 	if req.fromTarget {
 		return nil
@@ -32,7 +33,8 @@
 	return withRetryAfter(err, req.retryAfterLevel(bottleneck.EndsIn, rand.Float64()))
 }
 
-// hold delays a request that would be shed until cold targets are warm. Errors: CallerGone.
+// hold delays a request that would be shed until cold targets are warm. Errors:
+// DeadlineNotRun, CallerGone.
 func (e *EntryHandler) hold(ctx context.Context, req *inboundRequest, bottleneck shedding.Bottleneck, d time.Duration) error {
 	e.Log.Info("request held until targets are warm", zap.String("request", req.id), zap.String("route", req.route.Name), zap.Int("rank", req.rank),
 		zap.String("bottleneck", bottleneck.Service), zap.Float64("level", bottleneck.Level), zap.Duration("for", d))
@@ -43,6 +45,6 @@
 	case <-t.C:
 		return nil
 	case <-ctx.Done():
-		return fault.New(fault.CallerGone, "the caller canceled the request before it was sent")
+		return fault.OfContext(ctx, nil, false)
 	}
 }
