--- a/internal/request/hop/shutdown_test.go
+++ b/internal/request/hop/shutdown_test.go
@@ -60,7 +60,7 @@
 			Recorder: m.events, Peers: m.nodes[0].peers,
 		})
 		server := listener.NewServer(handler, listener.Options{})
-		d.Track(server, handler)
+		d.Track(server, "test", handler)
 		const address = "127.0.0.9:7200"
 		m.serve(address, server)
 		wait := stop(t.Context(), d, server)
@@ -100,7 +100,7 @@
 			Recorder: m.events, InFlight: stopping.inFlight, Targets: stopping.targets, LocalTargets: stopping.localTargets,
 		})
 		server := peer.NewServer(m.identity("i1", mesh.Daemon, stopping.ip), handler, peer.ServerOptions{})
-		d.Track(server, handler)
+		d.Track(server, "test", handler)
 		const address = "127.0.0.1:7001"
 		m.router.targets[0].PeerAddress = address
 		l := m.network.Listen(address)
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
 	"github.com/teaselrack/teaselrack/internal/connection/traffic"
 	"github.com/teaselrack/teaselrack/internal/fault"
@@ -78,8 +79,10 @@
 	// The context of the attempt must stay alive until the response has been
 	// forwarded.
 	response, err := e.serve(r.Context(), w, req)
+	req.progress.Reach(drain.BeingAnswered)
 	if req.cancel != nil {
 		defer req.cancel()
+		defer req.stopFollowing()
 	}
 	if err != nil {
 		e.respondWithError(w, req, err)
@@ -101,7 +104,8 @@
 }
 
 // respondWithError writes the final response to a request that failed. If the
-// caller canceled the request, it aborts the connection instead.
+// caller canceled the request, it aborts the connection instead. That another process
+// reports a canceled request says nothing about this caller.
 func (e *EntryHandler) respondWithError(w http.ResponseWriter, req *inboundRequest, err error) {
 	kind := fault.KindOf(err)
 	retryAfter := fault.ResponseFor(kind).RetryAfter
@@ -117,7 +121,7 @@
 	if !req.fromTarget && retryAfter > 0 && fault.OutcomeOf(err) == fault.NotRun {
 		e.Rejections.Add(time.Now(), req.fingerprint(), retryAfter)
 	}
-	if kind == fault.CallerGone {
+	if kind == fault.CallerGone && req.request.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
 	writeErrorResponse(w, err, retryAfter)
@@ -132,6 +136,8 @@
 		return nil, err
 	}
 	ctx, req.cancel = context.WithDeadline(ctx, req.deadline)
+	req.progress.ID, req.progress.Route, req.progress.Began = req.id, req.route.Name, req.receivedAt
+	req.stopFollowing = drain.Follow(ctx, &req.progress)
 	if err := e.readBody(ctx, w, req, state.Limits()); err != nil {
 		return nil, err
 	}
@@ -144,6 +150,7 @@
 		return nil, err
 	}
 	if t, ok := state.Team(req.team); ok && t.Rate > 0 {
+		req.progress.Reach(drain.WaitingForToken)
 		if err := e.Quota.Take(ctx, req.team); err != nil {
 			return nil, withRetryAfter(err, req.retryAfter())
 		}
@@ -193,7 +200,7 @@
 }
 
 // readBody reads the beginning of the request body. Errors: TooLarge,
-// CallerGone, BadRequest.
+// DeadlineNotRun, CallerGone, BadRequest.
 func (e *EntryHandler) readBody(ctx context.Context, w http.ResponseWriter, req *inboundRequest, limits version.Limits) error {
 	r := req.request
 	if limits.BodyBytes > 0 {
@@ -205,7 +212,7 @@
 	body, err := bufferBody(r.Body, r.ContentLength)
 	if err != nil {
 		if ctx.Err() != nil {
-			return fault.Wrap(fault.CallerGone, err, "the caller canceled the request before its body was received")
+			return fault.OfContext(ctx, err, false)
 		}
 		return fault.Wrap(fault.BadRequest, err, "the request body was truncated")
 	}
@@ -367,6 +374,7 @@
 		header[name] = values
 	}
 	request := newClientRequest(req.request, header, req.body)
+	request.Progress = &req.progress
 	if choice.Record.Instance == e.Instance && e.Local != nil {
 		response, err := e.Local.Serve(ctx, m, request)
 		e.Levels.Observe(time.Now(), m.Route, e.Local.Bottleneck(m.Route))
@@ -389,6 +397,7 @@
 		r.Header[headerStatement] = []string{m.Known.String()}
 	}
 	r.Idempotent = m.Idempotent
+	r.Progress.Reach(drain.ConnectingToPeer)
 	resp, err := e.PeerClient.Do(ctx, address, r)
 	if err != nil {
 		return nil, err
