Local target: one odd heartbeat no longer holds for good

What callers see: after one heartbeat with a huge sequence, or with a start in the future, under the ID of the target, its daemon calls every genuine heartbeat "older": it keeps the odd one's state, takes the target for gone after five intervals and never follows it again. A future start also hides all later lifetimes. The same happens without another writer where a target restarts after its clock has stepped back.

Cause: what is newer is decided by the numbers that a heartbeat states alone; the first one to state the highest wins for good.

Change: a heartbeat that breaks with what is known proves nothing. One that cannot follow the last believed one (more than 100 calls for each interval that has passed, a start over a minute ahead of the daemon's clock, more calls than the target has had time for, no start where the target states one) is ignored until the next one continues it: so a target whose clock is wrong, or whose heartbeats were lost for long, is followed with its second heartbeat. One that seems older is believed once three, half an interval apart and each continuing the one before, have come while nothing of what was believed has come for four intervals. That is before the target is taken for gone, so it is never without a state, and longer than heartbeats are late. Delayed ones of an earlier lifetime come beside those of the later one, or in a burst, which counts once.

Result: go test ./internal/process/local.

Ruled out: rejecting by the clock alone (a daemon whose own clock is wrong would never follow its target); believing the last one that came (an earlier lifetime would displace a later one). An odd heartbeat that states a plausible start and sequence cannot be told from a genuine one: it takes effect, for four intervals. One that says the target leaves, or an odd leave message, holds for its lifetime: what was acknowledged binds.

--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -71,7 +71,9 @@
 	announced     bool
 	lastHeartbeat Heartbeat
 	heartbeatAt   time.Time
-	coldUntil     time.Time
+	// disbelieved holds the heartbeats that were not believed since heartbeatAt.
+	disbelieved disbelieved
+	coldUntil   time.Time
 	// restartSuspected is true if the target may have restarted. It is then
 	// treated as cold until the next heartbeat.
 	restartSuspected bool
@@ -102,8 +104,9 @@
 }
 
 // Heartbeat processes one heartbeat of the target. A heartbeat that is older
-// than the last one, or that belongs to another target, is ignored. Errors:
-// BadRequest with the reason why the heartbeat was ignored.
+// than the last one, that is implausible, or that belongs to another target, is
+// ignored; see believe. Errors: BadRequest with the reason why the heartbeat was
+// ignored.
 func (t *Target) Heartbeat(h Heartbeat) error {
 	if h.Service != t.options.Service && !h.Gone {
 		return fault.New(fault.BadRequest, "heartbeat of a target of service %q, but the local target serves %q", h.Service, t.options.Service)
@@ -129,8 +132,8 @@
 		changed, err = t.markGone(h)
 		return changed, previous, err
 	}
-	if t.announced && !h.newer(t.lastHeartbeat) {
-		return false, previous, fault.New(fault.BadRequest, "heartbeat %d of %q is older than %d of %q", h.Sequence, h.ID, t.lastHeartbeat.Sequence, t.lastHeartbeat.ID)
+	if err := t.believe(now, h); err != nil {
+		return false, previous, err
 	}
 	before := t.announcement(now)
 	newIncarnation := !t.announced || !h.sameIncarnation(t.lastHeartbeat)
--- a/internal/process/local/target_test.go
+++ b/internal/process/local/target_test.go
@@ -15,7 +15,10 @@
 	"github.com/teaselrack/teaselrack/internal/process/limiter"
 )
 
-const address = "10.0.0.1:80"
+const (
+	address  = "10.0.0.1:80"
+	interval = 1500 * time.Millisecond
+)
 
 // fixture is a Target and the conditions that it reads.
 type fixture struct {
@@ -28,7 +31,7 @@
 func newFixture() *fixture {
 	f := &fixture{}
 	f.target = New(Options{
-		Service: "s", Address: address, Interval: 1500 * time.Millisecond,
+		Service: "s", Address: address, Interval: interval,
 		ColdRate:  func() float64 { return 33 },
 		Permitted: func() error { return f.notPermitted },
 		Changed:   func() { f.changes++ },
