Local target: acknowledge a leaving target only if that takes effect

What callers see: requests to a target more than its drain time after it was told that its leaving is known. An odd heartbeat with a sequence a little too high made the genuine one that said "draining" seem older; it was acknowledged and ignored.

Cause: heartbeats that are ignored are acknowledged, so that their sender does not try elsewhere; for one that says that the target leaves, the acknowledgement is a promise.

Change: an older heartbeat of the same lifetime that says that the target leaves takes effect, since a lifetime that leaves never returns. All others are acknowledged as before.

Result: go test ./internal/process/local ./platform.

Ruled out: refusing every ignored heartbeat: a delayed one of a sound target would be sent again.

--- a/internal/process/local/heartbeat_test.go
+++ b/internal/process/local/heartbeat_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
@@ -211,3 +212,20 @@
 		}
 	}
 }
+
+// TestLeavingHoldsBehindAnOddHeartbeat guards against requests to a target that has said
+// that it leaves, in a heartbeat that seems older than one of another writer.
+func TestLeavingHoldsBehindAnOddHeartbeat(t *testing.T) {
+	f := newFixture()
+	must.NoError(t, f.target.Heartbeat(heartbeat(5)))
+	must.NoError(t, f.target.Heartbeat(odd(heartbeat(5))["sequence a little too high"]))
+	leaving := heartbeat(6)
+	leaving.Leaving = true
+	must.NoError(t, f.target.Heartbeat(leaving))
+	must.Eq(t, fault.TargetLeaving, fault.KindOf(f.admit(t)))
+	a, ok := f.target.Announcement()
+	must.True(t, ok)
+	must.Eq(t, protocol.Leaving, a.State)
+	must.Eq(t, 2, f.changes)
+	must.NoError(t, f.target.Heartbeat(leaving), must.Sprint("repeated, since the acknowledgement was lost"))
+}
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -133,6 +133,10 @@
 		return changed, previous, err
 	}
 	if err := t.believe(now, h); err != nil {
+		if h.Leaving && t.announced && h.sameIncarnation(t.lastHeartbeat) && !h.newer(t.lastHeartbeat) {
+			// An incarnation that leaves never returns, whatever arrived first.
+			return t.markLeaving(), previous, nil
+		}
 		return false, previous, err
 	}
 	before := t.announcement(now)
@@ -163,6 +167,17 @@
 	return before != after, previous, nil
 }
 
+// markLeaving reports whether the target was not leaving before.
+func (t *Target) markLeaving() bool {
+	if t.lastHeartbeat.Leaving {
+		return false
+	}
+	t.lastHeartbeat.Leaving = true
+	t.limiter.RejectAll()
+	t.options.Log.Info("target state changed", zap.String("id", t.lastHeartbeat.ID), zap.String("state", string(protocol.Leaving)))
+	return true
+}
+
 func (t *Target) markGone(h Heartbeat) (changed bool, err error) {
 	if !t.announced || t.lastHeartbeat.ID != h.ID || h.Started != 0 && t.lastHeartbeat.Started != 0 && h.Started != t.lastHeartbeat.Started {
 		return false, fault.New(fault.BadRequest, "target %q, which announces its exit, is not the local target", h.ID)
