Heartbeats: one set of bounds for what a target states

What callers see: a heartbeat with 1e18 slots makes the limiter, and the balancers of all other daemons, take the target for free whatever runs; one with cold_left_ms 1e300 makes it cold for 292 years on arm64 and not cold at all on x86-64.

Cause: heartbeats had no upper bounds, although announcements had; the conversion of a float that does not fit a duration is left to the processor.

Change: the bounds of slots, incarnation and state stand in internal/connection/protocol, for both interfaces. A heartbeat with a value out of range gets 400 and takes no effect.

Result: go test ./platform ./internal/process/announce ./internal/process/local. TestValuesOutOfRangeAreRefused got 200 for 100,001 slots and for cold_left_ms 1e300 before. The cases of announcements hold unchanged.

Ruled out: clamping: the platform says that such an entry names no server to use.

--- a/internal/process/announce/validate.go
+++ b/internal/process/announce/validate.go
@@ -8,11 +8,7 @@
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
-const (
-	maxSlots            = 100_000
-	maxConnections      = 1_000_000
-	maxIncarnationBytes = 128
-)
+const maxConnections = 1_000_000
 
 // serviceName matches valid service names, in the same form as in release
 // notes.
@@ -27,19 +23,16 @@
 	if err := validateAddress(a.Address); err != nil {
 		return err
 	}
-	switch {
-	case a.Incarnation == "" || len(a.Incarnation) > maxIncarnationBytes:
-		return fault.New(fault.BadRequest, "the incarnation must have 1 to %d bytes", maxIncarnationBytes)
-	case a.Slots < 1 || a.Slots > maxSlots:
-		return fault.New(fault.BadRequest, "slots must be between 1 and %d", maxSlots)
-	case a.Connections < 1 || a.Connections > maxConnections:
-		return fault.New(fault.BadRequest, "connections must be between 1 and %d", maxConnections)
+	if err := protocol.CheckIncarnation(a.Incarnation); err != nil {
+		return err
 	}
-	switch a.State {
-	case protocol.Cold, protocol.Warm, protocol.Leaving:
-		return nil
+	if err := protocol.CheckSlots(a.Slots); err != nil {
+		return err
+	}
+	if a.Connections < 1 || a.Connections > maxConnections {
+		return fault.New(fault.BadRequest, "connections must be between 1 and %d", maxConnections)
 	}
-	return fault.New(fault.BadRequest, "state %q is not one of cold, warm, leaving", a.State)
+	return protocol.CheckState(a.State)
 }
 
 func validateAddress(address string) error {
--- a/internal/process/local/heartbeat.go
+++ b/internal/process/local/heartbeat.go
@@ -3,8 +3,14 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
+// MaxColdFor is the longest remaining cold-start time that a target may state.
+const MaxColdFor = 24 * time.Hour
+
 // Heartbeat is the status that a target reports periodically.
 type Heartbeat struct {
 	// ID identifies the target. A target may restart under the same ID.
@@ -27,6 +33,21 @@
 	ColdFor time.Duration
 }
 
+// Validate returns a BadRequest error if a value of h is out of range. Of the last
+// message of a target, only what identifies the target counts.
+func (h Heartbeat) Validate() error {
+	if err := protocol.CheckIncarnation(h.incarnation()); err != nil {
+		return err
+	}
+	if h.Gone {
+		return nil
+	}
+	if h.ColdFor < 0 || h.ColdFor > MaxColdFor {
+		return fault.New(fault.BadRequest, "the remaining cold-start time must be between 0 and %s", MaxColdFor)
+	}
+	return protocol.CheckSlots(h.Slots)
+}
+
 // newer reports whether h was sent after old. The two may belong to different
 // incarnations.
 func (h Heartbeat) newer(old Heartbeat) bool {
