--- a/internal/connection/protocol/bounds.go
+++ b/internal/connection/protocol/bounds.go
@@ -1,6 +1,10 @@
 package protocol
 
-import "github.com/teaselrack/teaselrack/internal/fault"
+import (
+	"strings"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
 
 // Bounds of what a target may state about itself, in every interface and message.
 const (
@@ -19,13 +23,16 @@
 }
 
 // CheckIncarnation returns a BadRequest error if s cannot be the incarnation of a target.
+// Incarnations are sent in headers.
 func CheckIncarnation(s string) error {
-	if s == "" || len(s) > MaxIncarnationBytes {
-		return fault.New(fault.BadRequest, "the incarnation must have 1 to %d bytes", MaxIncarnationBytes)
+	if s == "" || len(s) > MaxIncarnationBytes || strings.ContainsFunc(s, isNotVisibleASCII) {
+		return fault.New(fault.BadRequest, "the incarnation must have 1 to %d visible ASCII characters", MaxIncarnationBytes)
 	}
 	return nil
 }
 
+func isNotVisibleASCII(r rune) bool { return r <= ' ' || r > '~' }
+
 // CheckState returns a BadRequest error if s is not a state of a target.
 func CheckState(s TargetState) error {
 	switch s {
--- a/internal/process/announce/registry_test.go
+++ b/internal/process/announce/registry_test.go
@@ -52,6 +52,7 @@
 		{"host name", "PUT", Path, replace("127.0.0.1", "localhost"), fault.BadRequest},
 		{"no port", "PUT", Path, replace(":9000", ":0"), fault.BadRequest},
 		{"incarnation", "PUT", Path, replace("a1", ""), fault.BadRequest},
+		{"incarnation with a line break", "PUT", Path, replace("a1", `a\r\nb`), fault.BadRequest},
 		{"no slots", "PUT", Path, replace("130", "0"), fault.BadRequest},
 		{"too many slots", "PUT", Path, replace("130", "100001"), fault.BadRequest},
 		{"no connections", "PUT", Path, replace("900", "-1"), fault.BadRequest},
