Refusals repeat at most a few hundred bytes of what they refuse

What callers see: a heartbeat with a number of 50 kB gets a response of 50 kB, of which its sender reads 4 KiB, and one such line in the log for each try; a configuration of megabytes comes back whole, in the response and twice in the log.

Cause: messages quote names, numbers and the errors of the JSON decoder, which quote the literal.

Ruled out: a bound in fault.New: lists of problems in a release note are meant to be long.

--- a/internal/connection/protocol/bounds.go
+++ b/internal/connection/protocol/bounds.go
@@ -12,6 +12,8 @@
 	MaxSlots = 100_000
 	// MaxIncarnationBytes is the maximum length of an incarnation.
 	MaxIncarnationBytes = 128
+	// maxQuotedBytes limits what a refusal repeats.
+	maxQuotedBytes = 64
 )
 
 // CheckSlots returns a BadRequest error if n cannot be the number of slots of a target.
@@ -39,5 +41,5 @@
 	case Cold, Warm, Leaving:
 		return nil
 	}
-	return fault.New(fault.BadRequest, "state %q is not one of cold, warm, leaving", s)
+	return fault.New(fault.BadRequest, "state %q is not one of cold, warm, leaving", fault.Excerpt(string(s), maxQuotedBytes))
 }
--- a/internal/process/announce/registry_test.go
+++ b/internal/process/announce/registry_test.go
@@ -130,3 +130,16 @@
 		must.Eq(t, status == http.StatusNoContent, len(r.List()) == 1)
 	})
 }
+
+// TestRefusalsRepeatLittle guards against refusals that repeat a whole announcement.
+func TestRefusalsRepeatLittle(t *testing.T) {
+	encoded, err := json.Marshal(sampleAnnouncement())
+	must.NoError(t, err)
+	long := strings.Repeat("7", maxBodyBytes/2)
+	for _, change := range [][2]string{{"tides", long}, {"127.0.0.1", long}, {"cold", long}, {"130", long}, {`"service"`, `"` + long + `"`}, {"cold", strings.Repeat("\\u0001", 1200)}} {
+		w := httptest.NewRecorder()
+		New(Hooks{}).ServeHTTP(w, httptest.NewRequest(http.MethodPut, Path, strings.NewReader(strings.Replace(string(encoded), change[0], change[1], 1))))
+		must.Eq(t, http.StatusBadRequest, w.Code)
+		must.LessEq(t, 4096, w.Body.Len(), must.Sprint(change[0]))
+	}
+}
--- a/internal/process/announce/server.go
+++ b/internal/process/announce/server.go
@@ -14,8 +14,12 @@
 // Path is the URL path to which targets send their announcements with PUT.
 const Path = "/v1/target"
 
-// maxBodyBytes is the maximum size of an announcement in bytes of JSON.
-const maxBodyBytes = 8 << 10
+// maxBodyBytes is the maximum size of an announcement in bytes of JSON, and maxReasonBytes
+// that of the reason why one is refused.
+const (
+	maxBodyBytes   = 8 << 10
+	maxReasonBytes = 400
+)
 
 // Problem is the body of an error response.
 type Problem struct {
@@ -70,5 +74,5 @@
 	kind := fault.KindOf(err)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(fault.ResponseFor(kind).Status)
-	_ = json.NewEncoder(w).Encode(Problem{Kind: kind, Message: fault.Message(err)})
+	_ = json.NewEncoder(w).Encode(Problem{Kind: kind, Message: fault.Excerpt(fault.Message(err), maxReasonBytes)})
 }
--- a/internal/version/problems.go
+++ b/internal/version/problems.go
@@ -8,8 +8,12 @@
 	"github.com/teaselrack/teaselrack/internal/strictyaml"
 )
 
-// maxProblems bounds the number of problems that one error lists.
-const maxProblems = 50
+// maxProblems bounds the number of problems that one error lists, and maxProblemBytes the
+// length of each.
+const (
+	maxProblems     = 50
+	maxProblemBytes = 1 << 10
+)
 
 // problems collects every problem of a note, so that an operator sees all of them
 // at once.
@@ -18,7 +22,7 @@
 }
 
 func (p *problems) add(format string, args ...any) {
-	p.list = append(p.list, fmt.Sprintf(format, args...))
+	p.list = append(p.list, fault.Excerpt(fmt.Sprintf(format, args...), maxProblemBytes))
 }
 
 // asError returns all problems as one NoteInvalid error, or nil.
