--- a/internal/process/announce/registry_test.go
+++ b/internal/process/announce/registry_test.go
@@ -52,6 +52,7 @@
 		{"host name", "PUT", Path, replace("127.0.0.1", "localhost"), fault.BadRequest},
 		{"no port", "PUT", Path, replace(":9000", ":0"), fault.BadRequest},
 		{"incarnation", "PUT", Path, replace("a1", ""), fault.BadRequest},
+		{"incarnation with a line break", "PUT", Path, replace("a1", `a\r\nb`), fault.BadRequest},
 		{"no slots", "PUT", Path, replace("130", "0"), fault.BadRequest},
 		{"too many slots", "PUT", Path, replace("130", "100001"), fault.BadRequest},
 		{"no connections", "PUT", Path, replace("900", "-1"), fault.BadRequest},
@@ -129,3 +130,16 @@
 		must.Eq(t, status == http.StatusNoContent, len(r.List()) == 1)
 	})
 }
+
+// TestRefusalsRepeatLittle guards against refusals that repeat a whole announcement.
+func TestRefusalsRepeatLittle(t *testing.T) {
+	encoded, err := json.Marshal(sampleAnnouncement())
+	must.NoError(t, err)
+	long := strings.Repeat("7", maxBodyBytes/2)
+	for _, change := range [][2]string{{"tides", long}, {"127.0.0.1", long}, {"cold", long}, {"130", long}, {`"service"`, `"` + long + `"`}, {"cold", strings.Repeat("\\u0001", 1200)}} {
+		w := httptest.NewRecorder()
+		New(Hooks{}).ServeHTTP(w, httptest.NewRequest(http.MethodPut, Path, strings.NewReader(strings.Replace(string(encoded), change[0], change[1], 1))))
+		must.Eq(t, http.StatusBadRequest, w.Code)
+		must.LessEq(t, 4096, w.Body.Len(), must.Sprint(change[0]))
+	}
+}
--- a/internal/process/local/departures.go
+++ b/internal/process/local/departures.go
@@ -4,6 +4,11 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
 const (
@@ -83,3 +88,64 @@
 	started, err := strconv.ParseInt(text[slash+1:], 10, 64)
 	return departure{id: text[:slash], started: started}, err == nil && started >= 0
 }
+
+// Departed returns the incarnations that have lately announced that they leave. Replicas
+// remember them for a daemon that restarts.
+func (t *Target) Departed() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.departures.incarnations(t.options.Now())
+}
+
+// AdoptDepartures records incarnations that this daemon, before it restarted, knew to
+// leave. They get no new requests.
+func (t *Target) AdoptDepartures(incarnations []string) {
+	if len(incarnations) > 0 && t.adoptDepartures(incarnations) {
+		t.options.Changed()
+	}
+}
+
+// adoptDepartures reports whether one of the incarnations is the current one, and was not
+// known to leave.
+func (t *Target) adoptDepartures(incarnations []string) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, incarnation := range incarnations {
+		left, ok := parseIncarnation(incarnation)
+		if !ok {
+			t.options.Log.Warn("malformed incarnation of a departed target", zap.String("incarnation", incarnation))
+			continue
+		}
+		if leaving, _ := t.departures.find(t.options.Now(), Heartbeat{ID: left.id, Started: left.started}); leaving {
+			continue
+		}
+		t.departures.add(t.options.Now(), left)
+		if t.announced && t.lastHeartbeat.incarnation() == incarnation {
+			changed = t.markLeaving() || changed
+		}
+		t.options.Log.Info("target is leaving, as known before this process started", zap.String("incarnation", incarnation))
+	}
+	return changed
+}
+
+// markLeaving reports whether the target was not leaving before.
+func (t *Target) markLeaving() bool {
+	if t.lastHeartbeat.Leaving {
+		return false
+	}
+	t.lastHeartbeat.Leaving = true
+	t.limiter.RejectAll()
+	t.options.Log.Info("target state changed", zap.String("id", t.lastHeartbeat.ID), zap.String("state", string(protocol.Leaving)))
+	return true
+}
+
+func (t *Target) markGone(h Heartbeat) (changed bool, err error) {
+	if !t.announced || t.lastHeartbeat.ID != h.ID || h.Started != 0 && t.lastHeartbeat.Started != 0 && h.Started != t.lastHeartbeat.Started {
+		return false, fault.New(fault.BadRequest, "target %q, which announces its exit, is not the one that is known; its heartbeats are ignored from now on", h.ID)
+	}
+	t.lastHeartbeat.Gone = true
+	t.lastHeartbeat.Leaving = true
+	t.limiter.RejectAll()
+	t.options.Log.Info("target announced its exit", zap.String("id", h.ID), zap.String("state", "gone"))
+	return true, nil
+}
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -72,7 +72,9 @@
 	lastHeartbeat Heartbeat
 	departures    departures
 	heartbeatAt   time.Time
-	coldUntil     time.Time
+	// disbelieved holds the heartbeats that were not believed since heartbeatAt.
+	disbelieved disbelieved
+	coldUntil   time.Time
 	// restartSuspected is true if the target may have restarted. It is then
 	// treated as cold until the next heartbeat.
 	restartSuspected bool
@@ -103,8 +105,9 @@
 }
 
 // Heartbeat processes one heartbeat of the target. A heartbeat that is older
-// than the last one, or that belongs to another target, is ignored. Errors:
-// BadRequest with the reason why the heartbeat was ignored.
+// than the last one, that is implausible, or that belongs to another target, is
+// ignored; see believe. Errors: BadRequest with the reason why the heartbeat was
+// ignored.
 func (t *Target) Heartbeat(h Heartbeat) error {
 	if h.Service != t.options.Service && !h.Gone {
 		return fault.New(fault.BadRequest, "heartbeat of a target of service %q, but the local target serves %q", h.Service, t.options.Service)
@@ -132,11 +135,19 @@
 		return changed, previous, err
 	}
 	leaving, gone := t.departures.find(now, h)
+	if gone && h.Leaving {
+		return false, previous, nil
+	}
 	if gone {
 		return false, previous, fault.New(fault.BadRequest, "heartbeat %d of %q is from before the exit that the target has announced", h.Sequence, h.ID)
 	}
-	if t.announced && !h.newer(t.lastHeartbeat) {
-		return false, previous, fault.New(fault.BadRequest, "heartbeat %d of %q is older than %d of %q", h.Sequence, h.ID, t.lastHeartbeat.Sequence, t.lastHeartbeat.ID)
+	if err := t.believe(now, h); err != nil {
+		if h.Leaving && t.announced && h.sameIncarnation(t.lastHeartbeat) && !h.newer(t.lastHeartbeat) {
+			// An incarnation that leaves never returns, whatever arrived first.
+			t.departures.add(now, departure{id: h.ID, started: h.Started})
+			return t.markLeaving(), previous, nil
+		}
+		return false, previous, err
 	}
 	before := t.announcement(now)
 	newIncarnation := !t.announced || !h.sameIncarnation(t.lastHeartbeat)
@@ -167,58 +178,6 @@
 	return before != after, previous, nil
 }
 
-// Departed returns the incarnations that have lately announced that they leave. Replicas
-// remember them for a daemon that restarts.
-func (t *Target) Departed() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.departures.incarnations(t.options.Now())
-}
-
-// AdoptDepartures records incarnations that this daemon, before it restarted, knew to
-// leave. They get no new requests.
-func (t *Target) AdoptDepartures(incarnations []string) {
-	if len(incarnations) > 0 && t.adoptDepartures(incarnations) {
-		t.options.Changed()
-	}
-}
-
-// adoptDepartures reports whether one of the incarnations is the current one, and was not
-// known to leave.
-func (t *Target) adoptDepartures(incarnations []string) (changed bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, incarnation := range incarnations {
-		left, ok := parseIncarnation(incarnation)
-		if !ok {
-			t.options.Log.Warn("malformed incarnation of a departed target", zap.String("incarnation", incarnation))
-			continue
-		}
-		if leaving, _ := t.departures.find(t.options.Now(), Heartbeat{ID: left.id, Started: left.started}); leaving {
-			continue
-		}
-		t.departures.add(t.options.Now(), left)
-		if t.announced && !t.lastHeartbeat.Leaving && t.lastHeartbeat.incarnation() == incarnation {
-			t.lastHeartbeat.Leaving = true
-			t.limiter.RejectAll()
-			changed = true
-		}
-		t.options.Log.Info("target is leaving, as known before this process started", zap.String("incarnation", incarnation))
-	}
-	return changed
-}
-
-func (t *Target) markGone(h Heartbeat) (changed bool, err error) {
-	if !t.announced || t.lastHeartbeat.ID != h.ID || h.Started != 0 && t.lastHeartbeat.Started != 0 && h.Started != t.lastHeartbeat.Started {
-		return false, fault.New(fault.BadRequest, "target %q, which announces its exit, is not the one that is known; its heartbeats are ignored from now on", h.ID)
-	}
-	t.lastHeartbeat.Gone = true
-	t.lastHeartbeat.Leaving = true
-	t.limiter.RejectAll()
-	t.options.Log.Info("target announced its exit", zap.String("id", h.ID), zap.String("state", "gone"))
-	return true, nil
-}
-
 // Announcement returns the announcement to send to the control replicas. ok is
 // false if there is no usable target.
 func (t *Target) Announcement() (a protocol.Announcement, ok bool) {
