Test that a target that leaves after its exit is acknowledged

Change: TestTargetLeavesAfterItsExitIsKnown. Result: passes; without the decision the heartbeat that says it is refused (409 on the platform). Ruled out: nothing.

--- a/internal/process/local/target_test.go
+++ b/internal/process/local/target_test.go
@@ -350,3 +350,16 @@
 	f.notPermitted = nil
 	must.NoError(t, f.admit(t))
 }
+
+// TestTargetLeavesAfterItsExitIsKnown checks that a target that repeats that it leaves
+// after it has announced its exit is acknowledged, since that has taken effect.
+func TestTargetLeavesAfterItsExitIsKnown(t *testing.T) {
+	f := newFixture()
+	must.NoError(t, f.target.Heartbeat(heartbeat(5)))
+	must.NoError(t, f.target.Heartbeat(Heartbeat{ID: "a", Started: 1000, Gone: true}))
+	leaving := heartbeat(6)
+	leaving.Leaving = true
+	must.NoError(t, f.target.Heartbeat(leaving))
+	must.Error(t, f.target.Heartbeat(heartbeat(7)))
+	must.Eq(t, fault.TargetLeaving, fault.KindOf(f.admit(t)))
+}
