Shutdown: every request that is open at its end gets a response

Callers see a connection that is closed without a response 5.2 s after SIGTERM: for requests of the first 2.5 s that wait for a slot beside the target or until targets are warm, and for requests at which a target works. None of the former has run. Cause: at the end the drain closed the connections. Nothing told the requests before, and nothing kept a second attempt from beginning shortly before.

Change: a shutdown has one schedule, drain.Schedule: until when it accepts what may outlast it, and its end, 0.1 s before the connections are closed. At the end it cancels the parent context of all requests, with a cause. fault.OfContext makes shutting_down (503, not run) of it where no target has the request, and the new kind interrupted (502, unknown) where one may have it; the entry repeats an interrupted idempotent request on another target. The limiter is told the end as the time for which a response is useful.

A response that is being streamed still breaks off, 0.1 s earlier than before.

--- a/internal/connection/drain/drain.go
+++ b/internal/connection/drain/drain.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
 const (
@@ -61,12 +63,13 @@
 	Log *zap.Logger
 
 	draining atomic.Bool
+	// requests is the parent of the contexts of all requests. interrupt ends it.
+	requests  context.Context
+	interrupt context.CancelCauseFunc
 
 	mu sync.Mutex
-	// selectiveFrom is when the announce period ends, endsAt when Run closes the
-	// connections that still carry requests. They are zero until Run is called, endsAt
-	// also if Run has no time limit.
-	selectiveFrom, endsAt time.Time
+	// schedule is zero until Run is called, and if Run has no time limit.
+	schedule Schedule
 	// longest is the longest time that a request took which ended since Begin.
 	longest time.Duration
 	// open holds the open connections of the tracked servers.
@@ -75,9 +78,12 @@
 
 // New returns a Drain with the default periods.
 func New() *Drain {
+	requests, interrupt := context.WithCancelCause(context.Background())
 	return &Drain{
 		AnnouncePeriod: DefaultAnnouncePeriod,
 		GracePeriod:    DefaultGracePeriod,
+		requests:       requests,
+		interrupt:      interrupt,
 		Log:            zap.NewNop(),
 		open:           make(map[net.Conn]*openConn),
 	}
@@ -94,6 +100,7 @@
 // starts. Run waits for the connections of tracked servers. The log uses name.
 func (d *Drain) Track(server *http.Server, name string) {
 	server.Handler = &handler{drain: d, next: server.Handler}
+	server.BaseContext = func(net.Listener) context.Context { return d.requests }
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, openConnKey{}, d.trackConn(conn, name))
 	}
@@ -111,14 +118,19 @@
 // shutdown of a server waits until its requests have ended. List the servers in
 // the order in which a request passes them, the server for external callers
 // first.
-// If ctx is done first, Run closes the servers and returns the error of ctx.
+// If ctx is done first, Run closes the servers and returns the error of ctx. The contexts
+// of the requests that are still open end endMargin before, with the cause
+// fault.ErrStopping, so that each gets a response.
 func (d *Drain) Run(ctx context.Context, servers ...*http.Server) error {
 	d.Begin()
 	start := time.Now()
 	reporting, stopReporting := context.WithCancel(ctx)
 	defer stopReporting()
 	go d.reportWaiting(reporting)
-	d.setEnd(ctx, start.Add(d.AnnouncePeriod))
+	d.setSchedule(ctx, start.Add(d.AnnouncePeriod))
+	if end := d.Schedule().End; !end.IsZero() {
+		defer time.AfterFunc(time.Until(end), d.interruptRequests).Stop()
+	}
 	d.wait(ctx, start.Add(d.AnnouncePeriod), start.Add(d.GracePeriod))
 	if d.RefuseNew != nil {
 		d.RefuseNew()
@@ -132,9 +144,6 @@
 		}
 		// Shutdown may notice only after ctx that the last request has ended.
 		if d.activeConns() > 0 {
-			if len(errs) == 0 {
-				d.logOpenRequests()
-			}
 			errs = append(errs, err)
 		}
 		errs = append(errs, s.Close())
@@ -142,12 +151,29 @@
 	return errors.Join(errs...)
 }
 
-// setEnd records when the announce period ends and when ctx does.
-func (d *Drain) setEnd(ctx context.Context, announced time.Time) {
+// setSchedule records when the announce period ends and when ctx does.
+func (d *Drain) setSchedule(ctx context.Context, announced time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if closing, ok := ctx.Deadline(); ok {
+		d.schedule = Schedule{SelectiveFrom: announced, End: closing.Add(-endMargin)}
+	}
+}
+
+// Schedule returns the schedule of the shutdown; it is zero while none has begun.
+func (d *Drain) Schedule() Schedule {
+	if !d.Draining() {
+		return Schedule{}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.selectiveFrom = announced
-	d.endsAt, _ = ctx.Deadline()
+	return d.schedule
+}
+
+// interruptRequests ends the contexts of the requests that are open.
+func (d *Drain) interruptRequests() {
+	d.logOpenRequests()
+	d.interrupt(fault.ErrStopping)
 }
 
 // wait waits until nothing is pending, at least until earliest and at most until
--- a/internal/connection/drain/handler.go
+++ b/internal/connection/drain/handler.go
@@ -5,14 +5,9 @@
 	"time"
 )
 
-const (
-	// endMargin is the part of the time before the end of the shutdown in which no
-	// request that was accepted late is expected to run.
-	endMargin = 100 * time.Millisecond
-	// refusalRetryAfter is the Retry-After time of a refused request, in seconds, where
-	// the handler does not refuse it itself.
-	refusalRetryAfter = "1"
-)
+// refusalRetryAfter is the Retry-After time of a refused request, in seconds, where
+// the handler does not refuse it itself.
+const refusalRetryAfter = "1"
 
 // TimeLimiter is implemented by handlers that know how long a request can take. For
 // other handlers it is assumed that a request takes as long as the longest that ended
@@ -41,7 +36,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	arrived := time.Now()
-	if h.drain.outlasted(arrived, h.timeLimit(r)) {
+	if !h.drain.Schedule().Allows(arrived, arrived.Add(h.timeLimit(r))) {
 		h.refuse(w, r)
 		return
 	}
@@ -67,17 +62,6 @@
 	http.Error(w, "the process is shutting down", http.StatusServiceUnavailable)
 }
 
-// outlasted reports whether the announce period is over and a request that takes as
-// long as limit would still run when the shutdown ends.
-func (d *Drain) outlasted(now time.Time, limit time.Duration) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.endsAt.IsZero() || now.Before(d.selectiveFrom) {
-		return false
-	}
-	return now.Add(limit + endMargin).After(d.endsAt)
-}
-
 // ended records the time that a request took.
 func (d *Drain) ended(took time.Duration) {
 	d.mu.Lock()
--- a/internal/connection/http1/client.go
+++ b/internal/connection/http1/client.go
@@ -72,7 +72,8 @@
 // Do sends r to address, IP:port, and returns the response once its header has
 // been read. The caller must close the response body. Errors: ConnectFailed and
 // DeadlineNotRun where no byte of r was sent; ConnectionLost and DeadlineUnknown
-// where the server may have received r; CallerGone in both cases.
+// where the server may have received r; CallerGone in both cases; ShuttingDown and
+// Interrupted where this process stops, see fault.OfContext.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*http.Response, error) {
 	p := c.pool(address)
 	for c.mayReuse(r) {
--- a/internal/connection/peer/classify.go
+++ b/internal/connection/peer/classify.go
@@ -37,18 +37,13 @@
 		return nil
 	case isUnprocessed(err):
 		return fault.Wrap(fault.ConnectFailed, err, "daemon did not process the request")
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return fault.Wrap(fault.DeadlineUnknown, err, "deadline passed while the request was in flight")
 	case ctx.Err() != nil:
-		return fault.Wrap(fault.CallerGone, err, "the caller canceled the request while it was in flight")
+		return fault.OfContext(ctx, err, true)
 	}
 	return fault.Wrap(fault.ConnectionLost, err, "link to the daemon lost")
 }
 
 // notSent returns the error for a request whose ctx ended before the request was sent.
 func notSent(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return fault.New(fault.DeadlineNotRun, "deadline passed before the request was sent")
-	}
-	return fault.New(fault.CallerGone, "the caller canceled the request before it was sent")
+	return fault.OfContext(ctx, nil, false)
 }
--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -110,14 +110,9 @@
 // classify wraps err with the error kind for a failed request. sent says whether
 // any byte of the request may have been sent.
 func classify(ctx context.Context, err error, sent bool) error {
-	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	switch {
-	case expired && sent:
-		return fault.Wrap(fault.DeadlineUnknown, err, "the deadline passed before the target responded")
-	case expired:
-		return fault.Wrap(fault.DeadlineNotRun, err, "the deadline passed before the request was sent to the target")
 	case ctx.Err() != nil:
-		return fault.Wrap(fault.CallerGone, err, "the caller canceled the request")
+		return fault.OfContext(ctx, err, sent)
 	case sent:
 		return fault.Wrap(fault.ConnectionLost, err, "the connection to the target was lost")
 	}
--- a/internal/fault/context.go
+++ b/internal/fault/context.go
@@ -5,16 +5,25 @@
 	"errors"
 )
 
-// OfContext returns the error for a request whose context has ended: DeadlineNotRun or
-// DeadlineUnknown if its deadline has passed, and CallerGone if it was canceled. sent says
-// whether a target may have received the request. cause, which may be nil, is what the
-// request failed with.
+// ErrStopping is the cause with which a process ends the contexts of its requests at the end
+// of a shutdown.
+var ErrStopping = errors.New("this process stops")
+
+// OfContext returns the error for a request whose context has ended: ShuttingDown or
+// Interrupted if ErrStopping is why, DeadlineNotRun or DeadlineUnknown if its deadline has
+// passed, and CallerGone if it was canceled. sent says whether a target may have received
+// the request. cause, which may be nil, is what the request failed with.
 func OfContext(ctx context.Context, cause error, sent bool) error {
 	if cause == nil {
 		cause = context.Cause(ctx)
 	}
+	stopping := errors.Is(context.Cause(ctx), ErrStopping)
 	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	switch {
+	case stopping && sent:
+		return Wrap(Interrupted, cause, "this process stopped before a response arrived")
+	case stopping:
+		return Wrap(ShuttingDown, cause, "this process stopped before the request was sent to the target")
 	case expired && sent:
 		return Wrap(DeadlineUnknown, cause, "the deadline passed before a response arrived")
 	case expired:
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -77,6 +77,9 @@
 	LedgerUnknown Kind = "ledger_unknown"
 	// ShuttingDown is a request to a process that no longer accepts requests.
 	ShuttingDown Kind = "shutting_down"
+	// Interrupted is a request that a target may have received, and that a process on
+	// its way broke off because it stops.
+	Interrupted Kind = "interrupted"
 	// Internal is a failure inside the process.
 	Internal Kind = "internal"
 )
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -72,6 +72,7 @@
 	LedgerUnavailable: {http.StatusServiceUnavailable, NotRun, true, retryLater},
 	LedgerUnknown:     {http.StatusServiceUnavailable, Unknown, true, retryLater},
 	ShuttingDown:      {http.StatusServiceUnavailable, NotRun, true, retrySoon},
+	Interrupted:       {http.StatusBadGateway, Unknown, false, 0},
 	Internal:          {http.StatusInternalServerError, Unknown, false, 0},
 
 	NoteInvalid:      {http.StatusUnprocessableEntity, NotRun, false, 0},
--- a/internal/process/admission/controller.go
+++ b/internal/process/admission/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -121,10 +120,7 @@
 
 // cancelKind returns the rejection kind for a wait that ended because ctx did.
 func cancelKind(ctx context.Context) fault.Kind {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return fault.DeadlineNotRun
-	}
-	return fault.CallerGone
+	return fault.KindOf(fault.OfContext(ctx, nil, false))
 }
 
 func rejection(service string, kind fault.Kind) error {
@@ -139,6 +135,8 @@
 		return fault.New(kind, "the target of service %s no longer announces itself", service)
 	case fault.CallerGone:
 		return fault.New(kind, "the caller canceled the request")
+	case fault.ShuttingDown:
+		return fault.New(kind, "this process stopped before the request was sent to the target")
 	}
 	return fault.New(kind, "the target of service %s is overloaded", service)
 }
--- a/internal/process/local/crash.go
+++ b/internal/process/local/crash.go
@@ -32,7 +32,7 @@
 	switch fault.KindOf(err) {
 	case "":
 		t.crashes.Responded(s.ticket.Started)
-	case fault.ConnectionLost, fault.AnswerBroken, fault.DeadlineUnknown, fault.CallerGone:
+	case fault.ConnectionLost, fault.AnswerBroken, fault.DeadlineUnknown, fault.CallerGone, fault.Interrupted:
 		t.crashes.Lost(now, s.Content)
 		if t.restartSuspected {
 			return t.crashed(now)
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -230,8 +230,8 @@
 // Admit waits until the request may be sent, for as long as it can still finish
 // in time. If it returns an error, the duration is the retry-after time, or 0 if
 // there is none. On success the caller must call Slot.Done once. Errors: NoTarget,
-// TargetLeaving, TargetCold, OutOfService, LeaseExpired, Overloaded, DeadlineNotRun,
-// CallerGone.
+// TargetLeaving, TargetCold, OutOfService, LeaseExpired, Overloaded, ShuttingDown,
+// DeadlineNotRun, CallerGone.
 func (t *Target) Admit(ctx context.Context, request limiter.Request) (*Slot, time.Duration, error) {
 	ticket, decision, err := t.enqueue(request)
 	if err != nil {
@@ -305,8 +305,8 @@
 }
 
 // cancel removes a request that the caller canceled or whose deadline has
-// passed. If the request has been admitted meanwhile, its slot is released. Errors:
-// DeadlineNotRun, CallerGone.
+// passed. If the request has been admitted meanwhile, its slot is released. Errors: see
+// fault.OfContext.
 func (t *Target) cancel(ctx context.Context, ticket *limiter.Ticket) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -361,7 +361,7 @@
 	switch {
 	case err == nil && s.Ran:
 		return limiter.Completed
-	case fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.CallerGone):
+	case fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.CallerGone) || fault.Is(err, fault.Interrupted):
 		return limiter.Abandoned
 	}
 	return limiter.NoEvidence
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -192,7 +192,7 @@
 	n.peerHandler = &relay.PeerHandler{
 		Levels: levels, CallGraph: callGraph, Balancer: balancer,
 		HeaderNames: t.HeaderNames, Service: t.Service, Address: t.Target, Target: n.target,
-		TargetClient: n.targetClient, Quarantine: n.quarantine, Log: n.log, Stats: n.stats,
+		TargetClient: n.targetClient, Quarantine: n.quarantine, Shutdown: n.drain.Schedule, Log: n.log, Stats: n.stats,
 	}
 	n.entryHandler = &relay.EntryHandler{
 		HeaderNames: t.HeaderNames, Instance: n.options.Instance, Service: t.Service,
@@ -203,7 +203,7 @@
 		}),
 		Levels: levels, CallGraph: callGraph, Demand: new(shedding.Demand), Rejections: new(shedding.Rejections),
 		Quarantine: n.quarantine,
-		Local:      n.peerHandler, PeerClient: n.peerClient, Log: n.log, Stats: n.stats,
+		Local:      n.peerHandler, PeerClient: n.peerClient, Shutdown: n.drain.Schedule, Log: n.log, Stats: n.stats,
 		Traffic: n.traffic,
 	}
 }
--- a/internal/process/routing/effect.go
+++ b/internal/process/routing/effect.go
@@ -24,7 +24,7 @@
 	switch fault.KindOf(err) {
 	case fault.ConnectFailed, fault.ConnectionLost, fault.AnswerBroken, fault.DeadlineUnknown, fault.Internal:
 		return Failed
-	case fault.TargetLeaving, fault.ShuttingDown, fault.OutOfService, fault.NoTarget:
+	case fault.TargetLeaving, fault.ShuttingDown, fault.Interrupted, fault.OutOfService, fault.NoTarget:
 		return Leaving
 	case fault.TargetCold:
 		return Cold
--- a/internal/request/hop/peer.go
+++ b/internal/request/hop/peer.go
@@ -151,11 +151,8 @@
 // contextError returns the error of a context that was done before anything was
 // sent to the target, or nil.
 func contextError(ctx context.Context) error {
-	switch ctx.Err() {
-	case nil:
+	if ctx.Err() == nil {
 		return nil
-	case context.DeadlineExceeded:
-		return fault.New(fault.DeadlineNotRun, "the deadline passed before the request was dispatched to the target")
 	}
-	return fault.New(fault.CallerGone, "the caller canceled the request")
+	return fault.OfContext(ctx, nil, false)
 }
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -68,8 +68,11 @@
 	// Rejections remembers the requests that were rejected with a retry-after
 	// time.
 	Rejections *shedding.Rejections
-	Log        *zap.Logger
-	Stats      *Stats
+	// Shutdown returns the schedule of the shutdown of this process; nil if it never
+	// shuts down.
+	Shutdown func() drain.Schedule
+	Log      *zap.Logger
+	Stats    *Stats
 	// Traffic counts the bytes exchanged with other daemons.
 	Traffic *traffic.Counter
 }
@@ -258,7 +261,7 @@
 		return false
 	}
 	now := time.Now()
-	if history.delivered > req.route.Retries || now.Add(took).After(req.deadline) {
+	if history.delivered > req.route.Retries || now.Add(took).After(req.deadline) || !scheduleOf(e.Shutdown).Allows(now, now.Add(took)) {
 		return false
 	}
 	return e.RetryBudget.TakeRerun(now, req.service, req.call.Remaining)
@@ -271,6 +274,9 @@
 	if ctx.Err() != nil || history.forwards >= maxForwards || req.body.rest != nil {
 		return false
 	}
+	if now := time.Now(); !req.mayBegin(now, scheduleOf(e.Shutdown)) {
+		return false
+	}
 	if err != nil && fault.OutcomeOf(err) == fault.NotRun {
 		return fault.ResponseFor(fault.KindOf(err)).Retry
 	}
@@ -350,7 +356,7 @@
 	switch {
 	case err == nil && response.succeeded():
 		return balancing.WholeTimeTaken
-	case fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.CallerGone):
+	case fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.CallerGone) || fault.Is(err, fault.Interrupted):
 		return balancing.LeastTimeTaken
 	}
 	return balancing.NoTimeTaken
@@ -369,6 +375,7 @@
 	if m.ObjectiveRemaining <= 0 {
 		m.ObjectiveRemaining = m.Remaining
 	}
+	m.ObjectiveRemaining = scheduleOf(e.Shutdown).Bound(now, m.ObjectiveRemaining)
 	header := make(http.Header, len(req.header)+6)
 	for name, values := range req.header {
 		header[name] = values
--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -128,6 +128,13 @@
 	return endsIn + time.Duration(draw*float64(min(holdSpread, longest-endsIn))), true
 }
 
+// mayBegin reports whether an attempt may begin at a time of a shutdown. It needs the time
+// of the latency objective, or what is left until the deadline if that is less.
+func (r *inboundRequest) mayBegin(begin time.Time, s drain.Schedule) bool {
+	need := min(r.objectiveDeadline.Sub(r.receivedAt), r.deadline.Sub(begin))
+	return s.Allows(begin, begin.Add(need))
+}
+
 // fingerprint returns a hash of the team, the method, the host and the URI of
 // the request. It is the same for all attempts of one caller's request.
 func (r *inboundRequest) fingerprint() uint64 {
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -47,8 +47,11 @@
 	TargetClient *http1.Client
 	// Quarantine holds the requests that no target may get.
 	Quarantine *quarantine.List
-	Log        *zap.Logger
-	Stats      *Stats
+	// Shutdown returns the schedule of the shutdown of this process; nil if it never
+	// shuts down.
+	Shutdown func() drain.Schedule
+	Log      *zap.Logger
+	Stats    *Stats
 }
 
 // ServeHTTP serves the requests that other daemons forward.
@@ -72,6 +75,7 @@
 	}
 	request := newClientRequest(r, forwardedHeaders(r.Header), body)
 	request.Progress = progress
+	m.ObjectiveRemaining = scheduleOf(p.Shutdown).Bound(time.Now(), m.ObjectiveRemaining)
 	resp, err := p.Serve(ctx, m, request)
 	progress.Reach(drain.BeingAnswered)
 	if err != nil {
--- a/internal/request/relay/shutdown.go
+++ b/internal/request/relay/shutdown.go
@@ -6,10 +6,19 @@
 
 	"go.uber.org/zap"
 
+	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/version"
 )
 
+// scheduleOf returns the schedule of a shutdown. shutdown may be nil.
+func scheduleOf(shutdown func() drain.Schedule) drain.Schedule {
+	if shutdown == nil {
+		return drain.Schedule{}
+	}
+	return shutdown()
+}
+
 // TimeLimit returns the time within which the entry responds to r: what the caller and
 // the route allow. It is 0 for a request that is rejected without being forwarded.
 func (e *EntryHandler) TimeLimit(r *http.Request) time.Duration {
