--- a/internal/connection/drain/handler.go
+++ b/internal/connection/drain/handler.go
@@ -5,14 +5,9 @@
 	"time"
 )
 
-const (
-	// endMargin is the part of the time before the end of the shutdown in which no
-	// request that was accepted late is expected to run.
-	endMargin = 100 * time.Millisecond
-	// refusalRetryAfter is the Retry-After time of a refused request, in seconds, where
-	// no TimeLimiter refuses it.
-	refusalRetryAfter = "1"
-)
+// refusalRetryAfter is the Retry-After time of a refused request, in seconds, where no
+// TimeLimiter refuses it.
+const refusalRetryAfter = "1"
 
 // TimeLimiter knows how long the requests of a server can take.
 type TimeLimiter interface {
@@ -47,7 +42,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	arrived := time.Now()
-	if h.drain.outlasted(arrived, h.timeLimit(r)) {
+	if !h.drain.Schedule().Allows(arrived, arrived.Add(h.timeLimit(r))) {
 		h.refuse(w, r)
 		return
 	}
@@ -73,17 +68,6 @@
 	http.Error(w, "the process is shutting down", http.StatusServiceUnavailable)
 }
 
-// outlasted reports whether the announce period is over and a request that takes as
-// long as limit would still run when the shutdown ends.
-func (d *Drain) outlasted(now time.Time, limit time.Duration) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.endsAt.IsZero() || now.Before(d.selectiveFrom) {
-		return false
-	}
-	return now.Add(limit + endMargin).After(d.endsAt)
-}
-
 // ended records the time that a request took.
 func (d *Drain) ended(took time.Duration) {
 	d.mu.Lock()
