Quota: a request that waits for a token is not overtaken by later ones

What callers saw: of four callers of a team that send in sequence over one daemon, about one request in twenty was refused at the limit although the refill covered all four. Cause: all waiting requests and each new one raced for a granted token. With a token each 50 ms a request could lose nine times in a row, until its 450 ms were over. Change: waiting requests stand in a line; a request takes a token only if one is left for each request before it. Tokens of an outage stay as they were. The whole package passes with -race. Ruled out: the pacing of token requests: over TLS, where there are fewer, it hardly showed.

--- a/internal/process/quota/holder.go
+++ b/internal/process/quota/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -112,7 +113,7 @@
 	p.mu.Lock()
 	now := h.now()
 	p.recordDemand(now)
-	ok := p.spend(now) || p.outage.take(now, h.maxOutage)
+	ok := p.spendInTurn(now, len(p.line)) || p.outage.take(now, h.maxOutage)
 	low := p.low(now) && !p.backingOff(now)
 	p.mu.Unlock()
 	if ok {
@@ -129,11 +130,11 @@
 func (h *Holder) wait(ctx context.Context, p *pool) error {
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
-	began := h.now()
-	p.addWaiting(1)
-	defer p.addWaiting(-1)
+	w := &waiter{began: h.now()}
+	p.join(w)
+	defer p.leave(w)
 	for ctx.Err() == nil {
-		changed, done, err := h.tryTake(p, began)
+		changed, done, err := h.tryTake(p, w)
 		if done {
 			return err
 		}
@@ -147,17 +148,17 @@
 // the request once it has waited for as long as may help, or at once if too many requests
 // wait. done is true if a token was spent, with a nil err, or if the request was
 // rejected. Otherwise, changed is closed when the next token request has ended.
-func (h *Holder) tryTake(p *pool, began time.Time) (changed <-chan struct{}, done bool, err error) {
+func (h *Holder) tryTake(p *pool, w *waiter) (changed <-chan struct{}, done bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := h.now()
 	if h.maxOutage > 0 && p.replyOverdue(now) {
 		p.beginOutage(now)
 	}
-	if p.spend(now) || p.outage.take(now, h.maxOutage) {
+	if p.spendInTurn(now, slices.Index(p.line, w)) || p.outage.take(now, h.maxOutage) {
 		return nil, true, nil
 	}
-	if now.Sub(began) >= p.patience(now) || p.tooManyWaiting() {
+	if now.Sub(w.began) >= p.patience(now) || p.tooManyWaiting() {
 		if err := p.noTokenReason(now); err != nil {
 			p.rejected++
 			return nil, true, err
@@ -347,9 +348,3 @@
 	}
 	return pools
 }
-
-func (p *pool) addWaiting(n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.waiting += n
-}
--- a/internal/process/quota/pool.go
+++ b/internal/process/quota/pool.go
@@ -45,8 +45,8 @@
 	atLimitReportTTL = time.Second
 )
 
-// pool holds the tokens of one team on one daemon. All methods except addWaiting must
-// be called with mu locked.
+// pool holds the tokens of one team on one daemon. All methods except join and
+// leave must be called with mu locked.
 type pool struct {
 	team string
 
@@ -73,7 +73,9 @@
 	// the last grant came if it had fewer tokens, zero otherwise.
 	wanted  int
 	shortAt time.Time
-	// waiting is the number of requests that wait for a token.
+	// line holds the requests that wait for a token, in order of arrival. waiting is
+	// their number.
+	line    []*waiter
 	waiting int
 	// rejected is the number of requests that tryTake has rejected since the last
 	// grant.
@@ -99,6 +101,9 @@
 	fairRate func(team string) float64
 }
 
+// waiter is one request that waits for a token.
+type waiter struct{ began time.Time }
+
 // batch is a number of tokens that expire together.
 type batch struct {
 	tokens  int
@@ -146,6 +151,30 @@
 	return true
 }
 
+// join adds a request to the end of the line.
+func (p *pool) join(w *waiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.line = append(p.line, w)
+	p.waiting++
+}
+
+// leave removes a request from the line.
+func (p *pool) leave(w *waiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := slices.Index(p.line, w)
+	p.line = slices.Delete(p.line, at, at+1)
+	p.waiting--
+}
+
+// spendInTurn spends one token for a request that this number of others were before.
+// It leaves a token for each of them.
+func (p *pool) spendInTurn(now time.Time, ahead int) bool {
+	p.dropExpired(now)
+	return p.remaining() > ahead && p.spend(now)
+}
+
 // dropExpired removes expired tokens.
 func (p *pool) dropExpired(now time.Time) {
 	kept := p.batches[:0]
