Relay: Retry-After is what the caller can still follow

What callers saw: refusals that came late told a time that was counted from the start of the request, and those without a time of their own told 1 or 3 s whatever the caller's limit was. Callers follow a third of the time that they have left, so these were lost. Cause: the bound was a third of the whole time limit, and was not applied to the usual time of a kind of error. Change: each Retry-After is at most a third of what is left when the refusal is written, and at least 1 ms. TestRejectionAtTheLimitOfATeam holds status and Retry-After of refusals for want of a token. Ruled out: no Retry-After where little is left: callers then choose their own time.

--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -107,8 +107,9 @@
 	retryAfter := fault.ResponseFor(kind).RetryAfter
 	var retryErr *RetryAfterError
 	if errors.As(err, &retryErr) && retryErr.After > 0 {
-		retryAfter = req.followed(retryErr.After)
+		retryAfter = retryErr.After
 	}
+	retryAfter = req.followed(time.Now(), retryAfter)
 	e.Stats.CountFailure(kind, time.Since(req.receivedAt))
 	e.Log.Info("request failed", zap.String("request", req.id), zap.String("route", req.route.Name), zap.String("service", req.service),
 		zap.String("team", req.team), zap.Int("rank", req.rank), zap.Bool("call", req.fromTarget), zap.Duration("age", time.Since(req.receivedAt)),
--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -32,6 +32,8 @@
 	// retryTimeDivisor divides the time that a caller has left. The quotient is the
 	// longest retry-after time that it follows.
 	retryTimeDivisor = 3
+	// minFollowed is the shortest retry-after time. Headers state milliseconds.
+	minFollowed = time.Millisecond
 	// returnSpread is the time over which callers return after cold targets have become
 	// warm.
 	returnSpread = time.Second
@@ -89,13 +91,13 @@
 	return r.callerDeadline.Sub(r.receivedAt) / retryTimeDivisor
 }
 
-// followed returns a retry-after time that the caller follows: after, unless that is too
-// long.
-func (r *inboundRequest) followed(after time.Duration) time.Duration {
+// followed returns a retry-after time that the caller follows at now: after, unless that
+// is too long.
+func (r *inboundRequest) followed(now time.Time, after time.Duration) time.Duration {
 	if r.callerDeadline.IsZero() {
 		return after
 	}
-	return min(after, r.longestRetryAfter())
+	return min(after, max(r.callerDeadline.Sub(now)/retryTimeDivisor, minFollowed))
 }
 
 // retryAfterLevel returns the time after which a caller is told to retry whose request was
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -97,12 +97,19 @@
 	client  *http.Client
 	// addresses is the number of listeners.
 	addresses int
+	// takeToken, if set, replaces Take.
+	takeToken func() error
 }
 
 func (m *mesh) Current() *version.State { return m.state }
 
-// Take never limits a team.
-func (m *mesh) Take(context.Context, string) error { return nil }
+// Take never limits a team, unless takeToken is set.
+func (m *mesh) Take(context.Context, string) error {
+	if m.takeToken == nil {
+		return nil
+	}
+	return m.takeToken()
+}
 
 func (m *mesh) list(service string) []protocol.TargetRecord {
 	m.records.Lock()
@@ -159,7 +166,7 @@
 func newMeshOn(t *testing.T, network *memnet.Network, mode version.Mode, retries, targets int) *mesh {
 	hash := version.HashKey(key)
 	configuration := &version.FullConfiguration{Revision: 1, Entries: version.Entries{
-		Teams: []version.Team{{Name: "team", Weight: 1}},
+		Teams: []version.Team{{Name: "team", Weight: 1, Rate: 1e6, Burst: 1e6}},
 		Keys:  []version.Key{{ID: version.KeyID(hash), Team: "team", Hash: hash}},
 		Routes: []version.Route{{
 			Name: "r", Host: host, Path: "/p/", Service: "s", Mode: mode, Access: version.Keyed,
--- a/internal/request/relay/retry_after_test.go
+++ b/internal/request/relay/retry_after_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/teaselrack/teaselrack/internal/connection/memnet"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/local"
 	"github.com/teaselrack/teaselrack/internal/process/shedding"
 	"github.com/teaselrack/teaselrack/internal/version"
@@ -37,9 +39,55 @@
 func TestCallersAreNotToldToWaitTooLong(t *testing.T) {
 	now := time.Unix(1, 0)
 	r := &inboundRequest{receivedAt: now, callerDeadline: now.Add(900 * time.Millisecond)}
-	must.Eq(t, 300*time.Millisecond, r.followed(2*time.Second))
-	must.Eq(t, 100*time.Millisecond, r.followed(100*time.Millisecond))
-	must.Eq(t, 2*time.Second, (&inboundRequest{}).followed(2*time.Second), must.Sprint("not known yet"))
+	must.Eq(t, 300*time.Millisecond, r.followed(now, 2*time.Second))
+	must.Eq(t, 100*time.Millisecond, r.followed(now, 100*time.Millisecond))
+	must.Eq(t, 100*time.Millisecond, r.followed(now.Add(600*time.Millisecond), 2*time.Second))
+	must.Eq(t, time.Millisecond, r.followed(now.Add(time.Second), 2*time.Second))
+	must.Eq(t, 2*time.Second, (&inboundRequest{}).followed(now, 2*time.Second), must.Sprint("not known yet"))
+}
+
+// TestLateRefusalTellsAShortRetryAfter guards against refusals whose Retry-After is longer
+// than the caller has left, so that it gives up: the refusal comes late, or the time is the
+// usual one of its kind.
+func TestLateRefusalTellsAShortRetryAfter(t *testing.T) {
+	for name, noToken := range map[string]bool{"late": true, "no target": false} {
+		synctest.Test(t, func(t *testing.T) {
+			network := memnet.New(time.Millisecond)
+			m := newMeshOn(t, network, version.Once, 0, 0)
+			outside := m.addRemote()
+			if noToken {
+				m.takeToken = func() error {
+					time.Sleep(240 * time.Millisecond)
+					return fault.New(fault.QuotaExceeded, "no token")
+				}
+			}
+			began := time.Now()
+			resp, _ := m.send(outside, "POST", "/p/x", map[string]string{"Teaselrack-Timeout": "300"}, "body")
+			left := began.Add(300 * time.Millisecond).Sub(time.Now())
+			after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			must.NoError(t, err)
+			must.Between(t, 0.001, after, (left+10*time.Millisecond).Seconds()/3, must.Sprint(name))
+			network.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// TestRejectionAtTheLimitOfATeam checks the response to a request that gets no token: when
+// to retry follows from the objective of the route, 300 ms, and the time limit.
+func TestRejectionAtTheLimitOfATeam(t *testing.T) {
+	m := newMesh(t, version.Once, 0, 1)
+	for kind, status := range map[fault.Kind]int{fault.QuotaExceeded: http.StatusTooManyRequests, fault.QuotaUnavailable: http.StatusServiceUnavailable} {
+		m.takeToken = func() error { return fault.New(kind, "no token") }
+		for limit, most := range map[string]float64{"5000": 0.1, "240": 0.08} {
+			resp, _ := m.send(m.instances[0], "POST", "/p/x", map[string]string{"Teaselrack-Timeout": limit}, "body")
+			must.Eq(t, status, resp.StatusCode)
+			after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			must.NoError(t, err)
+			must.Between(t, 0.05, after, most)
+		}
+	}
+	must.Eq(t, 0, m.instances[0].stub.count())
 }
 
 // TestRequestsAreHeldUntilTargetsAreWarm replays the end of the time in which all targets
