Demo: files of an earlier one don't keep it from starting, and an ended process is named

What callers saw: after a reboot or a killed shell, make demo and make up refused to start ("running already") though nothing ran. Where a process ended at its start, for example because its drawn port was taken meanwhile, the demo failed after half a minute without naming it. Cause: the list of process IDs counted, not whether one of them runs. Nothing looked at the processes after a failure. Ruled out: holding the ports until the processes listen.

--- a/emulator/demo/demo.sh
+++ b/emulator/demo/demo.sh
@@ -7,6 +7,7 @@
 start_all || exit 1
 "$BIN/demo" -dir "$DIR"
 result=$?
+report_ended
 if stop_all; then
 	echo "all processes stopped, none had to be killed"
 else
--- a/emulator/demo/lib.sh
+++ b/emulator/demo/lib.sh
@@ -9,7 +9,7 @@
 # start_all writes the files of the system, starts each process listed in
 # $DIR/processes and records its process ID and name in $PIDS.
 start_all() {
-	if [ -s "$PIDS" ]; then
+	if any_running; then
 		echo "the demo system is running already; stop it with: make down" >&2
 		return 1
 	fi
@@ -31,6 +31,24 @@
 	ps -p "$1" -o args= 2>/dev/null | grep -q "^$BIN/"
 }
 
+# any_running succeeds if one of the recorded processes runs.
+any_running() {
+	[ -s "$PIDS" ] || return 1
+	while read -r pid name; do
+		running "$pid" && return 0
+	done <"$PIDS"
+	return 1
+}
+
+# report_ended names the recorded processes that have ended by themselves, with the last
+# line of each one's log.
+report_ended() {
+	[ -s "$PIDS" ] || return 0
+	while read -r pid name; do
+		running "$pid" || echo "$name has ended: $(tail -n 1 "$DIR/log/$name.log")" >&2
+	done <"$PIDS"
+}
+
 # stop_all stops the recorded processes, daemons first. It fails if one of them
 # had to be killed.
 stop_all() {
--- a/emulator/demo/up.sh
+++ b/emulator/demo/up.sh
@@ -6,6 +6,7 @@
 . emulator/demo/lib.sh
 start_all || exit 1
 if ! "$BIN/demo" -dir "$DIR" -found; then
+	report_ended
 	echo "the logs are in $DIR/log" >&2
 	stop_all
 	exit 1
