Faults: a request that reached no target gets 503, never 502 or 504

What callers saw: on the native interface 502 where no daemon could be connected to, and 504 where the deadline passed in the queue, both with outcome not-run. Callers do not repeat unsafe requests after these. A claim whose reply was lost got 503 with outcome unknown: a promise that nobody can give. Cause: the table chose the status by the reason, not by the outcome. The platform's interface mapped the first two to 503 by itself. Change: ConnectFailed and DeadlineNotRun are 503, LedgerUnknown is 502. The platform's interface no longer needs its own rule for the first. NoLeader stays 503 and unknown: operators send a command again. TestStatusForKind now also holds that no kind that has not run gets 502 or 504. Ruled out: 408 for a deadline: the caller's own limit may be longer than the route's.

--- a/internal/fault/error_test.go
+++ b/internal/fault/error_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -20,6 +21,28 @@
 	}
 }
 
+// TestStatusAgreesWithTheOutcome guards against a status that contradicts the outcome. Callers
+// take 408, 421, 429 and 503 as the promise that a request has not run, and don't repeat one
+// that may run only once after 502 or 504.
+func TestStatusAgreesWithTheOutcome(t *testing.T) {
+	promises := []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+	for _, k := range Kinds() {
+		response := ResponseFor(k)
+		if response.Outcome == NotRun {
+			must.SliceNotContains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, response.Status, must.Sprint(k))
+			must.Eq(t, response.Status == http.StatusServiceUnavailable && k != Quarantined, response.Status >= http.StatusInternalServerError && response.RetryAfter > 0, must.Sprint(k))
+		} else if k != NoLeader { // for operators, who send a command again
+			must.SliceNotContains(t, promises, response.Status, must.Sprint(k))
+		}
+	}
+}
+
+// TestRetryAfterAtTheLimitOfATeam holds the times that OPERATIONS.md states.
+func TestRetryAfterAtTheLimitOfATeam(t *testing.T) {
+	must.Eq(t, time.Second, ResponseFor(QuotaExceeded).RetryAfter)
+	must.Eq(t, 3*time.Second, ResponseFor(QuotaUnavailable).RetryAfter)
+}
+
 func TestKindOf(t *testing.T) {
 	cause := errors.New("broken pipe")
 	cases := []struct {
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -40,7 +40,8 @@
 	retryLater = 3 * time.Second
 )
 
-// table maps each kind to its response. Its keys are the closed list of kinds.
+// table maps each kind to its response. Its keys are the closed list of kinds. Callers take
+// status 503 as the promise that the request has not run, and 502 and 504 as none.
 var table = map[Kind]Response{
 	BadRequest:        {http.StatusBadRequest, NotRun, false, 0},
 	TooLarge:          {http.StatusRequestEntityTooLarge, NotRun, false, 0},
@@ -56,10 +57,10 @@
 	OutOfService:      {http.StatusServiceUnavailable, NotRun, true, retrySoon},
 	NoTarget:          {http.StatusServiceUnavailable, NotRun, true, retrySoon},
 	LeaseExpired:      {http.StatusServiceUnavailable, NotRun, true, retryLater},
-	DeadlineNotRun:    {http.StatusGatewayTimeout, NotRun, true, retrySoon},
+	DeadlineNotRun:    {http.StatusServiceUnavailable, NotRun, true, retrySoon},
 	DeadlineUnknown:   {http.StatusGatewayTimeout, Unknown, false, 0},
 	DepthExceeded:     {http.StatusLoopDetected, NotRun, false, 0},
-	ConnectFailed:     {http.StatusBadGateway, NotRun, true, retrySoon},
+	ConnectFailed:     {http.StatusServiceUnavailable, NotRun, true, retrySoon},
 	ConnectionLost:    {http.StatusBadGateway, Unknown, false, 0},
 	AnswerBroken:      {http.StatusBadGateway, Ran, false, 0},
 	AnswerTooLarge:    {http.StatusBadGateway, Ran, false, 0},
@@ -70,7 +71,7 @@
 	OnceUnknown:       {http.StatusConflict, Unknown, false, 0},
 	OnceCanceled:      {http.StatusServiceUnavailable, NotRun, true, retrySoon},
 	LedgerUnavailable: {http.StatusServiceUnavailable, NotRun, true, retryLater},
-	LedgerUnknown:     {http.StatusServiceUnavailable, Unknown, true, retryLater},
+	LedgerUnknown:     {http.StatusBadGateway, Unknown, true, retryLater},
 	ShuttingDown:      {http.StatusServiceUnavailable, NotRun, true, retrySoon},
 	Internal:          {http.StatusInternalServerError, Unknown, false, 0},
 
--- a/internal/request/relay/error_response.go
+++ b/internal/request/relay/error_response.go
@@ -25,14 +25,10 @@
 func withRetryAfter(err error, d time.Duration) error { return &RetryAfterError{Err: err, After: d} }
 
 // statusForKind returns the HTTP status for a kind of error. Callers take
-// status 503 to mean that no target ran the request. A transient failure for
-// which this is certain therefore gets 503, and one for which it is not certain
-// gets 502.
+// status 503 to mean that no target ran the request. A failure for which this is
+// not certain gets 502.
 func statusForKind(kind fault.Kind) int {
 	response := fault.ResponseFor(kind)
-	if response.Outcome == fault.NotRun && response.Retry && response.Status >= http.StatusInternalServerError {
-		return http.StatusServiceUnavailable
-	}
 	if response.Outcome != fault.NotRun && response.Status == http.StatusServiceUnavailable {
 		return http.StatusBadGateway
 	}
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -529,6 +529,9 @@
 		if saysNotRun {
 			must.Eq(t, fault.NotRun, fault.ResponseFor(kind).Outcome, must.Sprint(kind))
 		}
+		if fault.ResponseFor(kind).Outcome == fault.NotRun {
+			must.SliceNotContains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, status, must.Sprint(kind))
+		}
 	}
 }
 
