Relay: a request that waits for a slot until its deadline gets 503, not 504

What callers saw: 504 for requests that had waited at their target's daemon and were never sent to the target. Callers do not repeat unsafe requests after that. Cause: entry and target's daemon stopped at the same deadline; the daemon's, which counts from the arrival, is the later one. So its rejection came after the entry had given up, and the entry cannot know what the daemon did. Change: a request stops waiting for a slot 40 ms before its deadline, at most an eighth of the time that is left. The deadline of a request that was sent to the target is as before. The entry does not send it to another target, as no time is left; the rejection and the time taken count for the target in routing. Ruled out: an entry that waits past its deadline: the caller's own limit is 20 ms later.

--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -265,13 +265,13 @@
 	if ctx.Err() != nil || history.forwards >= maxForwards || req.body.rest != nil {
 		return false
 	}
-	if err != nil && fault.OutcomeOf(err) == fault.NotRun {
-		return fault.ResponseFor(fault.KindOf(err)).Retry
-	}
-	if fault.Is(err, fault.DeadlineUnknown) {
+	if fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.DeadlineNotRun) {
 		// The target's daemon reached the deadline before this daemon did.
 		return false
 	}
+	if err != nil && fault.OutcomeOf(err) == fault.NotRun {
+		return fault.ResponseFor(fault.KindOf(err)).Retry
+	}
 	idempotent := req.route.Mode == version.Idempotent
 	if response == nil && !idempotent {
 		return false
@@ -333,7 +333,7 @@
 	case routing.Cold:
 		t.RecordRejection(now)
 	case routing.Neutral:
-		if fault.Is(err, fault.Overloaded) || fault.Is(err, fault.LeaseExpired) {
+		if fault.Is(err, fault.Overloaded) || fault.Is(err, fault.LeaseExpired) || fault.Is(err, fault.DeadlineNotRun) {
 			t.RecordRejection(now)
 		}
 	}
@@ -344,7 +344,7 @@
 	switch {
 	case err == nil && response.succeeded():
 		return balancing.WholeTimeTaken
-	case fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.CallerGone):
+	case fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.DeadlineNotRun) || fault.Is(err, fault.CallerGone):
 		return balancing.LeastTimeTaken
 	}
 	return balancing.NoTimeTaken
--- /dev/null
+++ b/internal/request/relay/notrun_test.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/memnet"
+	"github.com/teaselrack/teaselrack/internal/process/local"
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// TestRequestThatWaitsForASlotUntilItsDeadline guards against 504 for a request that has
+// waited at its target's daemon all the while: the daemon knows that it has not run, but its
+// rejection came after the entry's own deadline. All daemons are up to 15 ms away.
+func TestRequestThatWaitsForASlotUntilItsDeadline(t *testing.T) {
+	for _, oneWay := range []time.Duration{100 * time.Microsecond, 5 * time.Millisecond, 15 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			network := memnet.New(oneWay)
+			m := newMeshOn(t, network, version.Once, 1, 1)
+			outside := m.addRemote()
+			busy := m.instances[0]
+			must.NoError(t, busy.target.Heartbeat(local.Heartbeat{ID: busy.name, Sequence: 2, Service: "s", Address: busy.targetAddress, Slots: 1}))
+			busy.stub.serveWith(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			for n, from := range []*instance{outside, busy} {
+				go func() { _, _ = m.send(outside, "POST", "/p/first", nil, "body") }()
+				time.Sleep(4 * oneWay)
+				resp, text := m.send(from, "POST", "/p/second", map[string]string{"Teaselrack-Timeout": "350"}, "body")
+				must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode, must.Sprintf("%v away: %s", oneWay, text))
+				after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+				must.NoError(t, err)
+				must.Between(t, 0.001, after, 0.05)
+				time.Sleep(time.Minute)
+				must.Eq(t, n+1, busy.stub.count())
+			}
+			network.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -28,6 +28,11 @@
 	// minCallsToMove is the number of calls to a service that a request must make for
 	// that service's load to count: moving the request then saves messages.
 	minCallsToMove = 2
+	// rejectionTime is how long before its deadline a request stops waiting for a slot, so
+	// that the rejection reaches the entry in time, from another region too. It is at most
+	// the remaining time divided by rejectionDivisor.
+	rejectionTime    = 40 * time.Millisecond
+	rejectionDivisor = 8
 )
 
 // PeerHandler admits requests and sends them to the local target.
@@ -199,7 +204,7 @@
 	if err := p.Quarantine.Check(content); err != nil {
 		return nil, withRetryAfter(err, quarantine.RetryAfter)
 	}
-	slot, retryAfter, err := p.Target.Admit(ctx, limiter.Request{Rank: m.Rank, Call: m.FromTarget, ClientRetry: m.ClientRetry, ObjectiveRemaining: m.ObjectiveRemaining})
+	slot, retryAfter, err := p.admit(ctx, m)
 	if err != nil {
 		p.Log.Info("request not sent to the target", zap.String("request", m.RequestID), zap.String("service", m.Service),
 			zap.Int("rank", m.Rank), zap.Bool("call", m.FromTarget), zap.Duration("useful", m.ObjectiveRemaining),
@@ -238,6 +243,18 @@
 	return response, nil
 }
 
+// admit waits until the request may be sent to the target. The entry learns only from a
+// rejection that reaches it before the deadline that the request has not run.
+func (p *PeerHandler) admit(ctx context.Context, m *ForwardingMetadata) (*local.Slot, time.Duration, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining := time.Until(deadline)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, remaining-min(rejectionTime, remaining/rejectionDivisor))
+		defer cancel()
+	}
+	return p.Target.Admit(ctx, limiter.Request{Rank: m.Rank, Call: m.FromTarget, ClientRetry: m.ClientRetry, ObjectiveRemaining: m.ObjectiveRemaining})
+}
+
 // setTargetHeaders sets the headers that only the daemon may set, and removes
 // the caller's key.
 func (p *PeerHandler) setTargetHeaders(ctx context.Context, m *ForwardingMetadata, r *http1.Request, targetID string) {
