Relay: a deadline that passes at the moment of admission is not a caller that left

What callers saw: a closed connection instead of 503, where the deadline passed just as a slot became free. Cause: the target's state returns caller_gone if the context of a request has ended by the time it is admitted, for a deadline too; the entry closes the connection of such a caller. Change: the target's daemon tells the two apart by its context. Ruled out: nothing. internal/process/local could tell them apart itself; it is in other hands.

--- a/internal/request/relay/notrun_test.go
+++ b/internal/request/relay/notrun_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"testing"
@@ -9,7 +10,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/teaselrack/teaselrack/internal/connection/http1"
 	"github.com/teaselrack/teaselrack/internal/connection/memnet"
+	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/local"
 	"github.com/teaselrack/teaselrack/internal/version"
 )
@@ -42,3 +45,17 @@
 		})
 	}
 }
+
+// TestDeadlineAtTheMomentOfAdmission guards against closing the connection of a caller who
+// still waits: the deadline passes as a slot becomes free, and the request has not run.
+func TestDeadlineAtTheMomentOfAdmission(t *testing.T) {
+	m := newMesh(t, version.Once, 0, 1)
+	handler := m.instances[0].peerHandler
+	ctx, cancel := context.WithTimeout(t.Context(), 0)
+	defer cancel()
+	for range 200 {
+		_, err := handler.Serve(ctx, &ForwardingMetadata{Service: "s", Remaining: time.Second, ObjectiveRemaining: time.Second}, &http1.Request{Method: "POST", URI: "/p/x", Host: host, Header: make(http.Header)})
+		must.Eq(t, fault.DeadlineNotRun, fault.KindOf(err))
+	}
+	must.Eq(t, 0, m.instances[0].stub.count())
+}
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -252,7 +252,12 @@
 		ctx, cancel = context.WithTimeout(ctx, remaining-min(rejectionTime, remaining/rejectionDivisor))
 		defer cancel()
 	}
-	return p.Target.Admit(ctx, limiter.Request{Rank: m.Rank, Call: m.FromTarget, ClientRetry: m.ClientRetry, ObjectiveRemaining: m.ObjectiveRemaining})
+	slot, retryAfter, err := p.Target.Admit(ctx, limiter.Request{Rank: m.Rank, Call: m.FromTarget, ClientRetry: m.ClientRetry, ObjectiveRemaining: m.ObjectiveRemaining})
+	if fault.Is(err, fault.CallerGone) && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// Admit does not tell the two apart if the deadline passes as it admits the request.
+		err = fault.New(fault.DeadlineNotRun, "the deadline passed before the request was sent to the target")
+	}
+	return slot, retryAfter, err
 }
 
 // setTargetHeaders sets the headers that only the daemon may set, and removes
