Relay: a rejection whose body breaks off still says that the request has not run

What callers saw: 502 for requests that a target had rejected, where it cut the body of the rejection short. Cause: a body that breaks off made the whole response count as broken, with the outcome ran. The statement that the request has not run stands in the head. Evidence: TestTruncatedRejectionIsNotRun: 502 on the code before, and no second target. Change: such a response is taken as the rejection that it is, without its body, which no caller receives. It counts as an arrival for the retry budget, as any rejection. Ruled out: the same for other responses: their body is the caller's.

--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -116,12 +116,16 @@
 }
 
 // newResponse reads the beginning of a response, or all of it if it is short.
-// It returns AnswerBroken if the body could not be read.
-func newResponse(resp *http.Response) (*Response, error) {
+// It returns AnswerBroken if the body could not be read. The response of a target that has
+// not run the request needs no body: what its head states holds without it.
+func newResponse(resp *http.Response, notRun bool) (*Response, error) {
 	body, err := bufferBody(resp.Body, resp.ContentLength)
-	response := &Response{Status: resp.StatusCode, Header: forwardedHeaders(resp.Header), bufferedBody: body}
+	response := &Response{Status: resp.StatusCode, Header: forwardedHeaders(resp.Header), bufferedBody: body, NotRun: notRun}
 	if err != nil {
 		_ = resp.Body.Close()
+		if notRun {
+			return response, nil
+		}
 		return nil, fault.Wrap(fault.AnswerBroken, err, "the response of the target was truncated: %s", err)
 	}
 	if body.rest == nil {
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -404,7 +404,7 @@
 	if err != nil {
 		e.Log.Warn("malformed load in a response", zap.String("request", m.RequestID), zap.Error(err))
 	}
-	response, err := newResponse(resp)
+	response, err := newResponse(resp, notRun)
 	if err != nil {
 		return nil, err
 	}
@@ -412,7 +412,6 @@
 	if bottleneck.Service == m.Service {
 		response.ShedLevel = bottleneck.Level
 	}
-	response.NotRun = notRun
 	response.CalledLoad = calledLoad
 	if response.Statement, err = readPeerStatement(resp.Header); err != nil {
 		e.Log.Warn("malformed statement in a response", zap.String("request", m.RequestID), zap.Error(err))
--- a/internal/request/relay/notrun_test.go
+++ b/internal/request/relay/notrun_test.go
@@ -59,3 +59,26 @@
 	}
 	must.Eq(t, 0, m.instances[0].stub.count())
 }
+
+// TestTruncatedRejectionIsNotRun guards against 502 for a request that a target has rejected,
+// because the body of the rejection broke off: its head says that the request has not run.
+func TestTruncatedRejectionIsNotRun(t *testing.T) {
+	m := newMesh(t, version.Once, 1, 2)
+	for _, inst := range m.instances {
+		inst.stub.serveWith(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Teaselrack-Not-Run", "1")
+			w.Header().Set("Content-Length", "1000")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = w.Write(make([]byte, 10))
+			_ = http.NewResponseController(w).Flush()
+			hijackAndClose(w)
+		})
+	}
+	for n, from := range []*instance{m.addRemote(), m.instances[0]} {
+		resp, _ := m.send(from, "POST", "/p/x", nil, "body")
+		must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+		must.NotEq(t, "", resp.Header.Get("Retry-After"))
+		must.Eq(t, "", resp.Header.Get("Stamp"))
+		must.Eq(t, 2*(n+1), m.instances[0].stub.count()+m.instances[1].stub.count())
+	}
+}
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -293,11 +293,10 @@
 	}
 	statement := p.reportStatement(resp.Header, slot)
 	notRun := resp.Header.Get(p.HeaderNames.NotRun) != ""
-	response, err := newResponse(resp)
+	response, err := newResponse(resp, notRun)
 	if err != nil {
 		return nil, err
 	}
-	response.NotRun = notRun
 	response.Statement = statement
 	return response, nil
 }
