--- a/internal/request/relay/notrun_test.go
+++ b/internal/request/relay/notrun_test.go
@@ -82,3 +82,33 @@
 		must.Eq(t, 2*(n+1), m.instances[0].stub.count()+m.instances[1].stub.count())
 	}
 }
+
+// TestDaemonThatCannotBeReached checks what is known of a request whose target's daemon has
+// ended: it has not run if there was no connection to send it on. If the connection ends after
+// it was written, nobody can tell.
+func TestDaemonThatCannotBeReached(t *testing.T) {
+	for reachable, status := range map[bool]int{false: http.StatusServiceUnavailable, true: http.StatusBadGateway} {
+		synctest.Test(t, func(t *testing.T) {
+			network := memnet.New(time.Millisecond)
+			m := newMeshOn(t, network, version.Once, 1, 1)
+			outside := m.addRemote()
+			m.instances[0].record.PeerAddress = "10.9.9.9:80"
+			if reachable {
+				listener := network.Listen("10.9.9.9:80")
+				defer func() { _ = listener.Close() }()
+				go func() {
+					for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+						time.Sleep(10 * time.Millisecond)
+						_ = conn.Close()
+					}
+				}()
+			}
+			resp, _ := m.send(outside, "POST", "/p/x", nil, "body")
+			must.Eq(t, status, resp.StatusCode)
+			must.Eq(t, reachable, resp.Header.Get("Retry-After") == "")
+			must.Eq(t, 0, m.instances[0].stub.count())
+			network.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
