--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -114,8 +114,9 @@
 	retryAfter := fault.ResponseFor(kind).RetryAfter
 	var retryErr *RetryAfterError
 	if errors.As(err, &retryErr) && retryErr.After > 0 {
-		retryAfter = req.followed(retryErr.After)
+		retryAfter = retryErr.After
 	}
+	retryAfter = req.followed(time.Now(), retryAfter)
 	e.Stats.CountFailure(kind, time.Since(req.receivedAt))
 	e.Log.Info("request failed", zap.String("request", req.id), zap.String("route", req.route.Name), zap.String("service", req.service),
 		zap.String("team", req.team), zap.Int("rank", req.rank), zap.Bool("call", req.fromTarget), zap.Duration("age", time.Since(req.receivedAt)),
@@ -277,13 +278,13 @@
 	if now := time.Now(); !req.mayBegin(now, scheduleOf(e.Shutdown)) {
 		return false
 	}
-	if err != nil && fault.OutcomeOf(err) == fault.NotRun {
-		return fault.ResponseFor(fault.KindOf(err)).Retry
-	}
-	if fault.Is(err, fault.DeadlineUnknown) {
+	if fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.DeadlineNotRun) {
 		// The target's daemon reached the deadline before this daemon did.
 		return false
 	}
+	if err != nil && fault.OutcomeOf(err) == fault.NotRun {
+		return fault.ResponseFor(fault.KindOf(err)).Retry
+	}
 	idempotent := req.route.Mode == version.Idempotent
 	if response == nil && !idempotent {
 		return false
@@ -345,7 +346,7 @@
 	case routing.Cold:
 		t.RecordRejection(now)
 	case routing.Neutral:
-		if fault.Is(err, fault.Overloaded) || fault.Is(err, fault.LeaseExpired) {
+		if fault.Is(err, fault.Overloaded) || fault.Is(err, fault.LeaseExpired) || fault.Is(err, fault.DeadlineNotRun) {
 			t.RecordRejection(now)
 		}
 	}
@@ -356,7 +357,7 @@
 	switch {
 	case err == nil && response.succeeded():
 		return balancing.WholeTimeTaken
-	case fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.CallerGone) || fault.Is(err, fault.Interrupted):
+	case fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.DeadlineNotRun) || fault.Is(err, fault.CallerGone) || fault.Is(err, fault.Interrupted):
 		return balancing.LeastTimeTaken
 	}
 	return balancing.NoTimeTaken
@@ -419,7 +420,7 @@
 	if err != nil {
 		e.Log.Warn("malformed load in a response", zap.String("request", m.RequestID), zap.Error(err))
 	}
-	response, err := newResponse(resp)
+	response, err := newResponse(resp, notRun)
 	if err != nil {
 		return nil, err
 	}
@@ -427,7 +428,6 @@
 	if bottleneck.Service == m.Service {
 		response.ShedLevel = bottleneck.Level
 	}
-	response.NotRun = notRun
 	response.CalledLoad = calledLoad
 	if response.Statement, err = readPeerStatement(resp.Header); err != nil {
 		e.Log.Warn("malformed statement in a response", zap.String("request", m.RequestID), zap.Error(err))
