Test of a target that stops in a head runs in virtual time

Cause: TestTargetStopsInTheMiddleOfAHead failed once at a load of 45 on 8 processors: 504 where 502 is required. It ran on real connections with the route's timeout of 400 ms, so a delayed goroutine makes the deadline pass first. Evidence: 24 copies of the old test at once: 4 failed, each with 504; alone 8 of 8 passed. Change: the same checks on the network in memory, in virtual time.

--- a/internal/request/relay/faulty_target_test.go
+++ b/internal/request/relay/faulty_target_test.go
@@ -5,10 +5,12 @@
 	"io"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/teaselrack/teaselrack/internal/connection/memnet"
 	"github.com/teaselrack/teaselrack/internal/version"
 )
 
@@ -48,19 +50,24 @@
 // TestTargetStopsInTheMiddleOfAHead closes the target's connection after each part of a
 // response head. The caller must not get a success.
 func TestTargetStopsInTheMiddleOfAHead(t *testing.T) {
-	m := newMesh(t, version.Once, 0, 1)
-	outside := m.addRemote()
-	const head = "HTTP/1.1 200 OK\r\nTeaselrack-Request: id-1\r\nStamp: s\r\nContent-Length: 12\r\n\r\n"
-	for cut := range head {
-		m.instances[0].stub.serveWith(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := w.(http.Hijacker).Hijack()
-			must.NoError(t, err)
-			_, _ = io.WriteString(conn, head[:cut])
-			_ = conn.Close()
-		})
-		for _, from := range []*instance{m.instances[0], outside} {
-			resp, _ := m.send(from, "POST", "/p/x", nil, "")
-			must.Eq(t, http.StatusBadGateway, resp.StatusCode, must.Sprintf("%q", head[:cut]))
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(time.Millisecond)
+		m := newMeshOn(t, network, version.Once, 0, 1)
+		outside := m.addRemote()
+		const head = "HTTP/1.1 200 OK\r\nTeaselrack-Request: id-1\r\nStamp: s\r\nContent-Length: 12\r\n\r\n"
+		for cut := range head {
+			m.instances[0].stub.serveWith(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				must.NoError(t, err)
+				_, _ = io.WriteString(conn, head[:cut])
+				_ = conn.Close()
+			})
+			for _, from := range []*instance{m.instances[0], outside} {
+				resp, _ := m.send(from, "POST", "/p/x", nil, "")
+				must.Eq(t, http.StatusBadGateway, resp.StatusCode, must.Sprintf("%q", head[:cut]))
+			}
 		}
-	}
+		network.Close()
+		time.Sleep(time.Minute)
+	})
 }
