Sender: an idempotent request that a stopping daemon broke off is repeated

On the product's own interface such a request would have got 502, where a lost connection was repeated. Cause: the kind is new, and isRetryable lists the kinds. Change: interrupted is treated like a lost connection. Result: TestInterruptedRequestIsNotRepeated fails without it and passes. Ruled out: nothing.

--- a/internal/request/hop/sender.go
+++ b/internal/request/hop/sender.go
@@ -166,7 +166,7 @@
 		fault.NoTarget, fault.LeaseExpired, fault.ConnectFailed, fault.ShuttingDown,
 		fault.OnceCanceled:
 		return true
-	case fault.ConnectionLost, fault.AnswerBroken:
+	case fault.ConnectionLost, fault.AnswerBroken, fault.Interrupted:
 		return mode == version.Idempotent
 	}
 	return false
--- a/internal/request/hop/sender_test.go
+++ b/internal/request/hop/sender_test.go
@@ -6,6 +6,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/version"
 )
 
 // TestRetriedRequestIsNeverReportedAsNotRun checks the outcome of a request whose
@@ -32,3 +33,11 @@
 	_, err := withoutRetry.result(fault.New(fault.DeadlineNotRun, "no time is left for another attempt"))
 	must.Eq(t, fault.ConnectionLost, fault.KindOf(err))
 }
+
+// TestInterruptedRequestIsNotRepeated guards against giving up an idempotent request that the
+// target's daemon broke off because it stops. Any other request may have run.
+func TestInterruptedRequestIsNotRepeated(t *testing.T) {
+	interrupted := fault.New(fault.Interrupted, "the daemon stopped")
+	must.True(t, isRetryable(t.Context(), version.Idempotent, interrupted))
+	must.False(t, isRetryable(t.Context(), version.Once, interrupted))
+}
