Shutdown: a daemon takes no forwarded request that may outlast it if another target can

Callers see 502 while a target is at work: an entry has taken the request just before or during its own shutdown, and the daemon beside the target, whose shutdown began earlier, ends 5.1 s after its own SIGTERM. Cause: in the announce period (2.5 s) the daemon beside a target accepts forwarded requests whatever their time limit; entries go on choosing it for 1.2 to 2.2 s. With shutdowns a gap apart, a target that works longer than 5.1 s less the age of the earlier shutdown is interrupted before the last sixth of the entry's own time.

Change: such a request is refused from the start (shutting_down, not run) if its time limit lies behind the end of the shutdown. The entry tries another target. If no other takes the request, it goes to a daemon that stops after all, marked as a last resort, and is accepted in the announce period as before.

With a single target each request of the announce period costs one forward more. Ruled out: the registry of the daemon that stops, to tell whether another target exists: two of them that stop would refuse for each other. A refusal by the average service time: what breaks is the request that takes longer.

--- a/internal/connection/drain/drain.go
+++ b/internal/connection/drain/drain.go
@@ -10,7 +10,8 @@
 //
 // Clients that know no other process go on sending until the end. After the announce
 // period a request is therefore served only if it ends before the shutdown does, and
-// refused otherwise. See TimeLimiter.
+// refused otherwise. That holds from the start for requests whose sender can turn to
+// another process. See TimeLimiter.
 package drain
 
 import (
--- a/internal/connection/drain/handler.go
+++ b/internal/connection/drain/handler.go
@@ -14,8 +14,10 @@
 // during the shutdown.
 type TimeLimiter interface {
 	// TimeLimit returns the time within which the handler responds to r, whatever the
-	// targets do.
-	TimeLimit(r *http.Request) time.Duration
+	// targets do. If movable is true, the sender of r may have it served by another
+	// process: a request that could outlast the shutdown is then refused in the announce
+	// period too.
+	TimeLimit(r *http.Request) (limit time.Duration, movable bool)
 	// Refuse responds to a request that could outlast the shutdown. The request has
 	// not run.
 	Refuse(w http.ResponseWriter, r *http.Request)
@@ -36,7 +38,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	arrived := time.Now()
-	if !h.drain.Schedule().Allows(arrived, arrived.Add(h.timeLimit(r))) {
+	if !h.accepts(r, arrived) {
 		h.refuse(w, r)
 		return
 	}
@@ -44,13 +46,23 @@
 	h.next.ServeHTTP(w, r)
 }
 
-func (h *handler) timeLimit(r *http.Request) time.Duration {
+// accepts reports whether a request that arrives during the shutdown is served.
+func (h *handler) accepts(r *http.Request, arrived time.Time) bool {
+	limit, movable := h.timeLimit(r)
+	schedule, until := h.drain.Schedule(), arrived.Add(limit)
+	if movable {
+		return schedule.Outlasts(until)
+	}
+	return schedule.Allows(arrived, until)
+}
+
+func (h *handler) timeLimit(r *http.Request) (limit time.Duration, movable bool) {
 	if limiter, ok := h.next.(TimeLimiter); ok {
 		return limiter.TimeLimit(r)
 	}
 	h.drain.mu.Lock()
 	defer h.drain.mu.Unlock()
-	return h.drain.longest
+	return h.drain.longest, false
 }
 
 func (h *handler) refuse(w http.ResponseWriter, r *http.Request) {
--- a/internal/connection/drain/schedule.go
+++ b/internal/connection/drain/schedule.go
@@ -18,7 +18,12 @@
 // Allows reports whether work may begin at a time that can last until another: in the
 // announce period, or if it ends before the shutdown does.
 func (s Schedule) Allows(begin, until time.Time) bool {
-	return s.End.IsZero() || begin.Before(s.SelectiveFrom) || !until.After(s.End)
+	return begin.Before(s.SelectiveFrom) || s.Outlasts(until)
+}
+
+// Outlasts reports whether this process still runs at a time.
+func (s Schedule) Outlasts(until time.Time) bool {
+	return s.End.IsZero() || !until.After(s.End)
 }
 
 // Bound returns d, or the time from now until the end of the shutdown if that is less.
--- a/internal/connection/drain/schedule_test.go
+++ b/internal/connection/drain/schedule_test.go
@@ -17,7 +17,10 @@
 	must.False(t, s.Allows(at(5101), at(5101)))
 	must.Eq(t, 100*time.Millisecond, s.Bound(at(5000), time.Second))
 	must.Eq(t, time.Second, s.Bound(at(0), time.Second))
+	must.True(t, s.Outlasts(at(5100)))
+	must.False(t, s.Outlasts(at(5101)))
 	none := Schedule{}
+	must.True(t, none.Outlasts(at(60_000)))
 	must.True(t, none.Allows(at(0), at(60_000)))
 	must.Eq(t, time.Hour, none.Bound(at(0), time.Hour))
 }
--- a/internal/connection/http1/stopping_test.go
+++ b/internal/connection/http1/stopping_test.go
@@ -19,6 +19,6 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}})
-	_, err := client.Do(ctx, "10.0.0.1:80", &Request{Method: "GET", URI: "/", Host: "h"})
+	_, err := client.Do(ctx, "10.0.0.1:80", &Request{Method: "GET", URI: "/", Host: "h"}) //nolint:bodyclose // it fails
 	must.Eq(t, fault.ShuttingDown, fault.KindOf(err))
 }
--- a/internal/request/relay/attempts.go
+++ b/internal/request/relay/attempts.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"slices"
+
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
@@ -17,6 +19,10 @@
 	forwards, delivered int
 	// mayHaveRun is true once a target may have run the request.
 	mayHaveRun bool
+	// stopping holds the instances whose daemon refused the request because it stops.
+	// lastResort is true once they may be used after all.
+	stopping   []string
+	lastResort bool
 	// lastErr is the error of the last attempt.
 	lastErr error
 	// failed is the complete response of a target that failed the request.
@@ -43,12 +49,26 @@
 		a.lastErr = withRetryAfter(fault.New(fault.Overloaded, "the target rejected the request with status %d", response.Status), 0)
 		return
 	}
+	if fault.Is(err, fault.ShuttingDown) {
+		a.stopping = append(a.stopping, instance)
+	}
 	if fault.OutcomeOf(err) != fault.NotRun {
 		a.delivered++
 		a.mayHaveRun = true
 	}
 }
 
+// reconsider lets the instances be chosen again whose daemon stops, for a request that no
+// other target takes. It reports whether there are any; it does so once.
+func (a *attempts) reconsider() bool {
+	if a.lastResort || len(a.stopping) == 0 {
+		return false
+	}
+	a.lastResort = true
+	a.excluded = slices.DeleteFunc(a.excluded, func(instance string) bool { return slices.Contains(a.stopping, instance) })
+	return true
+}
+
 // result returns what to respond to a request that is not retried: the response of a target
 // that failed it, or an error. err is the error if there was no attempt.
 func (a *attempts) result(err error) (*Response, error) {
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -229,12 +229,12 @@
 func (e *EntryHandler) send(ctx context.Context, req *inboundRequest) (*Response, error) {
 	var history attempts
 	for {
-		choice, ok := e.Balancer.Choose(time.Now(), req.service, req.route.Name, req.objectiveDeadline.Sub(req.receivedAt), history.excluded)
+		choice, ok := e.choose(req, &history)
 		if !ok {
 			return history.result(fault.New(fault.NoTarget, "no target of service %s is available", req.service))
 		}
 		began := time.Now()
-		response, err := e.attempt(ctx, req, choice, history.delivered > 0)
+		response, err := e.attempt(ctx, req, choice, &history)
 		ran := err == nil && !response.NotRun
 		if history.mayHaveRun && (ran || fault.OutcomeOf(err) != fault.NotRun) {
 			e.RetryBudget.RecordRerun(time.Now(), req.service, ran && response.succeeded())
@@ -253,6 +253,16 @@
 	}
 }
 
+// choose returns the target of the next attempt.
+func (e *EntryHandler) choose(req *inboundRequest, history *attempts) (balancing.Choice, bool) {
+	for {
+		choice, ok := e.Balancer.Choose(time.Now(), req.service, req.route.Name, req.objectiveDeadline.Sub(req.receivedAt), history.excluded)
+		if ok || !history.reconsider() {
+			return choice, ok
+		}
+	}
+}
+
 // mayRepeatFailed reports whether a request that a target ran and failed may be sent to
 // another one, and takes a token from the retry budget for that. took is the time that the
 // target took; a repeat needs as much again.
@@ -297,10 +307,10 @@
 	return e.RetryBudget.Take(time.Now(), req.service, req.call.Remaining)
 }
 
-// attempt forwards the request to one target and records the outcome. again says that
-// another target may have received the request before.
-func (e *EntryHandler) attempt(ctx context.Context, req *inboundRequest, choice balancing.Choice, again bool) (*Response, error) {
-	response, err := e.forward(ctx, req, choice, again)
+// attempt forwards the request to one target and records the outcome. history holds the
+// attempts before.
+func (e *EntryHandler) attempt(ctx context.Context, req *inboundRequest, choice balancing.Choice, history *attempts) (*Response, error) {
+	response, err := e.forward(ctx, req, choice, history)
 	now := time.Now()
 	choice.Update(func(t *balancing.Target) {
 		if response != nil && response.Load >= 0 {
@@ -362,12 +372,12 @@
 	return balancing.NoTimeTaken
 }
 
-func (e *EntryHandler) forward(ctx context.Context, req *inboundRequest, choice balancing.Choice, again bool) (*Response, error) {
+func (e *EntryHandler) forward(ctx context.Context, req *inboundRequest, choice balancing.Choice, history *attempts) (*Response, error) {
 	now := time.Now()
 	m := &ForwardingMetadata{
 		RequestID: req.id, Service: req.service, Route: req.route.Name, Team: req.team, Origin: e.Service, Rank: req.rank, FromTarget: req.fromTarget, ClientRetry: req.clientRetry,
 		Idempotent: req.route.Mode == version.Idempotent, Remaining: req.deadline.Sub(now), ObjectiveRemaining: req.objectiveDeadline.Sub(now),
-		Known: choice.Stated(), Repeat: again || req.call.Repeat,
+		Known: choice.Stated(), Repeat: history.delivered > 0 || req.call.Repeat, LastResort: history.lastResort,
 	}
 	if m.Remaining <= 0 {
 		return nil, fault.New(fault.DeadlineNotRun, "deadline exceeded before the request was sent")
--- a/internal/request/relay/forwarding_metadata.go
+++ b/internal/request/relay/forwarding_metadata.go
@@ -35,6 +35,8 @@
 	// Repeat is true if a target may have received the request before, or if it is a
 	// call of a run that repeats another one.
 	Repeat bool
+	// LastResort is true if no other target takes the request.
+	LastResort bool
 	// Remaining is the time until the final response is due.
 	Remaining time.Duration
 	// ObjectiveRemaining is the time until the latency objective ends. It is
@@ -54,6 +56,7 @@
 	flagIdempotent  = "r"
 	flagClientRetry = "b"
 	flagRepeat      = "a"
+	flagLastResort  = "l"
 )
 
 // Encode returns m as the value of a header. Durations are in microseconds.
@@ -71,6 +74,9 @@
 	if m.Repeat {
 		flags += flagRepeat
 	}
+	if m.LastResort {
+		flags += flagLastResort
+	}
 	return strings.Join([]string{
 		"1", m.Service, m.Team, m.Origin, strconv.Itoa(m.Rank), flags,
 		formatMicroseconds(m.Remaining), formatMicroseconds(m.ObjectiveRemaining), m.RequestID, m.Route,
@@ -104,6 +110,7 @@
 		Idempotent:         strings.Contains(fields[5], flagIdempotent),
 		ClientRetry:        strings.Contains(fields[5], flagClientRetry),
 		Repeat:             strings.Contains(fields[5], flagRepeat),
+		LastResort:         strings.Contains(fields[5], flagLastResort),
 		Remaining:          time.Duration(remaining) * time.Microsecond,
 		ObjectiveRemaining: time.Duration(objectiveRemaining) * time.Microsecond,
 		RequestID:          fields[8],
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -510,7 +510,7 @@
 }
 
 func TestForwardingMetadataRoundTrip(t *testing.T) {
-	m := &ForwardingMetadata{RequestID: "id", Service: "s", Route: "r", Team: "t", Origin: "o", Rank: 3, FromTarget: true, Idempotent: true, ClientRetry: true, Remaining: time.Second, ObjectiveRemaining: time.Millisecond}
+	m := &ForwardingMetadata{RequestID: "id", Service: "s", Route: "r", Team: "t", Origin: "o", Rank: 3, FromTarget: true, Idempotent: true, ClientRetry: true, Repeat: true, LastResort: true, Remaining: time.Second, ObjectiveRemaining: time.Millisecond}
 	got, err := DecodeForwardingMetadata(m.Encode())
 	must.NoError(t, err)
 	must.Eq(t, m, got)
--- a/internal/request/relay/shutdown.go
+++ b/internal/request/relay/shutdown.go
@@ -20,10 +20,11 @@
 }
 
 // TimeLimit returns the time within which the entry responds to r: what the caller and
-// the route allow. It is 0 for a request that is rejected without being forwarded.
-func (e *EntryHandler) TimeLimit(r *http.Request) time.Duration {
+// the route allow. It is 0 for a request that is rejected without being forwarded. Callers
+// know no other process.
+func (e *EntryHandler) TimeLimit(r *http.Request) (limit time.Duration, movable bool) {
 	req := e.lateRequest(r)
-	return req.deadline.Sub(req.receivedAt)
+	return req.deadline.Sub(req.receivedAt), false
 }
 
 // Refuse rejects a request because it may not end before this process does.
@@ -48,13 +49,14 @@
 	return req
 }
 
-// TimeLimit returns the time that the sender of r allows, or 0 if that is malformed.
-func (p *PeerHandler) TimeLimit(r *http.Request) time.Duration {
+// TimeLimit returns the time that the sender of r allows, or 0 if that is malformed. The
+// sender can turn to another target unless it says that there is none.
+func (p *PeerHandler) TimeLimit(r *http.Request) (limit time.Duration, movable bool) {
 	m, err := DecodeForwardingMetadata(r.Header.Get(headerMetadata))
 	if err != nil {
-		return 0
+		return 0, false
 	}
-	return m.Remaining
+	return m.Remaining, !m.LastResort
 }
 
 // Refuse rejects a request because it may not end before this process does. Its sender
