Registry: a record that cannot be used is left out, and all others hold

What callers see: one daemon whose record has an address with a port out of range, an unknown state or a huge number of slots is listed by the replicas like any other. Every daemon sends it requests, which fail to connect or, where the slots are huge, all prefer it; an empty instance or a slash in a service makes it collide with the records of others.

Cause: replicas pass on what a daemon reports about its target, and daemons use it, unchecked.

Change: TargetRecord.Check, beside the bounds for targets, says whether a request can be sent to what a record names. Replicas leave out the targets of a record that fail it, and daemons those of a delta, so that neither an odd daemon nor an odd replica is enough. The record of the daemon stays as it was sent, since heartbeats between replicas carry its checksum: a changed one would make them request the whole registry from each other with every exchange. A target that turns odd is removed.

The records of older tests had no address and no slots; they have now.

Ruled out: refusing the whole renewal: the daemon would lose its configuration and its tokens.

--- a/internal/process/control/role.go
+++ b/internal/process/control/role.go
@@ -94,6 +94,7 @@
 		substitute = quota.NewSubstitute(r.options.MaxQuotaOutage)
 	}
 	targets := registry.New(envelope.NewID())
+	targets.LogTo(r.options.Log)
 	r.service = New(Options{
 		Substitute:     substitute,
 		Address:        r.options.Address,
--- a/internal/process/daemon/build.go
+++ b/internal/process/daemon/build.go
@@ -49,6 +49,7 @@
 	}
 	d.configuration = configuration.NewHolder(configuration.HolderOptions{Now: d.clock.Now, Save: store.saveFunc(), Floor: store.floor})
 	d.registry = registry.NewTable(time.Now)
+	d.registry.LogTo(d.log)
 	return nil
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -167,6 +167,7 @@
 func (n *Node) buildTraffic(t *Traffic) {
 	n.configuration = configuration.NewHolder(configuration.HolderOptions{Now: n.clock.Now, ContentOnly: true})
 	n.registry = registry.NewTable(time.Now)
+	n.registry.LogTo(n.log)
 	n.quarantine = quarantine.NewList(time.Now, n.renewNow, n.log)
 	n.target = local.New(local.Options{
 		Service: t.Service, Address: t.Target, Interval: t.Heartbeat,
--- a/internal/process/registry/record.go
+++ b/internal/process/registry/record.go
@@ -71,12 +71,13 @@
 	return xxhash.Sum64(b)
 }
 
-// targets returns the announced targets of the record by service. If a service is
-// announced twice, the last announcement is used.
-func (r Record) targets() map[string]protocol.TargetRecord {
+// targets returns the announced targets of the record that are usable, by service. If a
+// service is announced twice, the last announcement is used. The record itself stays as
+// its daemon sent it: the checksums that replicas compare cover it.
+func (r Record) targets(usable func(protocol.TargetRecord) bool) map[string]protocol.TargetRecord {
 	m := make(map[string]protocol.TargetRecord, len(r.Targets))
 	for _, a := range r.Targets {
-		m[a.Service] = protocol.TargetRecord{
+		target := protocol.TargetRecord{
 			Service:       a.Service,
 			Instance:      r.Instance,
 			PeerAddress:   r.PeerAddress,
@@ -86,6 +87,9 @@
 			Incarnation:   a.Incarnation,
 			DaemonLeaving: r.Leaving,
 		}
+		if usable(target) {
+			m[a.Service] = target
+		}
 	}
 	return m
 }
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 )
@@ -28,6 +29,7 @@
 	setChanged atomic.Uint64
 	daemons    [shardCount]daemonShard
 	services   [shardCount]serviceShard
+	leftOut    leftOut
 }
 
 // daemonShard holds the daemons whose instance names hash to one shard.
@@ -59,6 +61,9 @@
 	return r
 }
 
+// LogTo makes the registry log which targets it leaves out.
+func (r *Registry) LogTo(log *zap.Logger) { r.leftOut.logTo(log) }
+
 // Epoch returns the unique ID of this registry.
 func (r *Registry) Epoch() string { return r.epoch }
 
@@ -104,10 +109,11 @@
 	r.updateServices(old, rec, now)
 }
 
-// updateServices removes the targets that only old has, and stores those of rec.
+// updateServices removes the targets that only old has, and stores those of rec that can
+// be used.
 func (r *Registry) updateServices(old, rec Record, now time.Time) {
-	targets := rec.targets()
-	for name := range old.targets() {
+	targets := rec.targets(func(t protocol.TargetRecord) bool { return r.leftOut.check(now, t) })
+	for name := range old.targets(func(t protocol.TargetRecord) bool { return t.Check() == nil }) {
 		if _, still := targets[name]; !still {
 			r.services[shardOf(name)].remove(name, rec.Instance, now, r.nextVersion)
 		}
--- a/internal/process/registry/registry_test.go
+++ b/internal/process/registry/registry_test.go
@@ -15,9 +15,9 @@
 var startTime = time.Unix(1_000_000, 0)
 
 func renewal(instance, domain string, state protocol.TargetState, services ...string) protocol.RenewRequest {
-	request := protocol.RenewRequest{Instance: instance, Session: instance, PeerAddress: instance, FailureDomain: domain}
+	request := protocol.RenewRequest{Instance: instance, Session: instance, PeerAddress: instance + ":80", FailureDomain: domain}
 	for _, s := range services {
-		request.Targets = append(request.Targets, protocol.Announcement{Service: s, State: state})
+		request.Targets = append(request.Targets, protocol.Announcement{Service: s, State: state, Slots: 1})
 	}
 	return request
 }
--- a/internal/process/registry/table.go
+++ b/internal/process/registry/table.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 )
 
@@ -36,6 +38,8 @@
 	requested  []string
 	subscribed []string
 
+	leftOut leftOut
+
 	// view holds the targets by service, for reads without the lock.
 	view atomic.Pointer[map[string][]protocol.TargetRecord]
 }
@@ -55,6 +59,9 @@
 	return t
 }
 
+// LogTo makes the table log which targets it leaves out.
+func (t *Table) LogTo(log *zap.Logger) { t.leftOut.logTo(log) }
+
 // Position returns the epoch and version to send with the next renewal for these
 // subscriptions. If they differ from those of the last full list, it returns "" and
 // 0, which request a full list. The reply must be applied or discarded before the
@@ -86,7 +93,7 @@
 	}
 }
 
-// applyDelta applies d. It ignores a delta that is older than the table, and one
+// applyDelta applies d, without the targets that cannot be used. It ignores a delta that is older than the table, and one
 // that is not full and has another epoch.
 func (t *Table) applyDelta(now time.Time, d *protocol.RegistryDelta) {
 	if d.Epoch == t.epoch && d.Version < t.version {
@@ -103,7 +110,11 @@
 		delete(t.targets, id)
 	}
 	for _, r := range d.Upserts {
-		t.targets[idOf(r)] = &entry{record: r}
+		if t.leftOut.check(now, r) {
+			t.targets[idOf(r)] = &entry{record: r}
+		} else {
+			delete(t.targets, idOf(r))
+		}
 	}
 	t.epoch = d.Epoch
 	t.version = d.Version
--- a/internal/process/registry/table_test.go
+++ b/internal/process/registry/table_test.go
@@ -40,7 +40,7 @@
 func full(epoch string, version uint64, instances ...string) *protocol.RegistryDelta {
 	d := &protocol.RegistryDelta{Epoch: epoch, Version: version, Full: true}
 	for _, i := range instances {
-		d.Upserts = append(d.Upserts, protocol.TargetRecord{Service: "s", Instance: i})
+		d.Upserts = append(d.Upserts, protocol.TargetRecord{Service: "s", Instance: i, PeerAddress: i + ":80", State: protocol.Warm, Slots: 1})
 	}
 	return d
 }
--- a/internal/process/renewal/loop_test.go
+++ b/internal/process/renewal/loop_test.go
@@ -32,7 +32,7 @@
 	*renewReply = protocol.RenewReply{Confirmed: true, Version: state.Number(), Digest: state.Digest()}
 	delta := &protocol.RegistryDelta{Epoch: "e", Version: uint64(n), Full: true}
 	if time.Since(r.began) >= time.Duration(r.targetKnownAfter.Load()) {
-		delta.Upserts = []protocol.TargetRecord{{Service: "s", Instance: "a", State: protocol.Warm, Slots: 1}}
+		delta.Upserts = []protocol.TargetRecord{{Service: "s", Instance: "a", PeerAddress: "10.0.0.1:80", State: protocol.Warm, Slots: 1}}
 	}
 	renewReply.Registry = delta
 	return nil
