Exchange between replicas: an age below 0 no longer holds for good

What callers see: a record that another replica passes on with a negative age counts as renewed in the future. No later renewal of that daemon is believed, so a target that leaves still gets requests, and the record never expires. A crash report with such an age is never forgotten.

Cause: ages are subtracted from the clock as they come.

Change: a negative age counts as 0.

Result: go test ./internal/process/registry ./internal/process/quarantine.

Ruled out: leaving such records out: a daemon may be older than its record, never younger.

--- a/internal/process/quarantine/table.go
+++ b/internal/process/quarantine/table.go
@@ -67,7 +67,7 @@
 	return &Table{epoch: epoch, reports: make(map[string]*report), completed: make(map[uint64]time.Time), convictable: make(map[uint64]time.Time)}
 }
 
-// Merge adds reports of daemons or of another replica.
+// Merge adds reports of daemons or of another replica. A negative age counts as 0.
 func (t *Table) Merge(now time.Time, reports []protocol.CrashReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -78,7 +78,7 @@
 		known, ok := t.reports[r.Incarnation]
 		if !ok {
 			t.dropOldest()
-			known = &report{suspects: make(map[uint64]bool), familiar: make(map[uint64]bool), cleared: make(map[uint64]bool), received: now.Add(-r.Age)}
+			known = &report{suspects: make(map[uint64]bool), familiar: make(map[uint64]bool), cleared: make(map[uint64]bool), received: now.Add(-max(r.Age, 0))}
 			t.reports[r.Incarnation] = known
 		}
 		changed := known.merge(r) || !ok
--- a/internal/process/quarantine/table_test.go
+++ b/internal/process/quarantine/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"testing"
@@ -223,3 +224,19 @@
 		must.LessEq(t, maxRecentLosses, len(l.losses))
 	})
 }
+
+// TestCrashFromTheFutureIsForgotten guards against a report with an odd age, from a daemon
+// or a replica, that is never forgotten.
+func TestCrashFromTheFutureIsForgotten(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, age := range []time.Duration{-time.Hour, math.MinInt64} {
+		table := NewTable("e")
+		table.Merge(now, []protocol.CrashReport{{Incarnation: "a/1", Suspects: []uint64{1}, Age: age}})
+		reports, _ := table.Changes(now, "", 0)
+		must.Len(t, 1, reports)
+		must.Eq(t, 0, reports[0].Age)
+		table.Update(now.Add(reportTTL), "", 0)
+		reports, _ = table.Changes(now.Add(reportTTL), "", 0)
+		must.SliceEmpty(t, reports)
+	}
+}
--- a/internal/process/registry/exchange.go
+++ b/internal/process/registry/exchange.go
@@ -101,13 +101,14 @@
 	return heartbeats
 }
 
-// Merge applies the reply of another replica. It returns false if a heartbeat
+// Merge applies the reply of another replica. A negative age counts as 0: nothing has
+// happened in the future, and no later renewal would be believed. It returns false if a heartbeat
 // refers to a record that this replica does not have; the caller must then request
 // again from version 0.
 func (r *Registry) Merge(now time.Time, reply ExchangeReply) bool {
 	for _, changed := range reply.Changed {
 		if changed.Age < RecordTTL {
-			r.put(changed.Record, now.Add(-changed.Age), now, false)
+			r.put(changed.Record, now.Add(-max(changed.Age, 0)), now, false)
 		}
 	}
 	complete := true
@@ -131,7 +132,7 @@
 	if !ok {
 		return false
 	}
-	renewed := now.Add(-heartbeat.Age)
+	renewed := now.Add(-max(heartbeat.Age, 0))
 	if !renewed.After(d.renewed) {
 		return true
 	}
