--- a/internal/connection/protocol/bounds.go
+++ b/internal/connection/protocol/bounds.go
@@ -57,7 +57,7 @@
 	if err := checkName("instance", r.Instance); err != nil {
 		return err
 	}
-	if err := checkAddress(r.PeerAddress); err != nil {
+	if err := CheckAddress(r.PeerAddress); err != nil {
 		return err
 	}
 	if r.Incarnation != "" {
@@ -79,8 +79,8 @@
 	return nil
 }
 
-// checkAddress returns a BadRequest error if s is not a host and a port number.
-func checkAddress(s string) error {
+// CheckAddress returns a BadRequest error if s is not a host and a port number.
+func CheckAddress(s string) error {
 	host, port, err := net.SplitHostPort(s)
 	n, portErr := strconv.ParseUint(port, 10, 16)
 	if err != nil || portErr != nil || n == 0 || host == "" || len(s) > maxNameBytes || strings.ContainsFunc(s, isNotVisibleASCII) {
