Configurations: durations that overflow are refused everywhere

What operators see: a configuration whose timeout_ms is 1e300 is refused by an x86-64 replica ("no timeout") and accepted by an arm64 one, as are a cold time or a limit of that size.

Cause: what a float that does not fit becomes depended on the processor; nothing bounded durations from above.

Result: go test ./platform ./internal/version, on arm64. Without the bound TestNumbersThatOverflow finds timeout, timeout and objective, cold time and both limits accepted; with it all 12 cases are refused. Not run on x86-64.

Ruled out: the bounds of release notes (60 s, 2 min): the platform names none for its own.

--- a/internal/version/full_configuration.go
+++ b/internal/version/full_configuration.go
@@ -5,9 +5,14 @@
 	"time"
 )
 
-// maxObjectiveExcess bounds how far the objective of a route may exceed its
-// timeout: an excess of a minute or more is treated as a mistake in the unit.
-const maxObjectiveExcess = time.Minute
+const (
+	// maxObjectiveExcess bounds how far the objective of a route may exceed its
+	// timeout: an excess of a minute or more is treated as a mistake in the unit.
+	maxObjectiveExcess = time.Minute
+	// maxFullDuration bounds every duration, so that none overflows where it is
+	// calculated with.
+	maxFullDuration = 30 * 24 * time.Hour
+)
 
 // Validate returns a NoteInvalid error that lists every problem of the full
 // configuration that depends on its content alone, or nil.
@@ -20,12 +25,33 @@
 	for _, r := range c.Entries.Routes {
 		checkFullRoute(&errs, r, services)
 	}
+	checkDurations(&errs, c.Entries)
 	checkKeys(&errs, c.Entries)
 	checkSharedKeys(&errs, c.Entries.Keys)
 	checkRoutes(&errs, c.Entries.Routes)
 	return errs.asError()
 }
 
+// checkDurations reports durations above maxFullDuration.
+func checkDurations(errs *problems, e Entries) {
+	check := func(d time.Duration, format string, args ...any) {
+		if d > maxFullDuration {
+			errs.add(format+" is longer than %s", append(args, maxFullDuration)...)
+		}
+	}
+	for _, r := range e.Routes {
+		check(r.Timeout, "the timeout of route %q", r.Name)
+		check(r.Objective, "the objective of route %q", r.Name)
+	}
+	for _, v := range e.Services {
+		check(v.ColdFor, "the cold-start time of service %q", v.Name)
+	}
+	if e.Limits != nil {
+		check(e.Limits.HeaderTimeout, "the header timeout")
+		check(e.Limits.IdleTimeout, "the idle timeout")
+	}
+}
+
 func checkFullRoute(errs *problems, r Route, services map[string]Service) {
 	if !strings.HasPrefix(r.Path, "/") {
 		errs.add("the prefix %q of route %q does not begin with a slash", r.Path, r.Name)
