Messages between replicas: one that cannot be read no longer takes others with it

What operators see: a replica that gets one message that it cannot decode, from a later build or damaged, refuses the rest of the batch; the sender drops the messages that wait for it too.

Cause: the first error ended the batch and was returned.

Change: what cannot be read is skipped, and logged at most once a second with the reason.

Result: go test ./internal/process/control -run TestOddMessageAmongGoodOnes; it failed before (the call returned bad_request).

Ruled out: an error to the sender beside the skipping: it drops what waits.

--- a/internal/process/control/membership.go
+++ b/internal/process/control/membership.go
@@ -5,7 +5,6 @@
 
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
-	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/replica"
 )
 
@@ -101,15 +100,21 @@
 	return nil
 }
 
-// Receive handles messages from other members of the replica groups. Errors:
-// BadRequest if a message cannot be decoded; the messages before it were handled.
+// Receive handles messages from other members of the replica groups. It skips messages
+// that cannot be decoded, and logs one of them at most once per skipLogInterval.
 func (s *Service) Receive(_ context.Context, _ mesh.Peer, req protocol.ReplicaMessages) (protocol.Empty, error) {
+	skipped := 0
+	var reason error
 	for _, encoded := range req.Messages {
 		message, err := replica.DecodeMessage(encoded)
 		if err != nil {
-			return protocol.Empty{}, fault.Wrap(fault.BadRequest, err, "cannot decode a message of a replica group")
+			skipped, reason = skipped+1, err
+			continue
 		}
 		s.options.Receive(message)
 	}
+	if skipped > 0 {
+		s.skips.log(s.options.Clock(), s.options.Log, skipped, reason)
+	}
 	return protocol.Empty{}, nil
 }
--- a/internal/process/control/service.go
+++ b/internal/process/control/service.go
@@ -110,6 +110,7 @@
 	leader   leaderWatch
 	versions versionTracker
 	domains  replicaDomains
+	skips    skipLog
 	// membership is nil if only operators admit and remove members.
 	membership *membershipManager
 }
