Membership: a request to join from an address that is none is refused

What operators see: nothing yet. A replica that asks to join from "10.0.0.1:99999" is recorded like any other, so the leader would try to admit it, one step of up to 2 s after another.

Cause: the address of a request to join is not looked at.

Change: an address that is not a host and a port from 1 to 65535 gets bad_request.

Result: go test ./internal/process/control -run TestJoinFromAnOddAddress; it failed before (accepted). That repair of a group is slowed by it is read from the code, not measured.

Ruled out: checks of members in the log: they passed this one, or were admitted by an operator.

--- a/internal/process/control/membership_manager.go
+++ b/internal/process/control/membership_manager.go
@@ -162,12 +162,15 @@
 }
 
 // Join records that a replica requests to become a member; the leader admits it
-// later. Errors: Forbidden if only operators manage the members; NotLeader;
-// NoLeader if the reply of the leader was lost.
+// later. Errors: Forbidden if only operators manage the members; BadRequest for an
+// address that is none; NotLeader; NoLeader if the reply of the leader was lost.
 func (s *Service) Join(ctx context.Context, _ mesh.Peer, req protocol.JoinRequest) (protocol.Empty, error) {
 	if s.membership == nil {
 		return protocol.Empty{}, fault.New(fault.Forbidden, "automatic membership is disabled; only operators admit members of this group")
 	}
+	if err := protocol.CheckAddress(req.Address); err != nil {
+		return protocol.Empty{}, err
+	}
 	forwarded, err := s.forward(ctx, s.options.Group, protocol.MethodJoin, req, &protocol.Empty{})
 	if forwarded {
 		return protocol.Empty{}, err
