--- a/internal/process/registry/odd_test.go
+++ b/internal/process/registry/odd_test.go
@@ -61,7 +61,7 @@
 }
 
 // transfer returns v as the other process decodes it.
-func transfer[V any](t *testing.T, v V) (w V) {
+func transfer[V any](t testing.TB, v V) (w V) {
 	t.Helper()
 	b, err := json.Marshal(v)
 	must.NoError(t, err)
