Registry: format the fuzz test

Cause: the file was committed before gofmt. Change: line breaks only. Result: go test ./internal/process/registry -run Fuzz passes. Ruled out: nothing.

--- a/internal/process/registry/fuzz_test.go
+++ b/internal/process/registry/fuzz_test.go
@@ -70,7 +70,9 @@
 		r.Renew(later, renewal("a", "z", protocol.Leaving, "s"))
 		r.Expire(later)
 		delta := r.Delta("subscriber", []string{"s"}, "", 0)
-		must.SliceContainsFunc(t, delta.Upserts, "a", func(r protocol.TargetRecord, name string) bool { return r.Instance == name && r.State == protocol.Leaving })
+		must.SliceContainsFunc(t, delta.Upserts, "a", func(r protocol.TargetRecord, name string) bool {
+			return r.Instance == name && r.State == protocol.Leaving
+		})
 		for _, target := range delta.Upserts {
 			must.NoError(t, target.Check())
 		}
