Quota: a token request out of range gets no more than there is

What callers see: a daemon that sends a negative number of waiting requests can be granted more tokens than the team has; where it says that 2^63 requests wait, all other daemons of the team are told to wait a negative time.

Cause: numbers of a token request are calculated with as they come; they are sound only if every daemon is.

Change: the issuer and its substitutes bring each number within its bounds first.

Ruled out: refusing the request: the holder would take the issuer for lost. Not covered: a standing rate within the bounds that is not the holder's, which a substitute believes for four seconds.

--- a/internal/process/quota/bucket.go
+++ b/internal/process/quota/bucket.go
@@ -172,7 +172,7 @@
 	}
 	b.standing.report(now, h, request)
 	if request.Spent > h.spent {
-		b.countSpent(now, h, int(request.Spent-h.spent))
+		b.countSpent(now, h, int(min(request.Spent-h.spent, maxRequested)))
 	}
 	removed := h.keepNewest(max(request.Remaining, 0))
 	b.outstanding -= amount(removed) * oneToken
@@ -270,7 +270,10 @@
 	if b.rate <= 0 {
 		return maxWait
 	}
-	return min(time.Duration(n)*time.Second*rateScale/time.Duration(b.rate), maxWait)
+	if float64(n)*rateScale >= float64(b.rate)*maxWait.Seconds() {
+		return maxWait
+	}
+	return time.Duration(n) * time.Second * rateScale / time.Duration(b.rate)
 }
 
 // issue leases n tokens for ttl. It counts from refilledAt, which a delayed caller's
--- a/internal/process/quota/issuer.go
+++ b/internal/process/quota/issuer.go
@@ -96,7 +96,7 @@
 func (s *Issuer) Grant(now time.Time, holder string, request protocol.QuotaRequest, team version.Team) protocol.QuotaGrant {
 	sh := &s.shards[xxhash.Sum64String(request.Team)%issuerShards]
 	grant := protocol.QuotaGrant{Team: request.Team, Sequence: request.Sequence}
-	sh.grant(now, s.ttl, holder, request, team, &grant)
+	sh.grant(now, s.ttl, holder, bounded(request), team, &grant)
 	return grant
 }
 
--- a/internal/process/quota/substitute.go
+++ b/internal/process/quota/substitute.go
@@ -52,6 +52,7 @@
 	}
 	complete := make([]protocol.QuotaGrant, 0, len(requests))
 	for _, r := range requests {
+		r = bounded(r)
 		g, ok := issued[r.Team]
 		t := s.team(r.Team)
 		if r.Renewal {
