--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -149,6 +149,16 @@
 		}
 		return false, previous, err
 	}
+	if h.Leaving {
+		t.departures.add(now, departure{id: h.ID, started: h.Started})
+	}
+	h.Leaving = h.Leaving || leaving
+	changed, previous = t.apply(now, h)
+	return changed, previous, nil
+}
+
+// apply makes a heartbeat the last one. It returns the crash of the previous incarnation.
+func (t *Target) apply(now time.Time, h Heartbeat) (changed bool, previous crash) {
 	before := t.announcement(now)
 	newIncarnation := !t.announced || !h.sameIncarnation(t.lastHeartbeat)
 	if newIncarnation {
@@ -156,10 +166,7 @@
 		t.responded = false
 		t.forgetStatement(now)
 	}
-	if h.Leaving {
-		t.departures.add(now, departure{id: h.ID, started: h.Started})
-	}
-	h.Leaving = h.Leaving || leaving || !newIncarnation && t.lastHeartbeat.Leaving
+	h.Leaving = h.Leaving || !newIncarnation && t.lastHeartbeat.Leaving
 	t.announced = true
 	t.lastHeartbeat = h
 	t.heartbeatAt = now
@@ -175,7 +182,7 @@
 		t.options.Log.Info("target state changed", zap.String("id", h.ID), zap.Int64("started", h.Started), zap.Uint64("sequence", h.Sequence),
 			zap.String("state", string(after.State)), zap.Int("slots", h.Slots), zap.Duration("cold_for", h.ColdFor))
 	}
-	return before != after, previous, nil
+	return before != after, previous
 }
 
 // Announcement returns the announcement to send to the control replicas. ok is
