--- a/internal/process/renewal/loop_test.go
+++ b/internal/process/renewal/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
@@ -77,3 +79,49 @@
 		must.NoError(t, <-done)
 	})
 }
+
+// oddReplicas is a replica group that names odd members, and of which only one address
+// can be reached.
+type oddReplicas struct {
+	fakeReplicas
+	reachable string
+}
+
+func (r *oddReplicas) Call(ctx context.Context, address, method string, request, reply any) error {
+	if address != r.reachable {
+		return fault.New(fault.ConnectFailed, "connect to %s", address)
+	}
+	err := r.fakeReplicas.Call(ctx, address, method, request, reply)
+	renewReply := reply.(*protocol.RenewReply)
+	renewReply.Replicas = []string{"", "10.0.0.1:99999", "10.0.0.1", address, "10.0.0.1:99999", strings.Repeat("x", 1<<20)}
+	renewReply.ReplicaDomains = []string{"z", "", "z"}
+	return err
+}
+
+// TestOddReplicasAreTriedInVain guards against a daemon that stops following the replicas
+// because their list names addresses that are none, also in its own failure domain.
+func TestOddReplicasAreTriedInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := &oddReplicas{reachable: "10.0.0.2:7000"}
+		group.began = time.Now()
+		holder := configuration.NewHolder(configuration.HolderOptions{Now: time.Now})
+		table := registry.NewTable(time.Now)
+		loop := New(Options{
+			Instance: "d", FailureDomain: "z", Replicas: []string{"10.0.0.1:99999", group.reachable}, Subscriptions: func() []string { return []string{"s"} },
+			Caller: group, Configuration: holder, Registry: table, Quota: quota.NewHolder(time.Now, nil),
+			Targets: func() []protocol.Announcement { return nil }, Leaving: func() bool { return false },
+			Clock: time.Now, Recorder: discardRecorder{}, Log: zap.NewNop(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- loop.Run(ctx) }()
+		for range 100 {
+			time.Sleep(DefaultInterval)
+			must.NoError(t, holder.Fresh())
+			must.False(t, table.Stale())
+			must.Len(t, 1, table.Targets("s"))
+		}
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
