--- a/internal/process/announce/registry_test.go
+++ b/internal/process/announce/registry_test.go
@@ -131,8 +131,8 @@
 	})
 }
 
-// TestRefusalsRepeatLittle guards against refusals that repeat a whole announcement.
-func TestRefusalsRepeatLittle(t *testing.T) {
+// TestRefusedAnnouncementsRepeatLittle guards against refusals that repeat a whole announcement.
+func TestRefusedAnnouncementsRepeatLittle(t *testing.T) {
 	encoded, err := json.Marshal(sampleAnnouncement())
 	must.NoError(t, err)
 	long := strings.Repeat("7", maxBodyBytes/2)
