Links: a process without a free file descriptor no longer ends

What operators see: a process ends by itself ("accept link: too many open files") when one link between processes comes while all its file descriptors are used, for example by callers.

Cause: the accept loop of links returned every error, and the return of an actor ends the process. The HTTP servers beside it wait and try again.

Change: after an error that may pass, the loop waits 5 ms, doubling up to a second, and tries again. A listener that is broken still ends the process.

Result: go test ./internal/connection/rpc. Found by reading, not seen on real processes.

Ruled out: going on after every error: a broken listener would be retried for good.

--- a/internal/connection/rpc/server.go
+++ b/internal/connection/rpc/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
@@ -15,8 +16,14 @@
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
-// maxCallsPerLink is the maximum number of concurrent calls on one link.
-const maxCallsPerLink = 1024
+const (
+	// maxCallsPerLink is the maximum number of concurrent calls on one link.
+	maxCallsPerLink = 1024
+	// minAcceptDelay is the delay after a link could not be accepted for lack of
+	// resources. It doubles with each further failure, up to maxAcceptDelay.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
+)
 
 // Handler handles the calls of one method. peer is the verified identity of the caller.
 type Handler func(ctx context.Context, peer mesh.Peer, params json.RawMessage) (any, error)
@@ -64,14 +71,22 @@
 	if closed {
 		return ln.Close()
 	}
+	delay := minAcceptDelay
 	for {
 		conn, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if isTemporary(err) {
+			s.log.Warn("cannot accept a link for now", zap.Duration("retry_after", delay), zap.Error(err))
+			time.Sleep(delay)
+			delay = min(2*delay, maxAcceptDelay)
+			continue
+		}
 		if err != nil {
 			return fault.Wrap(fault.Internal, err, "accept link")
 		}
+		delay = minAcceptDelay
 		if !s.track(conn) {
 			_ = conn.Close()
 			return nil
@@ -80,6 +95,12 @@
 	}
 }
 
+// isTemporary reports whether the next call may succeed, as after EMFILE.
+func isTemporary(err error) bool {
+	var e interface{ Temporary() bool }
+	return errors.As(err, &e) && e.Temporary()
+}
+
 // Close closes the listener and all links, and waits for the goroutines of the links.
 func (s *Server) Close() error {
 	s.mu.Lock()
