Shutdown: a replica answers the orders that it carries out

Operators see the connection of an order closed without a response when its replica gets SIGTERM, and send it again. Cause: a process without the traffic role ended its components at once, and the servers of the handlers were never part of the shutdown.

Change: at the end of a shutdown the servers of the handlers take no new calls and end those in progress: within 1.5 s (the limit of an order), and 0.4 s before the shutdown timeout at the latest. A process with the traffic role does so after its requests have ended.

Result: the test passes, ten times with the race detector; go test -race ./internal/process/node three times. Ruled out by reading, as waits that outlast the grace time: renewal, quota and pruning return with their context; the links, the pool and the transport are bounded by a dial (0.5 s), a probe (0.4 s) and a write (1 s, if the send buffer is full); servers are closed without a wait for handlers; the log waits 0.2 s. Not ruled out: a replica whose flush is stalled by its disk does not return before the flush does, and a processor that gives the process nothing for 0.4 s at the end.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -57,6 +57,11 @@
 	// shutdownMargin is the part of the shutdown timeout that is reserved for
 	// the last steps.
 	shutdownMargin = 800 * time.Millisecond
+	// lastCallsTimeout is how long a process that shuts down waits at most for the calls
+	// that its handlers carry out: orders and heartbeats. lastCallsMargin is the part of
+	// the shutdown timeout that is left after them.
+	lastCallsTimeout = 1500 * time.Millisecond
+	lastCallsMargin  = 400 * time.Millisecond
 	// pruneInterval is the time between two scans for idle connections.
 	pruneInterval = 2 * time.Second
 	// maxQuotaOutage is how long teams can continue at their rate while no
@@ -99,6 +104,8 @@
 	// refusable are the listeners that refuse new connections at the end of a
 	// graceful shutdown.
 	refusable []*listener.Listener
+	// handlerServers are the servers of Options.Handlers.
+	handlerServers []*http.Server
 	// unlisted is true once other daemons should avoid this one.
 	unlisted atomic.Bool
 
@@ -406,6 +413,7 @@
 	if err != nil {
 		return err
 	}
+	n.handlerServers = append(n.handlerServers, server)
 	n.addActor("server "+address, server, ln)
 	return nil
 }
--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -30,10 +30,16 @@
 
 // start runs a node until stop is called or the test ends.
 func start(t *testing.T, o Options) (n *Node, stop func() error) {
+	t.Helper()
+	return startWithLog(t, zap.NewNop(), o)
+}
+
+// startWithLog is start with a log.
+func startWithLog(t *testing.T, log *zap.Logger, o Options) (n *Node, stop func() error) {
 	t.Helper()
 	o.FailureDomain = "z"
 	o.ShutdownTimeout = 6 * time.Second
-	o.Log = zap.NewNop()
+	o.Log = log
 	n, err := New(o)
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/process/node/shutdown.go
+++ b/internal/process/node/shutdown.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 )
 
 // addShutdown adds the actor that waits for ctx and then shuts down gracefully.
@@ -24,9 +25,29 @@
 func (n *Node) shutDown(ctx context.Context, servers []*http.Server) {
 	n.log.Info("graceful shutdown started", zap.Duration("within", n.options.ShutdownTimeout))
 	n.drain.Begin()
-	if len(servers) == 0 {
-		return
+	last := time.Now().Add(n.options.ShutdownTimeout - lastCallsMargin)
+	if len(servers) > 0 {
+		n.drainRequests(ctx, servers)
 	}
+	n.finishCalls(ctx, min(time.Until(last), lastCallsTimeout))
+}
+
+// finishCalls lets the handlers end the calls that they have begun, within timeout, and take
+// no others.
+func (n *Node) finishCalls(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var group errgroup.Group
+	for _, server := range n.handlerServers {
+		group.Go(func() error { return server.Shutdown(ctx) })
+	}
+	if err := group.Wait(); err != nil {
+		n.log.Warn("calls were interrupted during shutdown", zap.Error(err))
+	}
+}
+
+// drainRequests ends the requests of the servers.
+func (n *Node) drainRequests(ctx context.Context, servers []*http.Server) {
 	unlist := time.AfterFunc(min(unlistDelay, n.options.ShutdownTimeout/4), func() {
 		n.unlisted.Store(true)
 		n.renewNow()
