Shutdown: following a request allocates nothing

Change: Follow returns a value in place of a function. The Progress of a forwarded request is still one allocation beside the target; that of a request at the entry is part of the request.

--- a/internal/connection/drain/progress.go
+++ b/internal/connection/drain/progress.go
@@ -66,15 +66,25 @@
 
 type openConnKey struct{}
 
-// Follow makes p tell of the request with this context until stop is called. Of the
+// Following is a request that the log of a shutdown can tell of. The zero value is none.
+type Following struct {
+	conn *openConn
+}
+
+// Follow makes p tell of the request with this context until Stop is called. Of the
 // requests of an HTTP/2 connection, the last one is told of.
-func Follow(ctx context.Context, p *Progress) (stop func()) {
+func Follow(ctx context.Context, p *Progress) Following {
 	conn, ok := ctx.Value(openConnKey{}).(*openConn)
 	if !ok {
-		return func() {}
+		return Following{}
 	}
 	conn.request.Store(p)
-	return conn.stopFollowing
+	return Following{conn}
 }
 
-func (c *openConn) stopFollowing() { c.request.Store(nil) }
+// Stop ends what Follow began.
+func (f Following) Stop() {
+	if f.conn != nil {
+		f.conn.request.Store(nil)
+	}
+}
--- a/internal/connection/drain/report_test.go
+++ b/internal/connection/drain/report_test.go
@@ -17,6 +17,20 @@
 	"github.com/teaselrack/teaselrack/internal/connection/memnet"
 )
 
+// TestFollowingARequestAllocatesNothing guards against a price for each request of what only
+// the end of a shutdown needs.
+func TestFollowingARequestAllocatesNothing(t *testing.T) {
+	ctx := context.WithValue(t.Context(), openConnKey{}, &openConn{})
+	p := &Progress{ID: "id"}
+	must.Eq(t, 0, testing.AllocsPerRun(1000, func() {
+		following := Follow(ctx, p)
+		p.Reach(ConnectingToTarget)
+		p.Sending()
+		p.Reach(BeingAnswered)
+		following.Stop()
+	}))
+}
+
 // TestOpenRequestsAreListed guards against requests that are cut off without a trace of
 // which they were: the log lists the oldest of them with where they are, and their number.
 func TestOpenRequestsAreListed(t *testing.T) {
@@ -27,7 +41,7 @@
 		release := make(chan struct{})
 		server := listener.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			p := &Progress{ID: r.URL.Path, Route: "r", Began: time.Now()}
-			defer Follow(r.Context(), p)()
+			defer Follow(r.Context(), p).Stop()
 			p.Reach(ConnectingToTarget)
 			p.Sending()
 			<-release
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -85,7 +85,7 @@
 	req.progress.Reach(drain.BeingAnswered)
 	if req.cancel != nil {
 		defer req.cancel()
-		defer req.stopFollowing()
+		defer req.following.Stop()
 	}
 	if err != nil {
 		e.respondWithError(w, req, err)
@@ -140,7 +140,7 @@
 	}
 	ctx, req.cancel = context.WithDeadline(ctx, req.deadline)
 	req.progress.ID, req.progress.Route, req.progress.Began = req.id, req.route.Name, req.receivedAt
-	req.stopFollowing = drain.Follow(ctx, &req.progress)
+	req.following = drain.Follow(ctx, &req.progress)
 	if err := e.readBody(ctx, w, req, state.Limits()); err != nil {
 		return nil, err
 	}
--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -76,10 +76,9 @@
 	// content identifies the request across callers and attempts.
 	content  quarantine.Fingerprint
 	revision uint64
-	// progress tells where the request is until stopFollowing is called, which is set
-	// where cancel is.
-	progress      drain.Progress
-	stopFollowing func()
+	// progress tells where the request is while it is followed.
+	progress  drain.Progress
+	following drain.Following
 }
 
 // retryAfter returns the time after which a rejected caller is told to retry.
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -64,7 +64,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), m.Remaining)
 	defer cancel()
 	progress := &drain.Progress{ID: m.RequestID, Route: m.Route, Began: time.Now()}
-	defer drain.Follow(r.Context(), progress)()
+	defer drain.Follow(r.Context(), progress).Stop()
 	body, err := bufferBody(r.Body, r.ContentLength)
 	if err != nil {
 		p.writePeerError(w, m, fault.Wrap(fault.BadRequest, err, "the request body was truncated"), 0)
