Variants: one command runs the test that each mutation names

Cause: mutations were done by hand on scratch copies and not kept. Evidence: docs/PROOF.md. Ruled out: a second command; a copy for each patch, as each copy is built anew.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PROOF := $(GO) run github.com/teaselrack/teaselrack/tools/proof --results build/unit.jsonl --results build/faults.jsonl --results build/bench.jsonl --results build/e2e.jsonl
 VERDICT := $(GO) run github.com/teaselrack/teaselrack/tools/verdict
 
-.PHONY: build test one test-race test-faults test-bench test-tools test-e2e proof proof-check demo up down bench capacity lint fmt gopls clean
+.PHONY: build test one test-race test-faults test-bench test-tools test-e2e proof proof-check mutations demo up down bench capacity lint fmt gopls clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/... ./emulator/cmd/...
@@ -55,6 +55,11 @@
 proof-check:
 	$(PROOF) --quiet
 
+# mutations takes one mechanism after the other out of a copy of the last commit, and fails
+# where the test that guards it still passes. It takes some minutes.
+mutations:
+	$(GO) run ./tools/variant --tests --patches tools/variant/mutations
+
 # demo runs the whole system once and leaves no process behind.
 demo: build
 	@emulator/demo/demo.sh
--- a/tools/variant/main.go
+++ b/tools/variant/main.go
@@ -1,6 +1,7 @@
 // Command variant measures what single decisions are worth: it applies a named patch to a
 // scratch copy of the repository, plays days of a bench on it, and prints the figures
-// beside those of the unchanged code.
+// beside those of the unchanged code. With --tests it runs, in place of days, the tests that
+// a patch names, and prints which of them caught the change.
 package main
 
 import (
@@ -14,9 +15,10 @@
 
 type options struct {
 	Patches string   `long:"patches" default:"tools/variant/patches" description:"folder with one file NAME.patch for each variant"`
-	Bench   string   `long:"bench" required:"true" description:"program that plays a day: BENCH run SITE DAY [--seed N]"`
-	Site    string   `long:"site" required:"true" description:"site file"`
-	Days    []string `long:"day" required:"true" description:"day to play; may be given more than once"`
+	Tests   bool     `long:"tests" description:"run the tests that each patch names, in place of days"`
+	Bench   string   `long:"bench" description:"program that plays a day: BENCH run SITE DAY [--seed N]"`
+	Site    string   `long:"site" description:"site file"`
+	Days    []string `long:"day" description:"day to play; may be given more than once"`
 	Seeds   []string `long:"seed" description:"seed to play each day with; may be given more than once (default: that of the day)"`
 	Jobs    int      `long:"jobs" default:"1" description:"days to play at the same time"`
 	Journal string   `long:"journal" description:"folder that receives the bench's journal entries"`
@@ -46,6 +48,12 @@
 		return err
 	}
 	defer func() { _ = os.RemoveAll(scratch) }()
+	if o.Tests {
+		return checkMutations(os.Stdout, o.Patches, variants, filepath.Join(scratch, "copy"))
+	}
+	if o.Bench == "" || o.Site == "" || len(o.Days) == 0 {
+		return errors.New("--bench, --site and --day are needed to play days")
+	}
 	b := &bench{options: o, scratch: scratch}
 	base, err := b.play("")
 	if err != nil {
