Tests: three that passed without what they guard

What callers saw: nothing. Cause: TestDamagedCompression took any error for the size bound, TestClockRuns passed with a clock that stands, and no test had enough requests for calls to match others by chance. Evidence: mutations that take out the bound, the clock and the subtraction of chance matches: each was missed. Change: the first also asks for the kind too_large, the second that the clock goes on, and TestCallsByChanceAreNotAttributed is TestCallsAreAttributed with twenty times as many requests. Ruled out: faults in the code: it passes the stricter tests unchanged.

--- a/internal/process/clock/clock_test.go
+++ b/internal/process/clock/clock_test.go
@@ -17,15 +17,22 @@
 	must.Eq(t, 7*time.Second, c.Now().Sub(before))
 }
 
-// TestClockRuns checks that the clock of the system does not go back, and is near the
+// TestClockRuns checks that the clock of the system goes on and not back, and is near the
 // time of day at its start.
 func TestClockRuns(t *testing.T) {
 	c := New()
-	last := c.Now()
+	first := c.Now()
+	last := first
 	must.Less(t, time.Minute, time.Since(last).Abs())
 	for range 1000 {
 		now := c.Now()
 		must.False(t, now.Before(last))
 		last = now
 	}
+	for range 10_000_000 {
+		if c.Now().After(first) {
+			return
+		}
+	}
+	t.Fatal("the clock stands")
 }
--- a/internal/process/shedding/shedding_test.go
+++ b/internal/process/shedding/shedding_test.go
@@ -183,7 +183,14 @@
 // of requests: those of one make two calls each, those of the other none. Most
 // calls carry the deadline of their parent, and some the shorter timeout of
 // their own route.
-func TestCallsAreAttributed(t *testing.T) {
+func TestCallsAreAttributed(t *testing.T) { checkAttribution(t, 40) }
+
+// TestCallsByChanceAreNotAttributed is TestCallsAreAttributed with twenty times as many
+// requests, so that many deadlines match calls of other requests.
+func TestCallsByChanceAreNotAttributed(t *testing.T) { checkAttribution(t, 2) }
+
+// checkAttribution starts a request in one of every milliseconds.
+func checkAttribution(t *testing.T, every int) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	var c CallGraph
 	start := time.Unix(1, 0)
@@ -196,7 +203,7 @@
 	var running []runningRequest
 	now := start
 	for ; now.Sub(start) < 10*time.Second; now = now.Add(time.Millisecond) {
-		if rng.IntN(40) == 0 {
+		if rng.IntN(every) == 0 {
 			deadline := now.Add(time.Duration(700+rng.IntN(800)) * time.Millisecond)
 			calls := rng.IntN(2) == 0
 			route := "plain"
--- a/internal/version/compress_test.go
+++ b/internal/version/compress_test.go
@@ -75,6 +75,8 @@
 		must.NoError(t, err)
 	}
 	must.NoError(t, w.Close())
+	_, err = decompress(long.Bytes())
+	must.Eq(t, fault.TooLarge, fault.KindOf(err))
 	_, err = DecodeNote(long.Bytes())
 	must.Eq(t, fault.NoteInvalid, fault.KindOf(err))
 }
