Departures: the replicas' memory of one no longer renews it for good

A target that leaves without stating its start, and starts again under its ID, gets no request any more, while its heartbeats are acknowledged. Cause: a daemon reports its departures, and the replicas send them back with each renewal. Whether one that came back was new was decided by whether it still holds, which ends after 10 s for one without a start time. The daemon then took its own report for a new departure, reported it again, and so without end. Change: a departure that is remembered is not adopted again, however old it is. Ruled out: departures with a start time, which hold as long as they are remembered.

--- a/internal/process/local/departures.go
+++ b/internal/process/local/departures.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -52,6 +53,12 @@
 	}
 }
 
+// knows reports whether a departure is remembered, however long ago it was: the replicas
+// send back what this daemon has reported.
+func (d *departures) knows(left departure) bool {
+	return slices.ContainsFunc(d.recent, func(known departure) bool { return known.id == left.id && known.started == left.started })
+}
+
 // find reports whether the sender of h has announced that it leaves, and that it exits.
 // An incarnation without a start time cannot be told from the next one of the same ID, so
 // its departure counts only while heartbeats may be late.
@@ -116,7 +123,7 @@
 			t.options.Log.Warn("malformed incarnation of a departed target", zap.String("incarnation", incarnation))
 			continue
 		}
-		if leaving, _ := t.departures.find(t.options.Now(), Heartbeat{ID: left.id, Started: left.started}); leaving {
+		if t.departures.knows(left) {
 			continue
 		}
 		t.departures.add(t.options.Now(), left)
--- /dev/null
+++ b/internal/process/local/departures_test.go
@@ -0,0 +1,54 @@
+package local
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// renewalInterval is that of the daemon.
+const renewalInterval = 500 * time.Millisecond
+
+// rememberFor renews for d. The replicas remember a departure for departureTTL after the
+// last report of it, and tell the daemon with each reply.
+func (f *fixture) rememberFor(reported map[string]time.Time, d time.Duration) {
+	for range d / renewalInterval {
+		time.Sleep(renewalInterval)
+		for _, incarnation := range f.target.Departed() {
+			reported[incarnation] = time.Now()
+		}
+		var remembered []string
+		for incarnation, at := range reported {
+			if time.Since(at) < departureTTL {
+				remembered = append(remembered, incarnation)
+			}
+		}
+		f.target.AdoptDepartures(remembered)
+	}
+}
+
+// TestDepartureWithoutAStartTimeNeverEnds guards against a daemon that takes its own report
+// of a departure, which the replicas send back, for a new one: the ID could not be used
+// again for good.
+func TestDepartureWithoutAStartTimeNeverEnds(t *testing.T) {
+	for name, last := range map[string]Heartbeat{
+		"leaving": {ID: "a", Sequence: 5, Service: "s", Address: address, Slots: 100, Leaving: true},
+		"gone":    {ID: "a", Gone: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture()
+			_ = f.target.Heartbeat(last)
+			reported := make(map[string]time.Time)
+			f.rememberFor(reported, 3*departureTTL)
+			must.SliceEmpty(t, f.target.Departed(), must.Sprint(name))
+			l := f.lifetime(2000)
+			for range 10 {
+				f.rememberFor(reported, interval)
+				_ = l.beat()
+			}
+			must.NoError(t, f.admit(t), must.Sprint(name))
+		})
+	}
+}
