Departures: an exit without a start time is that of the target that is known

A target announces its exit without saying when it started, and starts again at once under its ID: its heartbeats, which state the new start, are ignored for 10 s. Cause: the exit was remembered as that of an unknown incarnation, although the daemon knows which target has this ID. Evidence: TestRestartAfterAnExitWithoutAStartTime: "heartbeat 1 of "a" is from before the exit". Change: such an exit counts for the incarnation that is known. Ruled out: an exit of an ID that the daemon does not know; it holds for 10 s as before (TestExitOfAnUnknownIncarnation).

--- a/internal/process/local/departures.go
+++ b/internal/process/local/departures.go
@@ -135,6 +135,15 @@
 	return changed
 }
 
+// startOf returns when the sender of h started: where h does not state it, when the target
+// with its ID did that is known.
+func (t *Target) startOf(h Heartbeat) int64 {
+	if h.Started == 0 && t.announced && t.lastHeartbeat.ID == h.ID {
+		return t.lastHeartbeat.Started
+	}
+	return h.Started
+}
+
 // markLeaving reports whether the target was not leaving before.
 func (t *Target) markLeaving() bool {
 	if t.lastHeartbeat.Leaving {
--- a/internal/process/local/departures_test.go
+++ b/internal/process/local/departures_test.go
@@ -52,3 +52,18 @@
 		})
 	}
 }
+
+// TestRestartAfterAnExitWithoutAStartTime guards against an exit that does not say when the
+// target started, and that keeps its next incarnation, which says so, from being used while
+// the daemon knows which one has left.
+func TestRestartAfterAnExitWithoutAStartTime(t *testing.T) {
+	f := newFixture()
+	must.NoError(t, f.target.Heartbeat(heartbeat(5)))
+	must.NoError(t, f.target.Heartbeat(Heartbeat{ID: "a", Gone: true}))
+	must.Error(t, f.target.Heartbeat(heartbeat(6)))
+	must.Error(t, f.admit(t))
+	restarted := heartbeat(1)
+	restarted.Started = 2000
+	must.NoError(t, f.target.Heartbeat(restarted))
+	must.NoError(t, f.admit(t))
+}
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -130,7 +130,7 @@
 	defer t.mu.Unlock()
 	now := t.options.Now()
 	if h.Gone {
-		t.departures.add(now, departure{id: h.ID, started: h.Started, gone: true})
+		t.departures.add(now, departure{id: h.ID, started: t.startOf(h), gone: true})
 		changed, err = t.markGone(h)
 		return changed, previous, err
 	}
