Departures: each is reported at once, also where nothing announced changes

A daemon that is killed within half a second of acknowledging a departure forgets it, and uses the target again if a late heartbeat is the first it gets after its start. Cause: a renewal followed at once only if the announcement changed. It does not for the exit of a target that the daemon does not know, nor for a target whose response said before that it leaves. The acknowledgment then rested on the daemon alone until the next regular renewal. Evidence: TestReplicasLearnAtOnceOfEachDeparture: no renewal is asked for in either case. Change: a departure that was not remembered asks for a renewal. Result: the test failed before (0 in place of 1) and passes; go test -count=3 ./internal/process/local passes. Ruled out: repeated messages of the same departure; they ask for no further renewal.

--- a/internal/process/local/departures.go
+++ b/internal/process/local/departures.go
@@ -38,19 +38,21 @@
 	at   time.Time
 }
 
-func (d *departures) add(now time.Time, left departure) {
+// add reports whether the departure was not remembered.
+func (d *departures) add(now time.Time, left departure) (added bool) {
 	left.at = now
 	for i, known := range d.recent {
 		if known.id == left.id && known.started == left.started {
 			left.gone = left.gone || known.gone
 			d.recent[i] = left
-			return
+			return false
 		}
 	}
 	d.recent = append(d.recent, left)
 	if len(d.recent) > maxDepartures {
 		d.recent = d.recent[1:]
 	}
+	return true
 }
 
 // knows reports whether a departure is remembered, however long ago it was: the replicas
--- a/internal/process/local/departures_test.go
+++ b/internal/process/local/departures_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/process/limiter"
 )
 
 // renewalInterval is that of the daemon.
@@ -67,3 +70,25 @@
 	must.NoError(t, f.target.Heartbeat(restarted))
 	must.NoError(t, f.admit(t))
 }
+
+// TestReplicasLearnAtOnceOfEachDeparture guards against a daemon that acknowledges a
+// departure and reports it only with its next regular renewal, because nothing changes in
+// what it announces. One that is killed before has forgotten it.
+func TestReplicasLearnAtOnceOfEachDeparture(t *testing.T) {
+	f := newFixture()
+	must.Error(t, f.target.Heartbeat(Heartbeat{ID: "a", Started: 1000, Gone: true}))
+	must.Eq(t, 1, f.changes, must.Sprint("exit of an unknown target"))
+	must.Error(t, f.target.Heartbeat(Heartbeat{ID: "a", Started: 1000, Gone: true}))
+	must.Eq(t, 1, f.changes, must.Sprint("once more"))
+	next := heartbeat(3)
+	next.Started = 2000
+	must.NoError(t, f.target.Heartbeat(next))
+	slot, _, err := f.target.Admit(t.Context(), limiter.Request{ObjectiveRemaining: time.Second})
+	must.NoError(t, err)
+	slot.ReportStatement(&protocol.Statement{Leaving: true})
+	slot.Done(nil)
+	must.Eq(t, 3, f.changes, must.Sprint("a response says that the target leaves"))
+	next.Sequence, next.Leaving = 4, true
+	must.NoError(t, f.target.Heartbeat(next))
+	must.Eq(t, 4, f.changes, must.Sprint("its heartbeat says so too"))
+}
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -57,7 +57,7 @@
 	// incarnation of the target was running when it crashed.
 	Crashed func(incarnation string, suspects []quarantine.Fingerprint)
 	// Changed is called, without a lock held, after the announcement has
-	// changed.
+	// changed, or a departure is to be reported.
 	Changed func()
 	Now     func() time.Time
 	Log     *zap.Logger
@@ -130,9 +130,9 @@
 	defer t.mu.Unlock()
 	now := t.options.Now()
 	if h.Gone {
-		t.departures.add(now, departure{id: h.ID, started: t.startOf(h), gone: true})
+		added := t.departures.add(now, departure{id: h.ID, started: t.startOf(h), gone: true})
 		changed, err = t.markGone(h)
-		return changed, previous, err
+		return changed || added, previous, err
 	}
 	leaving, gone := t.departures.find(now, h)
 	if gone && h.Leaving {
@@ -144,8 +144,8 @@
 	if err := t.believe(now, h); err != nil {
 		if h.Leaving && t.announced && h.sameIncarnation(t.lastHeartbeat) && !h.newer(t.lastHeartbeat) {
 			// An incarnation that leaves never returns, whatever arrived first.
-			t.departures.add(now, departure{id: h.ID, started: h.Started})
-			return t.markLeaving(), previous, nil
+			added := t.departures.add(now, departure{id: h.ID, started: h.Started})
+			return t.markLeaving() || added, previous, nil
 		}
 		return false, previous, err
 	}
@@ -156,9 +156,7 @@
 		t.responded = false
 		t.forgetStatement(now)
 	}
-	if h.Leaving {
-		t.departures.add(now, departure{id: h.ID, started: h.Started})
-	}
+	added := h.Leaving && t.departures.add(now, departure{id: h.ID, started: h.Started})
 	h.Leaving = h.Leaving || leaving || !newIncarnation && t.lastHeartbeat.Leaving
 	t.announced = true
 	t.lastHeartbeat = h
@@ -175,7 +173,7 @@
 		t.options.Log.Info("target state changed", zap.String("id", h.ID), zap.Int64("started", h.Started), zap.Uint64("sequence", h.Sequence),
 			zap.String("state", string(after.State)), zap.Int("slots", h.Slots), zap.Duration("cold_for", h.ColdFor))
 	}
-	return before != after, previous, nil
+	return before != after || added, previous, nil
 }
 
 // Announcement returns the announcement to send to the control replicas. ok is
