Local target: one that states no start is used again after it left and restarted

A target without a start time that leaves and restarts under its ID gets no request any more. Cause: leaving holds for an incarnation, and two incarnations without a start time look the same. Heartbeats whose sequence begins anew are believed after some seconds, but leaving held on. Evidence: TestRestartWithoutAStartTimeAfterLeaving: "the target is leaving" after 20 heartbeats. Change: a believed heartbeat without a start time whose sequence is not higher ends it. Result: the test failed before and passes; go test -count=3 ./internal/process/local passes. Ruled out: late heartbeats, which are not believed before several intervals without others, and for 10 s count as those of a target that leaves.

--- a/internal/process/local/departures_test.go
+++ b/internal/process/local/departures_test.go
@@ -92,3 +92,19 @@
 	must.NoError(t, f.target.Heartbeat(next))
 	must.Eq(t, 4, f.changes, must.Sprint("its heartbeat says so too"))
 }
+
+// TestRestartWithoutAStartTimeAfterLeaving guards against a target that states no start, and
+// that is never used again once it has left and restarted under its ID.
+func TestRestartWithoutAStartTimeAfterLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		l := f.lifetime(0)
+		must.Eq(t, 4, l.beatFor(4*interval))
+		l.last.Leaving = true
+		must.NoError(t, l.beat())
+		time.Sleep(time.Minute)
+		next := f.lifetime(0)
+		next.beatFor(20 * interval)
+		must.NoError(t, f.admit(t))
+	})
+}
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -157,7 +157,9 @@
 		t.forgetStatement(now)
 	}
 	added := h.Leaving && t.departures.add(now, departure{id: h.ID, started: h.Started})
-	h.Leaving = h.Leaving || leaving || !newIncarnation && t.lastHeartbeat.Leaving
+	// Without a start time, only the sequence shows a restart; see believe.
+	restarted := h.Started == 0 && h.Sequence <= t.lastHeartbeat.Sequence
+	h.Leaving = h.Leaving || leaving || !newIncarnation && !restarted && t.lastHeartbeat.Leaving
 	t.announced = true
 	t.lastHeartbeat = h
 	t.heartbeatAt = now
