--- a/internal/request/relay/forwarding_metadata.go
+++ b/internal/request/relay/forwarding_metadata.go
@@ -35,7 +35,8 @@
 	// Repeat is true if a target may have received the request before, or if it is a
 	// call of a run that repeats another one.
 	Repeat bool
-	// LastResort is true if no other target takes the request.
+	// LastResort is true if no other target takes the request, or it may be forwarded to
+	// no further one.
 	LastResort bool
 	// Remaining is the time until the final response is due.
 	Remaining time.Duration
--- a/internal/request/relay/shutdown_overlap_test.go
+++ b/internal/request/relay/shutdown_overlap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -70,3 +71,24 @@
 		must.Eq(t, 3, first.inst.stub.count())
 	})
 }
+
+// TestManyDaemonsStop guards against a request that as many daemons that stop refuse as it
+// may be forwarded to, so that none of them gets it as the last resort.
+func TestManyDaemonsStop(t *testing.T) {
+	playShutdown(t, version.Once, func(m *mesh, first, second *process) {
+		m.only(first.inst)
+		first.shutDown()
+		stopping := []*instance{first.inst}
+		for n := range maxForwards {
+			inst := m.add("m"+strconv.Itoa(2+n), "s")
+			m.newProcess(inst).shutDown()
+			stopping = append(stopping, inst)
+		}
+		must.Eq(t, http.StatusOK, (<-m.sendAt(second.inst, time.Now(), time.Second)).status)
+		arrivals := 0
+		for _, inst := range stopping {
+			arrivals += inst.stub.count()
+		}
+		must.Eq(t, 1, arrivals)
+	})
+}
