Relay: a daemon that stops takes a request with a long body, which can be sent only once

In the announce period of a shutdown a request with a body of more than 64 KiB whose time limit outlasts the daemon beside its target gets 503 from its entry, and no other target is tried. Cause: a daemon that stops refuses what its sender can send to another target. An entry does not hold a long body whole, so that it can send it only once; it did not say so. Evidence: TestLongBodyIsRefusedByADaemonThatStops: 503 where the daemon that stops has the only target. Change: the entry says for such a request that there is no other target. Where there is one, it may be broken off at the end of the shutdown, as a request is that the entry itself takes. Ruled out: holding longer bodies; what a daemon holds is bounded.

--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -378,7 +378,7 @@
 	m := &ForwardingMetadata{
 		RequestID: req.id, Service: req.service, Route: req.route.Name, Team: req.team, Origin: e.Service, Rank: req.rank, FromTarget: req.fromTarget, ClientRetry: req.clientRetry,
 		Idempotent: req.route.Mode == version.Idempotent, Remaining: req.deadline.Sub(now), ObjectiveRemaining: req.objectiveDeadline.Sub(now),
-		Known: choice.Stated(), Repeat: history.delivered > 0 || req.call.Repeat, LastResort: history.lastResort || history.forwards == maxForwards-1,
+		Known: choice.Stated(), Repeat: history.delivered > 0 || req.call.Repeat, LastResort: history.lastResort || history.forwards == maxForwards-1 || req.body.rest != nil,
 	}
 	if m.Remaining <= 0 {
 		return nil, fault.New(fault.DeadlineNotRun, "deadline exceeded before the request was sent")
--- a/internal/request/relay/shutdown_overlap_test.go
+++ b/internal/request/relay/shutdown_overlap_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,6 +73,20 @@
 	})
 }
 
+// TestLongBodyIsRefusedByADaemonThatStops guards against a daemon that stops and refuses a
+// request because its sender can turn to another one, while the sender cannot: it does not
+// hold the whole body, so that it has only one attempt.
+func TestLongBodyIsRefusedByADaemonThatStops(t *testing.T) {
+	playShutdown(t, version.Once, func(m *mesh, first, second *process) {
+		m.only(first.inst)
+		first.shutDown()
+		time.Sleep(time.Second)
+		resp, _ := m.send(second.inst, http.MethodPost, "/p/x", map[string]string{"Teaselrack-Timeout": "20000"}, strings.Repeat("b", 2*maxBufferedBytes))
+		must.Eq(t, http.StatusOK, resp.StatusCode)
+		must.Eq(t, 1, first.inst.stub.count())
+	})
+}
+
 // TestManyDaemonsStop guards against a request that as many daemons that stop refuse as it
 // may be forwarded to, so that none of them gets it as the last resort.
 func TestManyDaemonsStop(t *testing.T) {
