Links: nothing is sent once the context of a request has ended

A request of which the shutdown, its deadline or its caller ended the context just before it is sent could still reach a daemon or a target on an idle connection. It then got 502 or 504, which promise nothing, in place of 503, and may have run. Cause: an ended context closes the connection from another goroutine, after the request is sent. Evidence: TestNothingIsSentOnceTheProcessHasStopped: "interrupted" in place of "shutting_down" in each of three runs. Change: the client returns the error of an ended context before it takes a connection. Result: the test failed before and passes; go test -count=3 ./internal/connection/http1 passes. Ruled out: the dialed connection, where an ended context already fails the dial.

--- a/internal/connection/http1/client.go
+++ b/internal/connection/http1/client.go
@@ -75,6 +75,9 @@
 // where the server may have received r; CallerGone in both cases; ShuttingDown and
 // Interrupted where this process stops, see fault.OfContext.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*http.Response, error) {
+	if ctx.Err() != nil {
+		return nil, classify(ctx, ctx.Err(), false)
+	}
 	p := c.pool(address)
 	for c.mayReuse(r) {
 		cn := p.take(c.idleLimit(r))
