Egress: a call that a shutdown breaks off is not reported as canceled by the target

Cause: the context of a call passes on that the one of its connection has ended, but not why. The call got 499 where 502, or 503 if it had not been sent, says what is known. Evidence: TestCallThatAShutdownEndsIsNotItsCallersDoing: "caller_gone" in place of "interrupted". Change: the cause is passed on. Ruled out: calls of requests that are not once: the parent's context ends with the right cause, but either may come first.

--- a/internal/request/hop/egress.go
+++ b/internal/request/hop/egress.go
@@ -84,14 +84,16 @@
 }
 
 // context returns the context of a call. It is done when the parent request ends,
-// when the target closes the connection of the call, or at the earlier deadline of
-// the two.
+// when the target closes the connection of the call or this process stops, or at the
+// earlier deadline of the two.
 func (h *egress) context(parent inflight.Request, r *http.Request, timeout time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(parent.Context, timeout)
-	stop := context.AfterFunc(r.Context(), cancel)
+	limited, release := context.WithTimeout(parent.Context, timeout)
+	ctx, cancel := context.WithCancelCause(limited)
+	stop := context.AfterFunc(r.Context(), func() { cancel(context.Cause(r.Context())) })
 	return ctx, func() {
 		stop()
-		cancel()
+		cancel(nil)
+		release()
 	}
 }
 
--- a/internal/request/hop/shutdown_test.go
+++ b/internal/request/hop/shutdown_test.go
@@ -15,6 +15,7 @@
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/connection/peer"
 	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/request/inflight"
 	"github.com/teaselrack/teaselrack/internal/version"
 )
 
@@ -119,3 +120,19 @@
 		must.Eq(t, 5, dispatched.Load(), must.Sprint("no request was cut off and repeated"))
 	})
 }
+
+// TestCallThatAShutdownEndsIsNotItsCallersDoing guards against a call of a target that the end
+// of a shutdown breaks off and that is reported as canceled by the target.
+func TestCallThatAShutdownEndsIsNotItsCallersDoing(t *testing.T) {
+	for cause, kind := range map[error]fault.Kind{fault.ErrStopping: fault.Interrupted, context.Canceled: fault.CallerGone} {
+		requests, interrupt := context.WithCancelCause(t.Context())
+		r, err := http.NewRequestWithContext(requests, http.MethodGet, "/", http.NoBody)
+		must.NoError(t, err)
+		parent := inflight.Request{Context: t.Context()} // that of a once request goes on
+		ctx, cancel := new(egress).context(parent, r, time.Minute)
+		interrupt(cause)
+		<-ctx.Done()
+		must.Eq(t, kind, fault.KindOf(fault.OfContext(ctx, nil, true)))
+		cancel()
+	}
+}
