--- a/internal/process/local/departures.go
+++ b/internal/process/local/departures.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -37,19 +38,27 @@
 	at   time.Time
 }
 
-func (d *departures) add(now time.Time, left departure) {
+// add reports whether the departure was not remembered.
+func (d *departures) add(now time.Time, left departure) (added bool) {
 	left.at = now
 	for i, known := range d.recent {
 		if known.id == left.id && known.started == left.started {
 			left.gone = left.gone || known.gone
 			d.recent[i] = left
-			return
+			return false
 		}
 	}
 	d.recent = append(d.recent, left)
 	if len(d.recent) > maxDepartures {
 		d.recent = d.recent[1:]
 	}
+	return true
+}
+
+// knows reports whether a departure is remembered, however long ago it was: the replicas
+// send back what this daemon has reported.
+func (d *departures) knows(left departure) bool {
+	return slices.ContainsFunc(d.recent, func(known departure) bool { return known.id == left.id && known.started == left.started })
 }
 
 // find reports whether the sender of h has announced that it leaves, and that it exits.
@@ -116,7 +125,7 @@
 			t.options.Log.Warn("malformed incarnation of a departed target", zap.String("incarnation", incarnation))
 			continue
 		}
-		if leaving, _ := t.departures.find(t.options.Now(), Heartbeat{ID: left.id, Started: left.started}); leaving {
+		if t.departures.knows(left) {
 			continue
 		}
 		t.departures.add(t.options.Now(), left)
@@ -128,6 +137,15 @@
 	return changed
 }
 
+// startOf returns when the sender of h started: where h does not state it, when the target
+// with its ID did that is known.
+func (t *Target) startOf(h Heartbeat) int64 {
+	if h.Started == 0 && t.announced && t.lastHeartbeat.ID == h.ID {
+		return t.lastHeartbeat.Started
+	}
+	return h.Started
+}
+
 // markLeaving reports whether the target was not leaving before.
 func (t *Target) markLeaving() bool {
 	if t.lastHeartbeat.Leaving {
--- /dev/null
+++ b/internal/process/local/departures_test.go
@@ -0,0 +1,110 @@
+package local
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/process/limiter"
+)
+
+// renewalInterval is that of the daemon.
+const renewalInterval = 500 * time.Millisecond
+
+// rememberFor renews for d. The replicas remember a departure for departureTTL after the
+// last report of it, and tell the daemon with each reply.
+func (f *fixture) rememberFor(reported map[string]time.Time, d time.Duration) {
+	for range d / renewalInterval {
+		time.Sleep(renewalInterval)
+		for _, incarnation := range f.target.Departed() {
+			reported[incarnation] = time.Now()
+		}
+		var remembered []string
+		for incarnation, at := range reported {
+			if time.Since(at) < departureTTL {
+				remembered = append(remembered, incarnation)
+			}
+		}
+		f.target.AdoptDepartures(remembered)
+	}
+}
+
+// TestDepartureWithoutAStartTimeNeverEnds guards against a daemon that takes its own report
+// of a departure, which the replicas send back, for a new one: the ID could not be used
+// again for good.
+func TestDepartureWithoutAStartTimeNeverEnds(t *testing.T) {
+	for name, last := range map[string]Heartbeat{
+		"leaving": {ID: "a", Sequence: 5, Service: "s", Address: address, Slots: 100, Leaving: true},
+		"gone":    {ID: "a", Gone: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture()
+			_ = f.target.Heartbeat(last)
+			reported := make(map[string]time.Time)
+			f.rememberFor(reported, 3*departureTTL)
+			must.SliceEmpty(t, f.target.Departed(), must.Sprint(name))
+			l := f.lifetime(2000)
+			for range 10 {
+				f.rememberFor(reported, interval)
+				_ = l.beat()
+			}
+			must.NoError(t, f.admit(t), must.Sprint(name))
+		})
+	}
+}
+
+// TestRestartAfterAnExitWithoutAStartTime guards against an exit that does not say when the
+// target started, and that keeps its next incarnation, which says so, from being used while
+// the daemon knows which one has left.
+func TestRestartAfterAnExitWithoutAStartTime(t *testing.T) {
+	f := newFixture()
+	must.NoError(t, f.target.Heartbeat(heartbeat(5)))
+	must.NoError(t, f.target.Heartbeat(Heartbeat{ID: "a", Gone: true}))
+	must.Error(t, f.target.Heartbeat(heartbeat(6)))
+	must.Error(t, f.admit(t))
+	restarted := heartbeat(1)
+	restarted.Started = 2000
+	must.NoError(t, f.target.Heartbeat(restarted))
+	must.NoError(t, f.admit(t))
+}
+
+// TestReplicasLearnAtOnceOfEachDeparture guards against a daemon that acknowledges a
+// departure and reports it only with its next regular renewal, because nothing changes in
+// what it announces. One that is killed before has forgotten it.
+func TestReplicasLearnAtOnceOfEachDeparture(t *testing.T) {
+	f := newFixture()
+	must.Error(t, f.target.Heartbeat(Heartbeat{ID: "a", Started: 1000, Gone: true}))
+	must.Eq(t, 1, f.changes, must.Sprint("exit of an unknown target"))
+	must.Error(t, f.target.Heartbeat(Heartbeat{ID: "a", Started: 1000, Gone: true}))
+	must.Eq(t, 1, f.changes, must.Sprint("once more"))
+	next := heartbeat(3)
+	next.Started = 2000
+	must.NoError(t, f.target.Heartbeat(next))
+	slot, _, err := f.target.Admit(t.Context(), limiter.Request{ObjectiveRemaining: time.Second})
+	must.NoError(t, err)
+	slot.ReportStatement(&protocol.Statement{Leaving: true})
+	slot.Done(nil)
+	must.Eq(t, 3, f.changes, must.Sprint("a response says that the target leaves"))
+	next.Sequence, next.Leaving = 4, true
+	must.NoError(t, f.target.Heartbeat(next))
+	must.Eq(t, 4, f.changes, must.Sprint("its heartbeat says so too"))
+}
+
+// TestRestartWithoutAStartTimeAfterLeaving guards against a target that states no start, and
+// that is never used again once it has left and restarted under its ID.
+func TestRestartWithoutAStartTimeAfterLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		l := f.lifetime(0)
+		must.Eq(t, 4, l.beatFor(4*interval))
+		l.last.Leaving = true
+		must.NoError(t, l.beat())
+		time.Sleep(time.Minute)
+		next := f.lifetime(0)
+		next.beatFor(20 * interval)
+		must.NoError(t, f.admit(t))
+	})
+}
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -57,7 +57,7 @@
 	// incarnation of the target was running when it crashed.
 	Crashed func(incarnation string, suspects []quarantine.Fingerprint)
 	// Changed is called, without a lock held, after the announcement has
-	// changed.
+	// changed, or a departure is to be reported.
 	Changed func()
 	Now     func() time.Time
 	Log     *zap.Logger
@@ -130,9 +130,9 @@
 	defer t.mu.Unlock()
 	now := t.options.Now()
 	if h.Gone {
-		t.departures.add(now, departure{id: h.ID, started: h.Started, gone: true})
+		added := t.departures.add(now, departure{id: h.ID, started: t.startOf(h), gone: true})
 		changed, err = t.markGone(h)
-		return changed, previous, err
+		return changed || added, previous, err
 	}
 	leaving, gone := t.departures.find(now, h)
 	if gone && h.Leaving {
@@ -144,17 +144,15 @@
 	if err := t.believe(now, h); err != nil {
 		if h.Leaving && t.announced && h.sameIncarnation(t.lastHeartbeat) && !h.newer(t.lastHeartbeat) {
 			// An incarnation that leaves never returns, whatever arrived first.
-			t.departures.add(now, departure{id: h.ID, started: h.Started})
-			return t.markLeaving(), previous, nil
+			added := t.departures.add(now, departure{id: h.ID, started: h.Started})
+			return t.markLeaving() || added, previous, nil
 		}
 		return false, previous, err
 	}
-	if h.Leaving {
-		t.departures.add(now, departure{id: h.ID, started: h.Started})
-	}
+	added := h.Leaving && t.departures.add(now, departure{id: h.ID, started: h.Started})
 	h.Leaving = h.Leaving || leaving
 	changed, previous = t.apply(now, h)
-	return changed, previous, nil
+	return changed || added, previous, nil
 }
 
 // apply makes a heartbeat the last one. It returns the crash of the previous incarnation.
@@ -166,7 +164,9 @@
 		t.responded = false
 		t.forgetStatement(now)
 	}
-	h.Leaving = h.Leaving || !newIncarnation && t.lastHeartbeat.Leaving
+	// Without a start time, only the sequence shows a restart; see believe.
+	restarted := h.Started == 0 && h.Sequence <= t.lastHeartbeat.Sequence
+	h.Leaving = h.Leaving || !newIncarnation && !restarted && t.lastHeartbeat.Leaving
 	t.announced = true
 	t.lastHeartbeat = h
 	t.heartbeatAt = now
--- a/internal/request/relay/shutdown_overlap_test.go
+++ b/internal/request/relay/shutdown_overlap_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,3 +72,38 @@
 		must.Eq(t, 3, first.inst.stub.count())
 	})
 }
+
+// TestLongBodyIsRefusedByADaemonThatStops guards against a daemon that stops and refuses a
+// request because its sender can turn to another one, while the sender cannot: it does not
+// hold the whole body, so that it has only one attempt.
+func TestLongBodyIsRefusedByADaemonThatStops(t *testing.T) {
+	playShutdown(t, version.Once, func(m *mesh, first, second *process) {
+		m.only(first.inst)
+		first.shutDown()
+		time.Sleep(time.Second)
+		resp, _ := m.send(second.inst, http.MethodPost, "/p/x", map[string]string{"Teaselrack-Timeout": "20000"}, strings.Repeat("b", 2*maxBufferedBytes))
+		must.Eq(t, http.StatusOK, resp.StatusCode)
+		must.Eq(t, 1, first.inst.stub.count())
+	})
+}
+
+// TestManyDaemonsStop guards against a request that as many daemons that stop refuse as it
+// may be forwarded to, so that none of them gets it as the last resort.
+func TestManyDaemonsStop(t *testing.T) {
+	playShutdown(t, version.Once, func(m *mesh, first, second *process) {
+		m.only(first.inst)
+		first.shutDown()
+		stopping := []*instance{first.inst}
+		for n := range maxForwards {
+			inst := m.add("m"+strconv.Itoa(2+n), "s")
+			m.newProcess(inst).shutDown()
+			stopping = append(stopping, inst)
+		}
+		must.Eq(t, http.StatusOK, (<-m.sendAt(second.inst, time.Now(), time.Second)).status)
+		arrivals := 0
+		for _, inst := range stopping {
+			arrivals += inst.stub.count()
+		}
+		must.Eq(t, 1, arrivals)
+	})
+}
