Renewals: seeds that have changed lead back to replicas that have moved

What operators see: a daemon that was cut off while all replicas it knew were replaced never finds the group again, although its settings file names the new ones and the log says "settings reloaded".

Cause: a daemon reads the seeds once, at its start; a change reached replicas only.

Change: where no known replica has confirmed a renewal for ten seconds, the seeds are tried too, after the others. That is longer than an election, since seeds that do not reply cost a call's time limit in each round. The next confirmed reply replaces the list.

Result: go test -race ./internal/process/renewal. TestSeedsLeadBackToReplicasThatHaveMoved failed before (last confirmed 1m1s ago) and passes now. Not seen on real processes.

Ruled out: trying the seeds at once: it would lengthen each round of an ordinary election.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -219,6 +219,7 @@
 		PeerAddress:   t.Peer,
 		FailureDomain: n.options.FailureDomain,
 		Replicas:      n.currentSeeds(),
+		Seeds:         n.currentSeeds,
 		ReplicaDomain: n.traffic.Learn,
 		Subscriptions: n.subscriptions,
 		Interval:      renewInterval,
--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -32,6 +32,10 @@
 	// have restarted, the replicas learn of the targets one by one.
 	startupRenewInterval = 100 * time.Millisecond
 	startupPeriod        = 3 * time.Second
+	// seedsAfter is how long the known replicas are tried alone after they have stopped
+	// confirming renewals: longer than an election, since seeds that do not reply delay
+	// the return to those that do.
+	seedsAfter = 10 * time.Second
 )
 
 // Caller sends calls to replicas. rpc.Pool implements it.
@@ -39,8 +43,8 @@
 	Call(ctx context.Context, address, method string, params, reply any) error
 }
 
-// Options are the parameters of a Loop. All but Interval, TokenTimeout, ReplicaDomain
-// and Quarantine are required.
+// Options are the parameters of a Loop. All but Seeds, Interval, TokenTimeout,
+// ReplicaDomain and Quarantine are required.
 type Options struct {
 	Instance string
 	// Session is different for each start of the daemon.
@@ -49,6 +53,9 @@
 	FailureDomain string
 	// Replicas are the control addresses of the replicas.
 	Replicas []string
+	// Seeds, if set, returns control addresses at which replicas may run now. They are
+	// tried too where no known replica confirms renewals for seedsAfter.
+	Seeds func() []string
 	// ReplicaDomain, if set, is called with the address and the failure domain of
 	// each replica that a reply names.
 	ReplicaDomain func(address, domain string)
@@ -110,6 +117,7 @@
 	for {
 		confirmed := l.Renew(ctx)
 		l.logConnection(ctx, confirmed)
+		l.trySeeds(confirmed)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -119,6 +127,14 @@
 	}
 }
 
+// trySeeds adds the seeds to the replicas that are tried, once the known ones have not
+// confirmed a renewal for seedsAfter.
+func (l *Loop) trySeeds(confirmed bool) {
+	if !confirmed && l.options.Seeds != nil && l.options.Clock().Sub(l.connection.since) >= seedsAfter {
+		l.replicas.add(l.options.Seeds())
+	}
+}
+
 // nextDelay returns the time until the next renewal.
 func (l *Loop) nextDelay(confirmed bool) time.Duration {
 	switch {
--- a/internal/process/renewal/loop_test.go
+++ b/internal/process/renewal/loop_test.go
@@ -125,3 +125,58 @@
 		must.NoError(t, <-done)
 	})
 }
+
+// movingReplica is a replica group with one member at a time.
+type movingReplica struct {
+	fakeReplicas
+	address atomic.Pointer[string]
+}
+
+func (r *movingReplica) Call(ctx context.Context, address, method string, request, reply any) error {
+	if current := *r.address.Load(); address != current {
+		return fault.New(fault.ConnectFailed, "connect to %s", address)
+	}
+	err := r.fakeReplicas.Call(ctx, address, method, request, reply)
+	reply.(*protocol.RenewReply).Replicas = []string{address}
+	return err
+}
+
+// TestSeedsLeadBackToReplicasThatHaveMoved guards against a daemon that never finds the
+// replicas again that were all replaced while it was cut off, although its seeds name the
+// new ones.
+func TestSeedsLeadBackToReplicasThatHaveMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second, odd := "10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.1:99999"
+		group := &movingReplica{}
+		group.began = time.Now()
+		group.address.Store(&first)
+		var seeds atomic.Pointer[[]string]
+		seeds.Store(&[]string{first})
+		holder := configuration.NewHolder(configuration.HolderOptions{Now: time.Now})
+		loop := New(Options{
+			Instance: "d", Replicas: *seeds.Load(), Seeds: func() []string { return *seeds.Load() }, Subscriptions: func() []string { return nil },
+			Caller: group, Configuration: holder, Registry: registry.NewTable(time.Now), Quota: quota.NewHolder(time.Now, nil),
+			Targets: func() []protocol.Announcement { return nil }, Leaving: func() bool { return false },
+			Clock: time.Now, Recorder: discardRecorder{}, Log: zap.NewNop(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- loop.Run(ctx) }()
+		time.Sleep(DefaultInterval)
+		must.NoError(t, holder.Fresh())
+		group.address.Store(&second)
+		seeds.Store(&[]string{first, "10.0.0.3:7000"})
+		time.Sleep(seedsAfter - DefaultInterval)
+		must.Eq(t, 1, loop.replicas.size(), must.Sprint("the known replicas are tried alone at first"))
+		seeds.Store(&[]string{first})
+		time.Sleep(time.Minute)
+		must.Error(t, holder.Fresh())
+		must.Eq(t, 1, loop.replicas.size(), must.Sprint("seeds that are known are not added again"))
+		seeds.Store(&[]string{odd, second, second})
+		time.Sleep(DefaultInterval)
+		must.NoError(t, holder.Fresh())
+		must.Eq(t, 1, loop.replicas.size())
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
--- a/internal/process/renewal/replica_list.go
+++ b/internal/process/renewal/replica_list.go
@@ -89,6 +89,17 @@
 	l.index = max(slices.IndexFunc(l.entries, func(e *replicaEntry) bool { return e.address == current }), 0)
 }
 
+// add adds the addresses that are not listed yet, after the others.
+func (l *replicaList) add(addresses []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, address := range addresses {
+		if !slices.ContainsFunc(l.entries, func(e *replicaEntry) bool { return e.address == address }) {
+			l.entries = append(l.entries, &replicaEntry{address: address})
+		}
+	}
+}
+
 // equal reports whether the list has exactly these addresses and domains.
 func (l *replicaList) equal(addresses, domains []string) bool {
 	if len(addresses) != len(l.entries) {
