Admission: slow requests count together, ended or not, in the order of their starts

Cause: evidence was counted apart. Requests that ended slow counted as a streak, but only once their calls had ended; running ones counted only among themselves, and not while they made calls. One or two of each kind showed nothing. Change: a request counts as slow once, as soon as the own work on it exceeds the usual tail and the slack: at its end, at its first call, or while it runs. Three whose starts follow that of the latest request that was not slow raise the existing suspicion (at most 2 requests at once until 3 are as usual). The order of starts, not of ends, keeps a few long requests among many short ones from counting. Result: `go test ./internal/process/admission`, also with -race, passes; the first case of TestSlowRequestsInSuccessionHoldNewOnesBack failed on the code before.

--- a/internal/process/admission/learn.go
+++ b/internal/process/admission/learn.go
@@ -70,7 +70,7 @@
 func (q *Queue) restart(now time.Time, firstLimit, rounds int, reason string) {
 	q.limit = newLimit(now, q.limit.announced)
 	q.ownTime, q.workTime, q.slotTime = latency{}, latency{}, latency{}
-	q.resets, q.suspicion.remaining = 0, 0
+	q.resets, q.suspicion.remaining, q.suspicion.slowRun = 0, 0, 0
 	q.cold.restart(firstLimit, rounds)
 	q.recordEvent(EventCold, reason)
 }
@@ -119,6 +119,9 @@
 }
 
 func (q *Queue) succeeded(now time.Time, t *Ticket, ownTime, slotTime time.Duration) {
+	if !t.slow {
+		q.suspicion.endRun(t.started)
+	}
 	if !q.ownTime.isSlow(float64(ownTime)) {
 		q.suspicion.observeUsual()
 	}
--- a/internal/process/admission/learn_test.go
+++ b/internal/process/admission/learn_test.go
@@ -143,6 +143,62 @@
 	must.Eq(t, Running, ticket.Phase)
 }
 
+// TestSlowRequestsInSuccessionHoldNewOnesBack guards against evidence that is
+// counted apart: a request that has ended, one that makes a call and one that still
+// runs show together that the target became cold, unless a later one was fast.
+func TestSlowRequestsInSuccessionHoldNewOnesBack(t *testing.T) {
+	const usual, slow = time.Millisecond, 10 * time.Millisecond
+	tests := map[string]struct {
+		fastAt time.Duration // start of a fast request, after that of the slow ones
+		phase  Phase
+	}{
+		"fast request before": {-usual, Waiting},
+		"fast request after":  {usual, Running},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			q, now := warmQueue(t, 16)
+			offer := func(at time.Duration) *Ticket {
+				ticket := newTicket(now.Add(at), "obala", version.Normal)
+				q.Offer(now.Add(at), ticket)
+				return ticket
+			}
+			fast := func() { q.Done(now.Add(tc.fastAt+usual), offer(tc.fastAt), Result{Took: usual}) }
+			if tc.fastAt < 0 {
+				fast()
+			}
+			ended, calling := offer(0), offer(0)
+			offer(0)
+			if tc.fastAt > 0 {
+				fast()
+			}
+			q.OutgoingCall(now.Add(slow), calling, true)
+			q.Done(now.Add(slow), ended, Result{Took: slow})
+			must.Eq(t, tc.phase, offer(slow).Phase)
+		})
+	}
+}
+
+// TestSlowRequestCountsOnce guards against a request that counts again as slow each
+// time it works on after a call.
+func TestSlowRequestCountsOnce(t *testing.T) {
+	const slow = 10 * time.Millisecond
+	q, now := warmQueue(t, 16)
+	ticket := newTicket(now, "obala", version.Normal)
+	q.Offer(now, ticket)
+	for range 2 * suspectSlowRun {
+		now = now.Add(slow)
+		q.OutgoingCall(now, ticket, true)
+		q.OutgoingCall(now, ticket, false)
+	}
+	now = now.Add(slow)
+	next := newTicket(now, "obala", version.Normal)
+	q.Offer(now, next)
+	must.Eq(t, Running, next.Phase)
+	must.Eq(t, 1, q.suspicion.slowRun)
+	must.False(t, q.suspicion.active())
+}
+
 // TestFewSlowRequestsHoldNothingBack guards against false cold-start
 // suspicions: in a mix in which few requests take far longer than the others,
 // at least 90 % of the slots must stay in use.
--- a/internal/process/admission/outgoing_call.go
+++ b/internal/process/admission/outgoing_call.go
@@ -20,6 +20,7 @@
 func (q *Queue) callBegan(now time.Time, t *Ticket) {
 	t.openCalls++
 	if t.openCalls == 1 {
+		q.noteSlow(now, t)
 		t.callingSince = now
 		q.working.remove(t)
 	}
@@ -40,6 +41,7 @@
 // calls.
 func (q *Queue) stopWork(now time.Time, t *Ticket) {
 	if t.openCalls == 0 {
+		q.noteSlow(now, t)
 		q.working.remove(t)
 		return
 	}
--- a/internal/process/admission/queue.go
+++ b/internal/process/admission/queue.go
@@ -184,9 +184,11 @@
 // allowed returns the number of requests that may run at once now. It raises the
 // suspicion that the target became cold if too many requests are overdue.
 func (q *Queue) allowed(now time.Time) int {
-	need := q.suspicion.need(q.working.count)
-	if q.ownTimeDominates() && q.working.overdue(now, need, &q.workTime) {
-		q.suspicion.raise()
+	if limit, ok := q.overdueLimit(); ok {
+		all, recent := q.working.overdue(now, limit, q.suspicion.lastUsualStart)
+		if all >= q.suspicion.need(q.working.count) || q.suspicion.isRun(recent) {
+			q.suspicion.raise()
+		}
 	}
 	if q.suspicion.active() {
 		return min(q.Limit(), suspectLimit)
@@ -194,6 +196,23 @@
 	return q.Limit()
 }
 
+// overdueLimit returns the time that the target takes for nearly all requests, and
+// some slack. ok is false if that is not known.
+func (q *Queue) overdueLimit() (limit time.Duration, ok bool) {
+	return time.Duration(q.workTime.tail) + overdueSlack, q.workTime.samples >= overdueSamples && q.ownTimeDominates()
+}
+
+// noteSlow counts t as slow, once, if the target has worked on it for longer than on
+// nearly all earlier requests. The target must be working on it.
+func (q *Queue) noteSlow(now time.Time, t *Ticket) {
+	limit, ok := q.overdueLimit()
+	if t.slow || !ok || now.Sub(t.started)-t.callTime <= limit {
+		return
+	}
+	t.slow = true
+	q.suspicion.observeSlow(t.started)
+}
+
 // ownTimeDominates reports whether the duration of a request is evidence about
 // the target itself. It is not if the target makes calls that are not reported
 // to OutgoingCall.
--- a/internal/process/admission/suspicion.go
+++ b/internal/process/admission/suspicion.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 const (
 	// suspectCount is the number of usual latencies that clear the suspicion
 	// that a target became cold.
@@ -7,6 +9,9 @@
 	// suspectedJumpStreak is the number of consecutive slow latencies that
 	// confirm the suspicion.
 	suspectedJumpStreak = 3
+	// suspectSlowRun is the number of requests that, one after the other, were slow
+	// and raise the suspicion, whether they have ended or still run.
+	suspectSlowRun = 3
 	// suspectLimit is the limit while the suspicion lasts.
 	suspectLimit = 2
 	// toleratedAlarms is the number of false alarms without effect.
@@ -27,6 +32,12 @@
 	// suspicion.
 	remaining   int
 	falseAlarms int
+	// slowRun is the number of requests that started after lastUsualStart, the latest
+	// start of a request that was not slow, and are known to be slow because the
+	// target has ended its work on them. runStart is the start of the first of them.
+	slowRun        int
+	runStart       time.Time
+	lastUsualStart time.Time
 	// usualCount is the number of usual latencies since falseAlarms last
 	// changed.
 	usualCount int
@@ -46,6 +57,34 @@
 	return jumpStreak + s.alarmBackoff()
 }
 
+// observeSlow counts a request that started at started and was slow.
+func (s *suspicion) observeSlow(started time.Time) {
+	if !started.After(s.lastUsualStart) {
+		return
+	}
+	if s.slowRun == 0 || started.Before(s.runStart) {
+		s.runStart = started
+	}
+	s.slowRun++
+}
+
+// endRun records that a request that started at started was not slow. Only later
+// ones can then show that the target became cold.
+func (s *suspicion) endRun(started time.Time) {
+	if started.After(s.lastUsualStart) {
+		s.lastUsualStart = started
+	}
+	if !started.Before(s.runStart) {
+		s.slowRun = 0
+	}
+}
+
+// isRun reports whether enough consecutive requests are slow for a suspicion.
+// overdue is the number of those that the target still works on.
+func (s *suspicion) isRun(overdue int) bool {
+	return s.slowRun+overdue >= suspectSlowRun+s.alarmBackoff()
+}
+
 // confirmed ends the suspicion because a cold start begins. Whether it was a
 // false alarm cannot be determined, so it counts as one.
 func (s *suspicion) confirmed() {
--- a/internal/process/admission/ticket.go
+++ b/internal/process/admission/ticket.go
@@ -31,6 +31,9 @@
 
 	// Phase is the current phase.
 	Phase Phase
+	// slow is true once the target is known to have worked on the ticket for
+	// longer than on nearly all earlier ones.
+	slow bool
 	// Kind is the reason for a rejection.
 	Kind fault.Kind
 	// WaitDeadline is the time at which a waiting ticket must be passed to
--- a/internal/process/admission/work_list.go
+++ b/internal/process/admission/work_list.go
@@ -51,16 +51,14 @@
 	t.older, t.newer = nil, nil
 }
 
-// overdue reports whether the target has worked on at least need requests for
-// longer than on nearly all earlier ones. This suggests that the target became
-// cold, before the first slow request completes.
-func (l *workList) overdue(now time.Time, need int, usual *latency) bool {
-	if l.count < need || usual.samples < overdueSamples {
-		return false
+// overdue returns how many requests the target has worked on for longer than
+// limit, and how many of them started after since and are not known to be slow yet.
+func (l *workList) overdue(now time.Time, limit time.Duration, since time.Time) (all, recent int) {
+	for t := l.oldest; t != nil && now.Sub(t.workingSince) > limit; t = t.newer {
+		all++
+		if !t.slow && t.started.After(since) {
+			recent++
+		}
 	}
-	t := l.oldest
-	for range need - 1 {
-		t = t.newer
-	}
-	return now.Sub(t.workingSince) > time.Duration(usual.tail)+overdueSlack
+	return all, recent
 }
