Admission: a jump does not raise the tail by which it is judged

Cause: each slow request raised the estimated tail by a tenth of the usual mean at once, and so the bar for the next one: the first slow ones of a cold target hid those after them. Until the target turned cold the tail was 34.1 ms; when the request arrived that is too many it was 37.2 ms, so that own work counted as overdue from 39.2 ms on and not from 36.1 ms. At that moment one request had taken 36.5 ms and one had run for 38.3 ms. The sum of the steps is the same; a lasting shift is followed as before. Judging a run by the tail at its start: the run of a target that stays slower would not end.

--- a/internal/process/admission/latency.go
+++ b/internal/process/admission/latency.go
@@ -45,6 +45,8 @@
 	// the number of consecutive slow ones at the end.
 	slowFraction float64
 	streak       int
+	// held is the number of slow samples that have had no effect on tail yet.
+	held int
 }
 
 func (l *latency) observe(d time.Duration) {
@@ -60,7 +62,9 @@
 }
 
 // updateTail moves tail towards its quantile. The estimate starts low, at the
-// second largest of the first samples, because it rises faster than it falls.
+// second largest of the first samples, because it rises faster than it falls. Up to
+// jumpStreak consecutive slow samples take effect only after the streak, so that a
+// jump does not raise the tail by which it is judged.
 func (l *latency) updateTail(v float64) {
 	if l.samples <= minSamples {
 		l.tail = max(l.tail, min(l.peak, v))
@@ -68,13 +72,18 @@
 		return
 	}
 	l.slowFraction -= l.slowFraction * recentAlpha
+	step := l.usualMean * tailStep
 	if l.isSlow(v) {
 		l.slowFraction += recentAlpha
 		l.streak++
-	} else {
-		l.streak = 0
+		l.held++
+		if l.streak > jumpStreak {
+			l.raiseHeld(step)
+		}
+		return
 	}
-	step := l.usualMean * tailStep
+	l.streak = 0
+	l.raiseHeld(step)
 	if v > l.tail {
 		l.tail += step * tailQuantile
 		return
@@ -82,6 +91,12 @@
 	l.tail -= step * (1 - tailQuantile)
 }
 
+// raiseHeld raises tail by the slow samples that have had no effect on it yet.
+func (l *latency) raiseHeld(step float64) {
+	l.tail += float64(l.held) * step * tailQuantile
+	l.held = 0
+}
+
 // usualWeight returns the weight of v in the usual mean: that of a plain
 // average while there are few samples, except for slow samples that may belong
 // to a jump.
