Test that a departure alone reaches the replicas

Cause: no test failed when a replica did not pass on a departure beside which nothing else in the daemon's report changed, nor when departures counted in the checksum of a report, which replicas of earlier builds make without them. Change: TestDepartureAloneReachesTheReplicas. Result: passes; it fails without the comparison of departures, and with them in the checksum. Ruled out: nothing.

--- a/internal/process/registry/registry_test.go
+++ b/internal/process/registry/registry_test.go
@@ -275,3 +275,18 @@
 	g.exchange()
 	must.SliceEmpty(t, g.replicas[1].Departed("i"))
 }
+
+// TestDepartureAloneReachesTheReplicas guards against a departure that stays with one replica
+// because nothing else of the daemon's report changes: the target was not announced.
+func TestDepartureAloneReachesTheReplicas(t *testing.T) {
+	g := newReplicaGroup(2)
+	r := renewal("i", "d", protocol.Warm)
+	g.replicas[0].Renew(g.now, r)
+	g.exchange()
+	before := recordOf(r).sum()
+	r.Departed = []string{"a/1"}
+	must.Eq(t, before, recordOf(r).sum(), must.Sprint("replicas of earlier builds keep no departures"))
+	g.replicas[0].Renew(g.now, r)
+	g.exchange()
+	must.Eq(t, []string{"a/1"}, g.replicas[1].Departed("i"))
+}
