Test that a failed request is not repeated where a shutdown leaves no time

Cause: no test failed when the repeat of a request that its target failed ignored the shutdown. Change: TestFailedRequestIsNotRepeatedWithoutTimeInAShutdown. Result: passes; it fails without the check in mayRepeatFailed. Ruled out: nothing.

--- a/internal/request/relay/shutdown_end_test.go
+++ b/internal/request/relay/shutdown_end_test.go
@@ -279,3 +279,24 @@
 		})
 	}
 }
+
+// TestFailedRequestIsNotRepeatedWithoutTimeInAShutdown guards against the repeat of a request
+// that its target failed late in a shutdown, which takes as long again and would be broken off.
+func TestFailedRequestIsNotRepeatedWithoutTimeInAShutdown(t *testing.T) {
+	for failedAt, arrivals := range map[time.Duration]int{4 * time.Second: 1, 2400 * time.Millisecond: 2} {
+		playShutdown(t, version.Idempotent, func(m *mesh, first, second *process) {
+			const sentAt = 2 * time.Second
+			for _, p := range []*process{first, second} {
+				p.inst.stub.serveWith(func(w http.ResponseWriter, _ *http.Request) {
+					time.Sleep(failedAt - sentAt)
+					w.WriteHeader(http.StatusInternalServerError)
+				})
+			}
+			sigterm := time.Now()
+			first.shutDown()
+			end := <-m.sendAt(first.inst, sigterm, sentAt)
+			must.Eq(t, http.StatusInternalServerError, end.status)
+			must.Eq(t, arrivals, first.inst.stub.count()+second.inst.stub.count(), must.Sprint(failedAt))
+		})
+	}
+}
