--- a/internal/request/relay/retry_after_test.go
+++ b/internal/request/relay/retry_after_test.go
@@ -63,7 +63,7 @@
 			}
 			began := time.Now()
 			resp, _ := m.send(outside, "POST", "/p/x", map[string]string{"Teaselrack-Timeout": "300"}, "body")
-			left := began.Add(300 * time.Millisecond).Sub(time.Now())
+			left := time.Until(began.Add(300 * time.Millisecond))
 			after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 			must.NoError(t, err)
 			must.Between(t, 0.001, after, (left+10*time.Millisecond).Seconds()/3, must.Sprint(name))
