--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -43,8 +43,8 @@
 	Call(ctx context.Context, address, method string, params, reply any) error
 }
 
-// Options are the parameters of a Loop. All but Seeds, Interval, TokenTimeout,
-// ReplicaDomain and Quarantine are required.
+// Options are the parameters of a Loop. All but Seeds, Interval, TokenTimeout, Departed,
+// AdoptDepartures, ReplicaDomain and Quarantine are required.
 type Options struct {
 	Instance string
 	// Session is different for each start of the daemon.
