review: a server that turns cold between two check-ins is overrun

A server may become cold again at any moment, and says so in its check-ins and its health responses. The daemon beside it reads only the check-ins, which come every 1.5 s, and sends it the usual 92 requests a second until the next one; the bound is 54.5 in any second. Nothing is fixed here.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -24,6 +24,7 @@
 // cases are the scenarios by name. Each reports whether the rule was broken.
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
 	"crash-all":  crashAll,
+	"cold-again": coldAgain,
 }
 
 func main() {
