review: targets that have left are used again after all processes were killed

A departure is kept only in the memory of the daemon beside the target and of the replicas. Nothing is fixed here.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -25,6 +25,8 @@
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
 	"crash-all":  crashAll,
 	"cold-again": coldAgain,
+	"leave":      leaveAndKill,
+	"kill-all":   killAll,
 }
 
 func main() {
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -41,12 +41,12 @@
 	work    time.Duration
 	slots   int
 	http    *http.Server
-	stopped chan struct{}
+	// stopped is closed at the end of a lifetime, beating when its check-ins end.
+	stopped, beating chan struct{}
 
 	mu        sync.Mutex
 	born      int64
 	seq       int
-	draining  bool
 	down      bool
 	running   int
 	coldUntil time.Time
@@ -69,16 +69,16 @@
 		return err
 	}
 	s.mu.Lock()
-	s.born, s.seq, s.draining = time.Now().UnixMilli(), 0, false
+	s.born, s.seq = time.Now().UnixMilli(), 0
 	s.down = false
-	s.stopped = make(chan struct{})
+	s.stopped, s.beating = make(chan struct{}), make(chan struct{})
 	s.mu.Unlock()
 	if coldFor > 0 {
 		s.turnCold(coldFor)
 	}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(ln) }()
-	go s.beat(s.stopped)
+	go s.beat(s.stopped, s.beating)
 	return nil
 }
 
@@ -182,7 +182,7 @@
 }
 
 // beat sends the check-ins of one lifetime.
-func (s *server) beat(stopped chan struct{}) {
+func (s *server) beat(stopped, beating chan struct{}) {
 	client := &http.Client{Timeout: heartbeatLimit}
 	for {
 		pause := heartbeatInterval
@@ -192,32 +192,40 @@
 		select {
 		case <-stopped:
 			return
+		case <-beating:
+			return
 		case <-time.After(pause):
 		}
 	}
 }
 
-func (s *server) checkIn(client *http.Client) bool {
-	s.mu.Lock()
-	s.seq++
-	state := "ready"
-	if s.draining {
-		state = "draining"
-	}
-	cold := s.coldLeft().Milliseconds()
+// heartbeat returns the body of a check-in. It is called with the lock held.
+func (s *server) heartbeat() []byte {
 	body, _ := json.Marshal(map[string]any{
 		"address": s.cluster.address(s.machine, portApp), "born": s.born,
 		"info":   map[string]any{"service": s.machine.service, "version": "v1", "zone": s.machine.zone, "slots": s.slots},
-		"status": map[string]any{"state": state, "seq": s.seq, "cold_left_ms": cold},
+		"status": map[string]any{"state": "ready", "seq": s.seq, "cold_left_ms": s.coldLeft().Milliseconds()},
 	})
+	return body
+}
+
+// url returns the address of a call of the server to the daemon beside it.
+func (s *server) url(call string) string {
+	return "http://" + s.cluster.address(s.machine, portControl) + "/-/instances/" + s.id + "/" + call
+}
+
+func (s *server) checkIn(client *http.Client) bool {
+	s.mu.Lock()
+	s.seq++
+	body := s.heartbeat()
 	s.mu.Unlock()
-	resp, err := client.Post("http://"+s.cluster.address(s.machine, portControl)+"/-/instances/"+s.id+"/heartbeat", "application/json", bytes.NewReader(body))
+	resp, err := client.Post(s.url("heartbeat"), "application/json", bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
-	s.record.line(time.Now(), "check-in of %s, state %s, cold_left_ms %d: %d", s.id, state, cold, resp.StatusCode)
+	s.record.line(time.Now(), "check-in of %s, %s: %d", s.id, body, resp.StatusCode)
 	return resp.StatusCode/100 == 2
 }
 
