review: requests that crash targets are let through again after all processes were killed

What is known of requests that crash targets lives in the memory of daemons and replicas. Nothing is fixed here.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../run-case.sh" poison 5
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -36,6 +36,8 @@
 	rate    float64
 	// same makes all requests ask for the same path.
 	same bool
+	// steady makes the pauses between requests equal.
+	steady bool
 
 	mu   sync.Mutex
 	sent []*sent
@@ -49,7 +51,11 @@
 	client := &http.Client{Transport: transport}
 	next := time.Now()
 	for n := 0; ctx.Err() == nil; n++ {
-		next = next.Add(time.Duration(rand.ExpFloat64() / c.rate * float64(time.Second)))
+		pause := rand.ExpFloat64()
+		if c.steady {
+			pause = 1
+		}
+		next = next.Add(time.Duration(pause / c.rate * float64(time.Second)))
 		time.Sleep(time.Until(next))
 		c.wg.Go(func() { c.send(client, fmt.Sprintf("%s-%d", c.name, n)) })
 	}
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -27,6 +27,7 @@
 	"cold-again": coldAgain,
 	"leave":      leaveAndKill,
 	"kill-all":   killAll,
+	"poison":     forgetPoison,
 }
 
 func main() {
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -18,6 +19,8 @@
 	heartbeatLimit = time.Second
 	// returnDelay is the time from the crash of an overrun server to its next start.
 	returnDelay = 3 * time.Second
+	// poisonPath is the end of the path of a request that crashes each server that runs it.
+	poisonPath  = "poison"
 	coldOverage = 1.5
 	coldSlack   = 5.0
 )
@@ -53,9 +56,11 @@
 	cold      []span
 	runs      []run
 	// crashes counts the crashes of a cold server that got too much, lostUnsafe the requests
-	// with a body that it was running then.
+	// with a body that the server was running when it crashed.
 	crashes, lostUnsafe int
 	unsafeRunning       int
+	// poisoned are the times at which a request crashed the server.
+	poisoned []time.Time
 }
 
 func newServer(c *cluster, m *machine, work time.Duration, slots int) *server {
@@ -146,6 +151,12 @@
 		s.unsafeRunning++
 	}
 	overrun, stopped := s.overrun(now), s.stopped
+	poison := strings.HasSuffix(r.URL.Path, "/"+poisonPath) && !s.down
+	if poison {
+		s.down = true
+		s.poisoned = append(s.poisoned, now)
+		s.lostUnsafe += s.unsafeRunning - 1
+	}
 	s.mu.Unlock()
 	s.record.line(now, "request %s reaches server %s, executed %t", id, s.id, !full)
 	if full {
@@ -153,7 +164,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if overrun {
+	if overrun || poison {
 		go s.crashAndReturn()
 	}
 	defer func() {
