--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case.sh" crash-all 1
+# Plays the case of claim.txt and writes record.txt beside it.
+exec "$(dirname "$0")/../run-case.sh" crash-all "$(dirname "$0")/record.txt"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case.sh" leave 4
+# Plays the case of claim.txt and writes record.txt beside it.
+exec "$(dirname "$0")/../run-case.sh" leave "$(dirname "$0")/record.txt"
--- a/review/lab/departure.go
+++ b/review/lab/departure.go
@@ -93,7 +93,7 @@
 	}
 	s.checkInLate(&d, last)
 	s.exit(&d, stay)
-	return d, s.start(0)
+	return d, s.start(time.Duration(coldSeconds * float64(time.Second)))
 }
 
 // announceExit ends the check-ins and sends the message that the server leaves. last is a
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -33,18 +32,18 @@
 func main() {
 	name := flag.String("case", "", "name of the case")
 	program := flag.String("program", "target/teaselrackd", "path of the daemon")
-	folder := flag.String("folder", ".", "folder for record.txt")
+	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
-	os.Exit(play(*name, *program, *folder))
+	os.Exit(play(*name, *program, *record))
 }
 
-func play(name, program, folder string) int {
+func play(name, program, path string) int {
 	scenario, ok := cases[name]
 	if !ok {
 		fmt.Println("no such case")
 		return exitFailed
 	}
-	r, err := newRecord(filepath.Join(folder, "record.txt"))
+	r, err := newRecord(path)
 	if err != nil {
 		fmt.Println(err)
 		return exitFailed
--- a/review/lab/record.go
+++ b/review/lab/record.go
@@ -37,6 +37,9 @@
 	now := time.Now()
 	fmt.Printf("%8.3f %s\n", now.Sub(r.began).Seconds(), fmt.Sprintf(format, args...))
 	r.line(now, format, args...)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.out.Flush()
 }
 
 func (r *record) seconds(at time.Time) float64 { return at.Sub(r.began).Seconds() }
