Quarantine: what a target has run before is no suspect of its crash

Cause: blame without evidence. A request that is always in flight is lost in each crash, whatever the cause; that it had completed thousands of times before on the same targets only broke ties. Targets that crash together have one cause, but counted as several crashes.

TestCommonRequestIsRefusedAfterACommonCrash failed before in six of its eight cases; the two others have a request at fault that explains the crash.

The daemon beside a target leaves out of the report what this start of the target has run to the end. A request that has completed anywhere needs crashes at three moments 5 s apart, so a second crash right after the restart is no evidence either. For a request that never completed each crash counts as before: it may be all that a quiet service gets (TestOnlyRequestOfAServiceCrashesAllTargets).

Ruled out: the detector reporting requests that the target did not run; clearing whatever ever completed (a new version may crash under what the one before ran).

--- a/internal/process/local/crash.go
+++ b/internal/process/local/crash.go
@@ -32,6 +32,9 @@
 	switch fault.KindOf(err) {
 	case "":
 		t.crashes.Responded(s.ticket.Started)
+		if s.Answered {
+			t.crashes.Survived(s.Content)
+		}
 	case fault.ConnectionLost, fault.AnswerBroken, fault.DeadlineUnknown, fault.CallerGone, fault.Interrupted:
 		t.crashes.Lost(now, s.Content)
 		if t.restartSuspected {
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -171,6 +171,7 @@
 	newIncarnation := !t.announced || !h.sameIncarnation(t.lastHeartbeat)
 	if newIncarnation {
 		previous = t.crashed(now)
+		t.crashes.Restarted()
 		t.responded = false
 		t.forgetStatement(now)
 	}
@@ -248,6 +249,9 @@
 	// Ran is true if the target ran the request without failing; set it before Done.
 	// Only the time that such requests take is a service time.
 	Ran bool
+	// Answered is true if the target ran the request to the end, also if it failed it;
+	// set it before Done.
+	Answered bool
 	// heartbeat is the last one of the target when the request was admitted.
 	heartbeat Heartbeat
 }
--- a/internal/process/quarantine/detector.go
+++ b/internal/process/quarantine/detector.go
@@ -11,10 +11,13 @@
 
 // Detector determines which requests a target was running when it crashed. A request
 // that was lost is a suspect if the target gave no further sign of life before the sign
-// of a crash: a refused connection, or another target at its address. It is not safe for
-// concurrent use.
+// of a crash: a refused connection, or another target at its address. One that the same
+// incarnation has run to the end before is none: it does not crash whatever runs it. It
+// is not safe for concurrent use.
 type Detector struct {
 	losses []loss
+	// survived holds requests that the current incarnation has run to the end.
+	survived contentSet
 }
 
 type loss struct {
@@ -40,13 +43,18 @@
 	d.losses = d.losses[n:]
 }
 
-// Crashed returns the requests that the target was running, without duplicates, and
-// forgets them.
+// Survived records that the current incarnation has run a request to the end.
+func (d *Detector) Survived(content Fingerprint) { d.survived.add(content) }
+
+// Restarted forgets what the previous incarnation has run.
+func (d *Detector) Restarted() { d.survived = contentSet{} }
+
+// Crashed returns the suspects, without duplicates, and forgets them.
 func (d *Detector) Crashed(now time.Time) []Fingerprint {
 	var suspects []Fingerprint
 	seen := make(map[Fingerprint]bool)
 	for _, l := range d.losses {
-		if now.Sub(l.at) <= maxLossAge && !seen[l.content] {
+		if now.Sub(l.at) <= maxLossAge && !seen[l.content] && !d.survived.has(l.content) {
 			seen[l.content] = true
 			suspects = append(suspects, l.content)
 		}
--- a/internal/process/quarantine/detector_test.go
+++ b/internal/process/quarantine/detector_test.go
@@ -33,3 +33,19 @@
 		must.NotEq(t, f, other)
 	}
 }
+
+// TestRequestThatTheTargetHasRunIsASuspect guards against suspects that the incarnation
+// has run to the end before it crashed. The next incarnation has not.
+func TestRequestThatTheTargetHasRunIsASuspect(t *testing.T) {
+	now := time.Unix(1, 0)
+	var d Detector
+	d.Survived(1)
+	d.Lost(now, 1)
+	d.Lost(now, 2)
+	must.Eq(t, []Fingerprint{2}, d.Crashed(now))
+	d.Lost(now, 1)
+	must.SliceEmpty(t, d.Crashed(now))
+	d.Restarted()
+	d.Lost(now, 1)
+	must.Eq(t, []Fingerprint{1}, d.Crashed(now))
+}
--- a/internal/process/quarantine/list.go
+++ b/internal/process/quarantine/list.go
@@ -25,9 +25,6 @@
 	// recentLossTTL how long it does.
 	maxRecentLosses = 2048
 	recentLossTTL   = time.Minute
-	// familiarSlots is the number of completed requests that a daemon remembers. Each
-	// has one slot that it may have.
-	familiarSlots = 8192
 	// RetryAfter is the time after which the caller of a quarantined request is told
 	// to retry.
 	RetryAfter = time.Minute
@@ -52,7 +49,7 @@
 	reports    []*ownReport
 	nextReport time.Time
 	// familiar holds requests that have completed.
-	familiar [familiarSlots]Fingerprint
+	familiar contentSet
 	// losses are requests that were lost lately; completed are those of them that
 	// completed since, and completedSent how many the last renewal had.
 	losses        map[Fingerprint]time.Time
@@ -101,7 +98,7 @@
 			continue
 		}
 		r.Suspects = append(r.Suspects, uint64(content))
-		if l.familiar[content%familiarSlots] == content {
+		if l.familiar.has(content) {
 			r.Familiar = append(r.Familiar, uint64(content))
 		}
 		l.addLoss(content)
@@ -164,7 +161,7 @@
 func (l *List) Completed(content Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.familiar[content%familiarSlots] = content
+	l.familiar.add(content)
 	at, lost := l.losses[content]
 	lost = lost && l.now().Sub(at) <= recentLossTTL
 	_, listed := l.entries[content]
--- a/internal/process/quarantine/table.go
+++ b/internal/process/quarantine/table.go
@@ -20,6 +20,9 @@
 	// clearedFor is how long a completed request is cleared of crashes that are
 	// reported later: the report of a crash may be delayed.
 	clearedFor = 2 * time.Second
+	// momentLength is the time within which several crashes may have one cause other than
+	// a request.
+	momentLength = 5 * time.Second
 	// blameInterval is the least time between two computations of the blame.
 	blameInterval = 100 * time.Millisecond
 	// maxReports bounds the number of crashes that are remembered. The oldest is
@@ -32,9 +35,12 @@
 // a replica that has restarted, and replicas exchange reports. Its methods are safe for
 // concurrent use.
 //
-// Many requests are lost with each crash and only one may be at fault. So each crash is
-// blamed on the suspect with the most crashes, the one that completed before least often
-// among equals, and a request that completes anywhere after a crash is no longer suspect.
+// Many requests are lost with each crash and only one may be at fault, or none: targets
+// that crash together have a common cause, and the request most asked for is lost in each
+// of them. So each crash is blamed on the suspect with the strongest evidence. For a
+// request that has never completed, each crash counts. For one that has, crashes at the
+// same moment count once. A request that completes anywhere after a crash is no longer
+// suspect.
 type Table struct {
 	epoch string
 
@@ -228,46 +234,96 @@
 
 // evidence is what speaks against one request.
 type evidence struct {
-	// crashes is the number of crashes in which the request was lost, familiar the
+	// crashes are the times of the crashes in which the request was lost, familiar the
 	// number of those before which it had completed.
-	crashes, familiar int
+	crashes  []time.Time
+	familiar int
+	// weight is the number of crashes that count.
+	weight int
+}
+
+// weigh determines the weight.
+func (e *evidence) weigh() {
+	e.weight = len(e.crashes)
+	if e.familiar > 0 {
+		e.weight = moments(e.crashes)
+	}
 }
 
 // strongerThan reports whether a crash is rather blamed on the request with evidence e
 // than on the one with o.
-func (e evidence) strongerThan(o evidence) bool {
-	if e.crashes != o.crashes {
-		return e.crashes > o.crashes
+func (e *evidence) strongerThan(o *evidence) bool {
+	if o == nil || e.weight != o.weight {
+		return o == nil || e.weight > o.weight
 	}
 	return e.familiar < o.familiar
 }
 
-// explainedCrashes returns for each request the number of crashes that are blamed on it.
-func (t *Table) explainedCrashes() map[uint64]int {
-	against := make(map[uint64]evidence)
-	for _, r := range t.reports {
-		for content := range r.suspects {
-			e := against[content]
-			e.crashes++
-			if r.familiar[content] {
-				e.familiar++
-			}
-			against[content] = e
+// moments returns the number of times that are momentLength or more after the first one
+// of the previous moment.
+func moments(times []time.Time) int {
+	slices.SortFunc(times, time.Time.Compare)
+	count := 0
+	var began time.Time
+	for _, at := range times {
+		if count == 0 || at.Sub(began) >= momentLength {
+			count++
+			began = at
 		}
 	}
-	explained := make(map[uint64]int)
+	return count
+}
+
+// explainedCrashes returns for each request the weight of the crashes that are blamed on
+// it.
+func (t *Table) explainedCrashes() map[uint64]int {
+	against := t.evidence()
+	blamed := make(map[uint64]*evidence)
 	for _, r := range t.reports {
-		var strongest evidence
+		var strongest *evidence
 		for content := range r.suspects {
-			if against[content].strongerThan(strongest) {
-				strongest = against[content]
+			if e := against[content]; e.strongerThan(strongest) {
+				strongest = e
 			}
 		}
 		for content := range r.suspects {
-			if against[content] == strongest {
-				explained[content]++
+			if e := against[content]; strongest.strongerThan(e) {
+				continue
 			}
+			addCrash(blamed, content, r.received, against[content].familiar > 0)
 		}
 	}
+	explained := make(map[uint64]int, len(blamed))
+	for content, e := range blamed {
+		e.weigh()
+		explained[content] = e.weight
+	}
 	return explained
 }
+
+// evidence returns what speaks against each suspect.
+func (t *Table) evidence() map[uint64]*evidence {
+	against := make(map[uint64]*evidence)
+	for _, r := range t.reports {
+		for content := range r.suspects {
+			addCrash(against, content, r.received, r.familiar[content])
+		}
+	}
+	for _, e := range against {
+		e.weigh()
+	}
+	return against
+}
+
+// addCrash adds a crash to the evidence against a request.
+func addCrash(all map[uint64]*evidence, content uint64, at time.Time, familiar bool) {
+	e := all[content]
+	if e == nil {
+		e = &evidence{}
+		all[content] = e
+	}
+	e.crashes = append(e.crashes, at)
+	if familiar {
+		e.familiar++
+	}
+}
--- a/internal/process/quarantine/table_test.go
+++ b/internal/process/quarantine/table_test.go
@@ -240,3 +240,35 @@
 		must.SliceEmpty(t, reports)
 	}
 }
+
+// TestCrashesOfOneMomentCountOnce checks that a request that has completed before needs
+// crashes at three different moments to be quarantined, and one that never has needs three
+// crashes.
+func TestCrashesOfOneMomentCountOnce(t *testing.T) {
+	for _, test := range []struct {
+		familiar bool
+		gap      time.Duration
+		crashes  int
+		listed   bool
+	}{
+		{false, 0, 2, false}, {false, 0, 3, true}, {false, time.Minute, 3, true},
+		{true, 0, 100, false}, {true, momentLength - time.Millisecond, 3, false}, {true, momentLength, 2, false}, {true, momentLength, 3, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newReplica("r", newList(), newList())
+			if test.familiar {
+				r.lists[0].Completed(deadly)
+			}
+			for i := range test.crashes {
+				r.lists[i%2].AddCrash(fmt.Sprint("i-", i), []Fingerprint{deadly})
+				r.renew()
+				time.Sleep(test.gap)
+			}
+			for range 2 {
+				time.Sleep(confirmDelay)
+				r.renew()
+			}
+			must.Eq(t, test.listed, r.lists[0].Check(deadly) != nil, must.Sprintf("%+v", test))
+		})
+	}
+}
--- /dev/null
+++ b/internal/request/relay/common_crash_test.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	commonPath = "/p/common"
+	// commonInterval is the time between two requests.
+	commonInterval = 10 * time.Millisecond
+)
+
+// crashAll crashes all targets that are up, whatever they are running.
+func (m *crashingMesh) crashAll() {
+	for _, inst := range m.instances {
+		m.mu.Lock()
+		if stop := m.crash[inst]; stop != nil {
+			stop()
+			m.crash[inst] = nil
+			n := m.starts[inst]
+			time.AfterFunc(downTime, func() { m.start(inst, n+1) })
+		}
+		m.mu.Unlock()
+	}
+}
+
+// TestCommonRequestIsRefusedAfterACommonCrash guards against the quarantine of the request
+// that most callers send, because all targets of its service crashed for another reason
+// while they were running it. A request at fault is found beside that.
+func TestCommonRequestIsRefusedAfterACommonCrash(t *testing.T) {
+	const duration = 14 * time.Second
+	for _, test := range []struct {
+		name string
+		// waves are the times at which all targets crash. The second one finds targets
+		// that have just started and completed nothing.
+		waves []time.Duration
+		// deadly is the time from which deadlyPath is sent too.
+		deadly time.Duration
+	}{
+		{"one wave", []time.Duration{3 * time.Second}, 0},
+		{"two waves", []time.Duration{3 * time.Second, 3*time.Second + downTime + 30*time.Millisecond}, 0},
+		{"one wave, deadly before", []time.Duration{5 * time.Second}, 3 * time.Second},
+		{"two waves, deadly between", []time.Duration{3 * time.Second, 8 * time.Second}, 5 * time.Second},
+	} {
+		for _, targets := range []int{4, 9} {
+			t.Run(fmt.Sprintf("%s/%d targets", test.name, targets), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					m := newCrashingMesh(t, targets)
+					sender := m.addRemote()
+					var pending sync.WaitGroup
+					pending.Go(func() { m.renew(duration) })
+					for _, at := range test.waves {
+						time.AfterFunc(at, m.crashAll)
+					}
+					for i := range int(duration / commonInterval) {
+						path := commonPath
+						switch {
+						case test.deadly > 0 && i%10 == 0 && time.Duration(i)*commonInterval >= test.deadly:
+							path = deadlyPath
+						case i%100 == 0:
+							path = "/p/rare"
+						}
+						pending.Go(func() { m.send(sender, "GET", path, nil, "") })
+						time.Sleep(commonInterval)
+					}
+					pending.Wait()
+					for _, path := range []string{commonPath, "/p/rare"} {
+						response, text := m.send(sender, "GET", path, nil, "")
+						must.Eq(t, http.StatusOK, response.StatusCode, must.Sprint(path, ": ", text))
+					}
+					if test.deadly > 0 {
+						must.LessEq(t, maxDeadlyRetries, m.late, must.Sprint("after the third crash"))
+						response, text := m.send(sender, "GET", deadlyPath, nil, "")
+						must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+						must.True(t, strings.Contains(text, "have crashed"), must.Sprint(text))
+					}
+					time.Sleep(time.Second)
+				})
+			})
+		}
+	}
+}
+
+// TestOnlyRequestOfAServiceCrashesAllTargets guards against a request at fault that is
+// taken for a victim of a common crash: it is all that its service gets, and falls on all
+// targets within a second.
+func TestOnlyRequestOfAServiceCrashesAllTargets(t *testing.T) {
+	const duration = 14 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		m := newCrashingMesh(t, 4)
+		sender := m.addRemote()
+		var pending sync.WaitGroup
+		pending.Go(func() { m.renew(duration) })
+		for range int(duration / (100 * time.Millisecond)) {
+			pending.Go(func() { m.send(sender, "GET", deadlyPath, nil, "") })
+			time.Sleep(100 * time.Millisecond)
+		}
+		pending.Wait()
+		must.GreaterEq(t, 3, len(m.crashes))
+		must.LessEq(t, maxDeadlyRetries, m.late, must.Sprint("after the third crash"))
+	})
+}
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -246,6 +246,7 @@
 	}
 	response.onComplete(func(err error) {
 		slot.Ran = response.succeeded()
+		slot.Answered = !response.NotRun
 		slot.Done(err)
 		if err == nil && slot.Ran {
 			p.Quarantine.Completed(content)
--- a/internal/request/relay/quarantine_test.go
+++ b/internal/request/relay/quarantine_test.go
@@ -36,14 +36,16 @@
 	*mesh
 	table *quarantine.Table
 
-	mu      sync.Mutex
-	crash   map[*instance]func()
+	mu    sync.Mutex
+	crash map[*instance]func()
+	// starts is the number of the current start of each target.
+	starts  map[*instance]int
 	crashes []time.Time
 	late    int
 }
 
 func newCrashingMesh(t *testing.T, targets int) *crashingMesh {
-	m := &crashingMesh{mesh: newMeshOn(t, memnet.New(time.Millisecond), version.Idempotent, 1, targets), crash: make(map[*instance]func())}
+	m := &crashingMesh{mesh: newMeshOn(t, memnet.New(time.Millisecond), version.Idempotent, 1, targets), crash: make(map[*instance]func()), starts: make(map[*instance]int)}
 	m.table = quarantine.NewTable("epoch")
 	for _, inst := range m.instances {
 		m.start(inst, 0)
@@ -56,6 +58,7 @@
 	stop := m.serveAt(inst.targetAddress, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.run(inst, n, w, r) }))
 	m.mu.Lock()
 	m.crash[inst] = stop
+	m.starts[inst] = n
 	m.mu.Unlock()
 	must.NoError(m.t, inst.target.Heartbeat(local.Heartbeat{
 		ID: inst.name, Started: int64(n + 1), Sequence: 2, Service: inst.record.Service, Address: inst.targetAddress, Slots: 100,
