Departures are recorded in the replicated log

Cause: departures lived in memory only, of the daemon and, for 30 s, of the replicas. They survived the restart of any process, and not that of all.

Evidence: in the record the late heartbeats arrive 3.5 s after the restart and are believed; the code holds departures in two maps and on no disk.

The target log, a second part of the state machine of the configuration's group, records departures by instance. A daemon sends them until a quorum has synced them, and a replica tells a daemon without a configuration what it has recorded, after a read barrier. A quorum that has synced it cannot elect a leader without it, so no kill takes it away. Soft departures and their exchange between replicas are gone.

Ruled out: a late heartbeat taken for a new start; replicas that tell too late. Not done: a group of its own, which needs members and repair of its own.

--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -12,6 +12,7 @@
 // RPC methods of daemons and control replicas.
 const (
 	MethodRenew   = "control.renew"
+	MethodDepart  = "control.depart"
 	MethodApply   = "control.apply"
 	MethodPlan    = "control.plan"
 	MethodExport  = "control.export"
@@ -156,9 +157,6 @@
 	// Targets are the current announcements of the daemon's local targets.
 	Targets       []Announcement `json:"t,omitempty"`
 	DaemonLeaving bool           `json:"l,omitempty"`
-	// Departed are the incarnations of local targets that have lately announced that
-	// they leave.
-	Departed []string `json:"dp,omitempty"`
 	// Subscriptions are the services whose targets the daemon needs to know.
 	Subscriptions []string `json:"s,omitempty"`
 	// ContentOnly says that the daemon needs the content of the configuration only,
@@ -205,8 +203,9 @@
 	Content     []byte         `json:"ct,omitempty"`
 	Registry    *RegistryDelta `json:"r,omitempty"`
 	Quota       []QuotaGrant   `json:"q,omitempty"`
-	// Departed are the incarnations that the daemon has lately reported as departed,
-	// also before it restarted.
+	// Departed are the incarnations that daemons of the instance have recorded with
+	// MethodDepart. It is set for a daemon without a configuration, which has just
+	// started.
 	Departed []string `json:"dp,omitempty"`
 	// Quarantine is nil if the daemon has the current list.
 	Quarantine *QuarantineUpdate `json:"qn,omitempty"`
@@ -217,6 +216,17 @@
 	ReplicaDomains []string `json:"md,omitempty"`
 }
 
+// DepartTimeout is the time limit of one call of MethodDepart.
+const DepartTimeout = 300 * time.Millisecond
+
+// DepartRequest records that targets leave.
+type DepartRequest struct {
+	// Instance is the instance name of the daemon.
+	Instance string `json:"i"`
+	// Incarnations are those of the targets.
+	Incarnations []string `json:"t"`
+}
+
 // OrderRequest contains one order in its canonical CBOR encoding.
 type OrderRequest struct {
 	Order []byte `json:"order"`
--- a/internal/connection/protocol/traffic.go
+++ b/internal/connection/protocol/traffic.go
@@ -12,6 +12,7 @@
 	MethodRenew:   traffic.Renewal,
 	MethodOrder:   traffic.Configuration,
 	MethodApply:   traffic.Configuration,
+	MethodDepart:  traffic.Registry,
 	MethodSync:    traffic.Registry,
 	MethodReplica: traffic.Replication,
 	MethodOnce:    traffic.Ledger,
--- a/internal/process/control/renew.go
+++ b/internal/process/control/renew.go
@@ -31,7 +31,9 @@
 		return protocol.RenewReply{}, err
 	}
 	reply.Registry = s.options.Registry.Delta(req.Instance, req.Subscriptions, req.RegistryEpoch, req.RegistryVersion)
-	reply.Departed = s.options.Registry.Departed(req.Instance)
+	if req.Version == 0 {
+		reply.Departed = s.options.Targets.Departed(req.Instance)
+	}
 	reply.Quota = s.grantQuota(ctx, req)
 	reply.Quarantine = s.options.Quarantine.Update(s.options.Clock(), req.QuarantineEpoch, req.QuarantineVersion)
 	if s.membership != nil {
--- a/internal/process/control/role.go
+++ b/internal/process/control/role.go
@@ -20,6 +20,7 @@
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/replica"
 	"github.com/teaselrack/teaselrack/internal/process/storage"
+	"github.com/teaselrack/teaselrack/internal/process/targetlog"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
 	"github.com/teaselrack/teaselrack/internal/request/hop"
 )
@@ -80,8 +81,8 @@
 }
 
 func (r *Role) open() error {
-	machine := configuration.NewMachine(configuration.DefaultHistory)
-	group, err := r.openGroup(ConfigurationGroup, machine)
+	machine, targetLog := configuration.NewMachine(configuration.DefaultHistory), targetlog.NewMachine()
+	group, err := r.openGroup(ConfigurationGroup, &stateMachine{machine, targetLog})
 	if err != nil {
 		return err
 	}
@@ -105,6 +106,8 @@
 		Log:            r.options.Log,
 		Group:          group,
 		Machine:        machine,
+		Targets:        targetLog,
+		TargetClock:    replica.NewClock(targetLog, time.Now),
 		Shards:         shards,
 		Registry:       targets,
 		Quarantine:     quarantine.NewTable(targets.Epoch()),
@@ -125,7 +128,7 @@
 		if err != nil {
 			return nil, err
 		}
-		shards[i] = Shard{Group: group, Clock: ledger.NewClock(machine, time.Now)}
+		shards[i] = Shard{Group: group, Clock: replica.NewClock(machine, time.Now)}
 	}
 	return shards, nil
 }
--- a/internal/process/control/service.go
+++ b/internal/process/control/service.go
@@ -14,11 +14,11 @@
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/connection/rpc"
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
-	"github.com/teaselrack/teaselrack/internal/process/ledger"
 	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/replica"
+	"github.com/teaselrack/teaselrack/internal/process/targetlog"
 	"github.com/teaselrack/teaselrack/internal/request/hop"
 )
 
@@ -61,7 +61,7 @@
 type Shard struct {
 	Group replica.Group
 	// Clock supplies the timestamps of the shard's commands.
-	Clock *ledger.Clock
+	Clock *replica.Clock
 }
 
 // Options holds the settings and dependencies of a Service. All fields are
@@ -85,6 +85,10 @@
 	// Group is the configuration group and Machine its state machine.
 	Group   replica.Group
 	Machine *configuration.Machine
+	// Targets is the target log, which shares Group, and TargetClock supplies the
+	// timestamps of its commands.
+	Targets     *targetlog.Machine
+	TargetClock *replica.Clock
 	// Shards are the groups of the once ledger, by shard number.
 	Shards   []Shard
 	Registry *registry.Registry
@@ -150,6 +154,7 @@
 	operators := []mesh.Role{mesh.Operator, mesh.Replica}
 	handlers := map[string]rpc.Handler{
 		protocol.MethodRenew:   rpc.Method(s.Renew, processes...),
+		protocol.MethodDepart:  rpc.Method(s.Depart, processes...),
 		protocol.MethodOnce:    rpc.Method(s.Once, processes...),
 		protocol.MethodApply:   rpc.Method(s.Apply, operators...),
 		protocol.MethodPlan:    rpc.Method(s.Plan, operators...),
@@ -163,6 +168,6 @@
 		protocol.MethodReplica: rpc.Method(s.Receive, mesh.Replica),
 		protocol.MethodSync:    rpc.Method(s.Sync, mesh.Replica),
 	}
-	addForwarded(handlers, protocol.MethodRenew, protocol.MethodOnce, protocol.MethodApply, protocol.MethodAdmit, protocol.MethodRemove, protocol.MethodOrder, protocol.MethodJoin)
+	addForwarded(handlers, protocol.MethodRenew, protocol.MethodDepart, protocol.MethodOnce, protocol.MethodApply, protocol.MethodAdmit, protocol.MethodRemove, protocol.MethodOrder, protocol.MethodJoin)
 	return handlers
 }
--- a/internal/process/local/departures.go
+++ b/internal/process/local/departures.go
@@ -17,9 +17,9 @@
 	maxDepartures = 8
 	// maxHeartbeatDelay is how late a heartbeat is expected to arrive at most.
 	maxHeartbeatDelay = 10 * time.Second
-	// departureTTL is how long other processes are told of a departure: longer than a
+	// recordPeriod is how long the replicas are asked to record a departure: until no
 	// heartbeat that was sent before it can be on its way.
-	departureTTL = 3 * maxHeartbeatDelay
+	recordPeriod = 3 * maxHeartbeatDelay
 )
 
 // departures are the incarnations of targets at this address that have announced that
@@ -36,6 +36,8 @@
 	// gone is true once the target has announced its exit.
 	gone bool
 	at   time.Time
+	// recorded is true once the replicas have recorded the departure.
+	recorded bool
 }
 
 // add reports whether the departure was not remembered.
@@ -44,6 +46,7 @@
 	for i, known := range d.recent {
 		if known.id == left.id && known.started == left.started {
 			left.gone = left.gone || known.gone
+			left.recorded = left.recorded || known.recorded
 			d.recent[i] = left
 			return false
 		}
@@ -56,7 +59,7 @@
 }
 
 // knows reports whether a departure is remembered, however long ago it was: the replicas
-// send back what this daemon has reported.
+// send back what this daemon has recorded with them.
 func (d *departures) knows(left departure) bool {
 	return slices.ContainsFunc(d.recent, func(known departure) bool { return known.id == left.id && known.started == left.started })
 }
@@ -77,16 +80,7 @@
 	return leaving, gone
 }
 
-// incarnations returns the incarnations that left within departureTTL.
-func (d *departures) incarnations(now time.Time) []string {
-	var list []string
-	for _, left := range d.recent {
-		if now.Sub(left.at) < departureTTL {
-			list = append(list, Heartbeat{ID: left.id, Started: left.started}.incarnation())
-		}
-	}
-	return list
-}
+func (d departure) incarnation() string { return Heartbeat{ID: d.id, Started: d.started}.incarnation() }
 
 // parseIncarnation is the inverse of Heartbeat.incarnation.
 func parseIncarnation(text string) (left departure, ok bool) {
@@ -98,12 +92,29 @@
 	return departure{id: text[:slash], started: started}, err == nil && started >= 0
 }
 
-// Departed returns the incarnations that have lately announced that they leave. Replicas
-// remember them for a daemon that restarts.
-func (t *Target) Departed() []string {
+// UnrecordedDepartures returns the incarnations that have lately announced that they leave
+// and that the replicas have not recorded yet.
+func (t *Target) UnrecordedDepartures() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.departures.incarnations(t.options.Now())
+	var incarnations []string
+	now := t.options.Now()
+	for _, left := range t.departures.recent {
+		if !left.recorded && now.Sub(left.at) < recordPeriod {
+			incarnations = append(incarnations, left.incarnation())
+		}
+	}
+	return incarnations
+}
+
+// DeparturesRecorded says that the replicas have recorded departures.
+func (t *Target) DeparturesRecorded(incarnations []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.departures.recent {
+		left := &t.departures.recent[i]
+		left.recorded = left.recorded || slices.Contains(incarnations, left.incarnation())
+	}
 }
 
 // AdoptDepartures records incarnations that this daemon, before it restarted, knew to
@@ -128,6 +139,7 @@
 		if t.departures.knows(left) {
 			continue
 		}
+		left.recorded = true
 		t.departures.add(t.options.Now(), left)
 		if t.announced && t.lastHeartbeat.incarnation() == incarnation {
 			changed = t.markLeaving() || changed
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -115,10 +115,12 @@
 	quarantine    *quarantine.List
 	renewal       *renewal.Loop
 	target        *local.Target
-	peerClient    *http1.Client
-	targetClient  *http1.Client
-	stats         *relay.Stats
-	traffic       *traffic.Counter
+	// departures wakes recordDepartures.
+	departures   chan struct{}
+	peerClient   *http1.Client
+	targetClient *http1.Client
+	stats        *relay.Stats
+	traffic      *traffic.Counter
 	// clock is that of leases and tokens.
 	clock        *clock.Clock
 	entryHandler *relay.EntryHandler
@@ -178,11 +180,12 @@
 	n.registry = registry.NewTable(time.Now)
 	n.registry.LogTo(n.log)
 	n.quarantine = quarantine.NewList(time.Now, n.renewNow, n.log)
+	n.departures = make(chan struct{}, 1)
 	n.target = local.New(local.Options{
 		Service: t.Service, Address: t.Target, Interval: t.Heartbeat,
 		ColdRate:  n.coldRate,
 		Permitted: n.targetPermitted,
-		Changed:   n.renewNow,
+		Changed:   n.targetChanged,
 		Crashed:   n.quarantine.AddCrash,
 		Now:       time.Now,
 		Log:       n.log,
@@ -239,7 +242,6 @@
 		Quota:           n.quota,
 		Quarantine:      n.quarantine,
 		Targets:         n.announcements,
-		Departed:        n.target.Departed,
 		AdoptDepartures: n.target.AdoptDepartures,
 		Leaving:         n.unlisted.Load,
 		Clock:           n.clock.Now,
@@ -357,6 +359,7 @@
 	}
 	if n.options.Traffic != nil {
 		n.group.AddLoop("renewal", n.renewal.Run)
+		n.group.AddLoop("departures", n.recordDepartures)
 		n.group.AddLoop("quota", n.quota.Run)
 		n.group.AddLoop("idle connections", n.prune)
 	}
--- a/internal/process/registry/record.go
+++ b/internal/process/registry/record.go
@@ -35,8 +35,6 @@
 	Version       uint64                  `json:"v"`
 	Leaving       bool                    `json:"l,omitempty"`
 	Targets       []protocol.Announcement `json:"t,omitempty"`
-	// Departed are the incarnations that have lately announced that they leave.
-	Departed []string `json:"p,omitempty"`
 }
 
 func recordOf(r protocol.RenewRequest) Record {
@@ -48,7 +46,6 @@
 		Version:       r.Version,
 		Leaving:       r.DaemonLeaving,
 		Targets:       r.Targets,
-		Departed:      r.Departed,
 	}
 }
 
@@ -61,15 +58,12 @@
 		r.PeerAddress == o.PeerAddress &&
 		r.FailureDomain == o.FailureDomain &&
 		r.Leaving == o.Leaving &&
-		slices.Equal(r.Targets, o.Targets) &&
-		slices.Equal(r.Departed, o.Departed)
+		slices.Equal(r.Targets, o.Targets)
 }
 
-// sum returns a checksum of the record without its configuration version and its
-// departures, which replicas of earlier builds do not keep.
+// sum returns a checksum of the record without its configuration version.
 func (r Record) sum() uint64 {
 	r.Version = 0
-	r.Departed = nil
 	b, err := json.Marshal(r)
 	if err != nil {
 		return 0
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -34,9 +34,8 @@
 
 // daemonShard holds the daemons whose instance names hash to one shard.
 type daemonShard struct {
-	mu         sync.Mutex
-	daemons    map[string]*daemon
-	departures departures
+	mu      sync.Mutex
+	daemons map[string]*daemon
 }
 
 // daemon is what the replica knows about one daemon.
@@ -57,7 +56,6 @@
 	r := &Registry{epoch: epoch}
 	for i := range shardCount {
 		r.daemons[i].daemons = make(map[string]*daemon)
-		r.daemons[i].departures = make(departures)
 		r.services[i].services = make(map[string]*service)
 	}
 	return r
@@ -87,7 +85,6 @@
 	sh := &r.daemons[shardOf(rec.Instance)]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.departures.add(now, rec)
 	d, ok := sh.daemons[rec.Instance]
 	if !ok {
 		d = &daemon{}
@@ -140,7 +137,6 @@
 func (r *Registry) expireShard(sh *daemonShard, now time.Time) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.departures.expire(now)
 	for instance, d := range sh.daemons {
 		if now.Sub(d.renewed) < RecordTTL {
 			continue
--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -43,7 +43,7 @@
 	Call(ctx context.Context, address, method string, params, reply any) error
 }
 
-// Options are the parameters of a Loop. All but Seeds, Interval, TokenTimeout, Departed,
+// Options are the parameters of a Loop. All but Seeds, Interval, TokenTimeout,
 // AdoptDepartures, ReplicaDomain and Quarantine are required.
 type Options struct {
 	Instance string
@@ -75,10 +75,8 @@
 	Quarantine *quarantine.List
 	// Targets returns the announcements of the local targets.
 	Targets func() []protocol.Announcement
-	// Departed, if set, returns the incarnations of local targets that have lately
-	// announced that they leave, and AdoptDepartures gets those that the replicas
-	// remember.
-	Departed        func() []string
+	// AdoptDepartures, if set, gets the incarnations of local targets that left before
+	// this daemon started.
 	AdoptDepartures func(incarnations []string)
 	// Leaving reports whether this daemon is shutting down.
 	Leaving  func() bool
@@ -210,9 +208,6 @@
 		Quota:           l.options.Quota.TokenRequests(l.options.Clock()),
 	}
 	l.options.Configuration.Position(&request)
-	if l.options.Departed != nil {
-		request.Departed = l.options.Departed()
-	}
 	if l.options.Quarantine != nil {
 		l.options.Quarantine.Fill(&request)
 	}
@@ -269,6 +264,21 @@
 	return nil, time.Time{}, fault.New(fault.QuotaUnavailable, "no replica issued tokens")
 }
 
+// Depart records with the replicas, in turn until one has done so, that local targets
+// leave. Errors: NoLeader if that may or may not have happened, NotLeader if not.
+func (l *Loop) Depart(ctx context.Context, incarnations []string) error {
+	request := protocol.DepartRequest{Instance: l.options.Instance, Incarnations: incarnations}
+	err := fault.New(fault.NotLeader, "no replica is known")
+	for range l.replicas.size() {
+		address := l.replicas.current()
+		if err = l.call(ctx, protocol.DepartTimeout, address, protocol.MethodDepart, request, &protocol.Empty{}); err == nil || ctx.Err() != nil {
+			return err
+		}
+		l.replicas.fail(address, l.options.Clock())
+	}
+	return err
+}
+
 // SendOnce sends one ledger command to the replicas in turn. It implements
 // ledger.Caller. Errors: LedgerUnavailable if certainly no replica accepted the
 // command, LedgerUnknown if one may have.
--- a/internal/process/ledger/clock.go
+++ b/internal/process/replica/clock.go
@@ -1,16 +1,23 @@
-package ledger
+package replica
 
 import (
 	"sync"
 	"time"
 )
 
+// TimedMachine is a Machine whose commands carry the leader's time.
+type TimedMachine interface {
+	Machine
+	// Now returns the highest time in any command so far.
+	Now() time.Duration
+}
+
 // Clock provides the time that a leader puts into commands: the state machine's time,
 // advanced by the time that a monotonic clock measured on this replica. A step of
 // the wall clock therefore never makes records expire early. The time does not
 // advance while every replica is down, so records are then kept longer.
 type Clock struct {
-	machine *Machine
+	machine TimedMachine
 	now     func() time.Time
 
 	mu sync.Mutex
@@ -21,7 +28,7 @@
 }
 
 // NewClock returns a clock for machine. now must be monotonic, such as time.Now.
-func NewClock(machine *Machine, now func() time.Time) *Clock {
+func NewClock(machine TimedMachine, now func() time.Time) *Clock {
 	return &Clock{machine: machine, now: now, last: machine.Now(), at: now()}
 }
 
--- /dev/null
+++ b/internal/process/targetlog/command.go
@@ -0,0 +1,42 @@
+package targetlog
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+// Command is one replicated command.
+type Command struct {
+	// Now is the leader's time in nanoseconds; see replica.Clock.
+	Now       int64      `cbor:"1,keyasint"`
+	Departure *Departure `cbor:"2,keyasint,omitempty"`
+}
+
+// Departure records that targets of one instance leave.
+type Departure struct {
+	Instance     string   `cbor:"1,keyasint"`
+	Incarnations []string `cbor:"2,keyasint"`
+}
+
+// Encode returns the encoded command with the leader's time. Errors: Internal.
+func (c Command) Encode(now time.Duration) ([]byte, error) {
+	c.Now = int64(now)
+	b, err := canonical.Marshal(c)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encode a command of the target log")
+	}
+	return b, nil
+}
+
+var canonical = mustCanonical()
+
+func mustCanonical() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
