A departure is acknowledged once a quorum has synced it

Cause: the answer came before anything but the memory of the process knew of the departure. Any report that follows the answer can be too late; with the one of the renewal loop it was 0 to 700 ms.

A late exit of an incarnation that is known without its start time is recorded under its start too.

Ruled out: making the renewal faster (a kill within 4 ms); waiting for one replica (it may be lost at the same moment).

--- a/internal/process/local/departures.go
+++ b/internal/process/local/departures.go
@@ -1,7 +1,7 @@
 package local
 
 import (
-	"slices"
+	"context"
 	"strconv"
 	"strings"
 	"time"
@@ -58,10 +58,17 @@
 	return true
 }
 
-// knows reports whether a departure is remembered, however long ago it was: the replicas
-// send back what this daemon has recorded with them.
-func (d *departures) knows(left departure) bool {
-	return slices.ContainsFunc(d.recent, func(known departure) bool { return known.id == left.id && known.started == left.started })
+// setRecorded marks a departure as recorded. It reports whether the departure is
+// remembered, however long ago it was: the replicas send back what this daemon has recorded
+// with them.
+func (d *departures) setRecorded(incarnation string) (known bool) {
+	for i := range d.recent {
+		if d.recent[i].incarnation() == incarnation {
+			d.recent[i].recorded = true
+			return true
+		}
+	}
+	return false
 }
 
 // find reports whether the sender of h has announced that it leaves, and that it exits.
@@ -111,10 +118,44 @@
 func (t *Target) DeparturesRecorded(incarnations []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i := range t.departures.recent {
-		left := &t.departures.recent[i]
-		left.recorded = left.recorded || slices.Contains(incarnations, left.incarnation())
+	for _, incarnation := range incarnations {
+		t.departures.setRecorded(incarnation)
+	}
+	t.notifyRecorded()
+}
+
+// notifyRecorded wakes those who wait in AwaitRecorded.
+func (t *Target) notifyRecorded() {
+	close(t.departureRecorded)
+	t.departureRecorded = make(chan struct{})
+}
+
+// AwaitRecorded returns nil once the replicas have recorded that the sender of h leaves.
+// Errors: NoLeader if ctx ends before.
+func (t *Target) AwaitRecorded(ctx context.Context, h Heartbeat) error {
+	for {
+		recorded, changed := t.departureState(h)
+		if recorded {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fault.New(fault.NoLeader, "no quorum of the replicas has recorded yet that target %q leaves", h.ID)
+		}
+	}
+}
+
+// departureState reports whether the departure of the sender of h is recorded. changed is
+// closed when that of another one is.
+func (t *Target) departureState(h Heartbeat) (recorded bool, changed <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	started := t.startOf(h)
+	for _, left := range t.departures.recent {
+		recorded = recorded || left.recorded && left.id == h.ID && left.started == started
 	}
+	return recorded, t.departureRecorded
 }
 
 // AdoptDepartures records incarnations that this daemon, before it restarted, knew to
@@ -136,7 +177,7 @@
 			t.options.Log.Warn("malformed incarnation of a departed target", zap.String("incarnation", incarnation))
 			continue
 		}
-		if t.departures.knows(left) {
+		if t.departures.setRecorded(incarnation) {
 			continue
 		}
 		left.recorded = true
@@ -146,6 +187,7 @@
 		}
 		t.options.Log.Info("target is leaving, as known before this process started", zap.String("incarnation", incarnation))
 	}
+	t.notifyRecorded()
 	return changed
 }
 
--- a/internal/process/local/departures_test.go
+++ b/internal/process/local/departures_test.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/limiter"
 )
 
@@ -107,3 +109,39 @@
 		must.NoError(t, f.admit(t))
 	})
 }
+
+// TestDepartureIsRecordedForItsIncarnation checks which departures the sender of a heartbeat
+// waits for: that of its own incarnation, until the replicas have recorded it.
+func TestDepartureIsRecordedForItsIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		await := func(h Heartbeat) error {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			return f.target.AwaitRecorded(ctx, h)
+		}
+		must.NoError(t, f.target.Heartbeat(heartbeat(1)))
+		leaving := heartbeat(2)
+		leaving.Leaving = true
+		must.NoError(t, f.target.Heartbeat(leaving))
+		must.Eq(t, fault.NoLeader, fault.KindOf(await(leaving)))
+		f.target.DeparturesRecorded([]string{"a/2000"})
+		must.Error(t, await(leaving))
+		time.AfterFunc(500*time.Millisecond, func() { f.target.DeparturesRecorded(f.target.UnrecordedDepartures()) })
+		must.NoError(t, await(leaving))
+		must.NoError(t, await(Heartbeat{ID: "a", Gone: true}), must.Sprint("without a start time"))
+		must.Error(t, await(Heartbeat{ID: "b", Gone: true}))
+		restarted := heartbeat(1)
+		restarted.Started, restarted.Leaving = 2000, true
+		must.NoError(t, f.target.Heartbeat(restarted))
+		must.Error(t, await(restarted))
+
+		f = newFixture()
+		must.Error(t, f.target.Heartbeat(Heartbeat{ID: "a", Gone: true}))
+		must.NoError(t, f.target.Heartbeat(leaving), must.Sprint("its exit is known without a start time"))
+		must.Len(t, 2, f.target.UnrecordedDepartures())
+		f.target.AdoptDepartures([]string{"a/1000"})
+		must.NoError(t, await(leaving))
+		must.Error(t, await(restarted))
+	})
+}
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -71,7 +71,9 @@
 	announced     bool
 	lastHeartbeat Heartbeat
 	departures    departures
-	heartbeatAt   time.Time
+	// departureRecorded is closed, and replaced, when the replicas have recorded departures.
+	departureRecorded chan struct{}
+	heartbeatAt       time.Time
 	// disbelieved holds the heartbeats that were not believed since heartbeatAt.
 	disbelieved disbelieved
 	coldUntil   time.Time
@@ -101,7 +103,7 @@
 
 // New returns a Target that has not sent a heartbeat.
 func New(o Options) *Target {
-	return &Target{options: o, limiter: limiter.New(1)}
+	return &Target{options: o, limiter: limiter.New(1), departureRecorded: make(chan struct{})}
 }
 
 // Heartbeat processes one heartbeat of the target. A heartbeat that is older
@@ -135,7 +137,7 @@
 	}
 	leaving, gone := t.departures.find(now, h)
 	if gone && h.Leaving {
-		return false, previous, nil
+		return t.departures.add(now, departure{id: h.ID, started: h.Started}), previous, nil
 	}
 	if gone {
 		return false, previous, fault.New(fault.BadRequest, "heartbeat %d of %q is from before the exit that the target has announced", h.Sequence, h.ID)
--- a/internal/process/node/departures.go
+++ b/internal/process/node/departures.go
@@ -5,10 +5,26 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/teaselrack/teaselrack/internal/process/local"
+)
+
+const (
+	// departureRetryDelay is the time between two attempts to record a departure.
+	departureRetryDelay = 100 * time.Millisecond
+	// maxDepartureWait is how long the sender of a departure waits until it is recorded.
+	// Senders wait for a second.
+	maxDepartureWait = 800 * time.Millisecond
 )
 
-// departureRetryDelay is the time between two attempts to record a departure.
-const departureRetryDelay = 100 * time.Millisecond
+// AwaitDeparture returns nil once a departure that was passed to Heartbeat binds: no
+// process sends the target new requests, whichever of them restart. It waits for at most
+// maxDepartureWait. Errors: NoLeader if the departure is not known to be recorded.
+func (n *Node) AwaitDeparture(ctx context.Context, h local.Heartbeat) error {
+	ctx, cancel := context.WithTimeout(ctx, maxDepartureWait)
+	defer cancel()
+	return n.target.AwaitRecorded(ctx, h)
+}
 
 // targetChanged reports what the local target has announced.
 func (n *Node) targetChanged() {
