Evidence about crashes and verdicts are recorded in the target log

Cause: what has been decided for good lived in memory only, of daemons and replicas. Restarting some brought it back from the others, restarting all did not.

Reports, completions that clear a suspect, and verdicts are commands of the target log now. The leader gives the verdict as a command, so nothing is refused that a quorum has not synced: a kill right after the first refusal takes nothing away, nor does one between the crashes. A daemon gets the list before its configuration, and releases a request only on the word of a replica that a quorum confirmed. Replicas no longer exchange reports.

Ruled out: daemons that let requests through before they know the list.

--- a/internal/connection/protocol/crash.go
+++ b/internal/connection/protocol/crash.go
@@ -1,7 +1,5 @@
 package protocol
 
-import "time"
-
 // CrashReport names the requests that a target was running when it crashed, by the
 // fingerprints of their content.
 type CrashReport struct {
@@ -10,16 +8,20 @@
 	Suspects    []uint64 `json:"s,omitempty"`
 	// Familiar are suspects that the daemon has seen complete before the crash.
 	Familiar []uint64 `json:"f,omitempty"`
-	// Cleared are suspects that have completed elsewhere. Only replicas set it.
-	Cleared []uint64 `json:"c,omitempty"`
-	// Age is the time since the report was first received. Only replicas set it.
-	Age time.Duration `json:"g,omitempty"`
+}
+
+// CrashEvidence is what replicas record about crashes. A replica forwards it to the leader.
+type CrashEvidence struct {
+	Crashes []CrashReport `json:"cr,omitempty"`
+	// Completed are requests that have completed after they were suspected or
+	// quarantined.
+	Completed []uint64 `json:"cc,omitempty"`
 }
 
 // QuarantineUpdate lists the requests that no target may get.
 type QuarantineUpdate struct {
 	// Epoch identifies the start of the replica. Version increases with each change
-	// of the list.
+	// of the list, on all replicas alike.
 	Epoch    string   `json:"e"`
 	Version  uint64   `json:"v"`
 	Contents []uint64 `json:"c,omitempty"`
--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -13,6 +13,7 @@
 const (
 	MethodRenew   = "control.renew"
 	MethodDepart  = "control.depart"
+	MethodCrashes = "control.crashes"
 	MethodApply   = "control.apply"
 	MethodPlan    = "control.plan"
 	MethodExport  = "control.export"
--- a/internal/connection/protocol/traffic.go
+++ b/internal/connection/protocol/traffic.go
@@ -13,6 +13,7 @@
 	MethodOrder:   traffic.Configuration,
 	MethodApply:   traffic.Configuration,
 	MethodDepart:  traffic.Registry,
+	MethodCrashes: traffic.Registry,
 	MethodSync:    traffic.Registry,
 	MethodReplica: traffic.Replication,
 	MethodOnce:    traffic.Ledger,
--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -20,6 +20,7 @@
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
 	"github.com/teaselrack/teaselrack/internal/process/control"
 	"github.com/teaselrack/teaselrack/internal/process/ledger"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/renewal"
@@ -239,6 +240,7 @@
 	configuration *configuration.Holder
 	registry      *registry.Table
 	quota         *quota.Holder
+	quarantine    *quarantine.List
 	ledger        *ledger.Client
 	loop          *renewal.Loop
 }
@@ -253,6 +255,7 @@
 	}
 	run.configuration = configuration.NewHolder(options)
 	run.registry = registry.NewTable(time.Now)
+	run.quarantine = newQuarantineList(d)
 	run.quota = quota.NewHolder(time.Now, func(ctx context.Context, requests []protocol.QuotaRequest) ([]protocol.QuotaGrant, time.Time, error) {
 		return run.loop.RequestTokens(ctx, requests)
 	})
@@ -261,7 +264,7 @@
 		Replicas:      c.addresses(),
 		Subscriptions: func() []string { return []string{"tides"} },
 		Caller:        &networkClient{c.net, d.name, mesh.Peer{Name: d.name, Role: mesh.Daemon}},
-		Configuration: run.configuration, Registry: run.registry, Quota: run.quota,
+		Configuration: run.configuration, Registry: run.registry, Quota: run.quota, Quarantine: run.quarantine,
 		Targets: d.announced, Leaving: func() bool { return false }, AdoptDepartures: d.adoptDepartures,
 		Clock: time.Now, Recorder: nopRecorder{}, Log: zap.NewNop(),
 	})
--- a/internal/process/control/role.go
+++ b/internal/process/control/role.go
@@ -15,7 +15,6 @@
 	"github.com/teaselrack/teaselrack/internal/connection/rpc"
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
 	"github.com/teaselrack/teaselrack/internal/process/ledger"
-	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/quota"
 	"github.com/teaselrack/teaselrack/internal/process/registry"
 	"github.com/teaselrack/teaselrack/internal/process/replica"
@@ -110,7 +109,6 @@
 		TargetClock:    replica.NewClock(targetLog, time.Now),
 		Shards:         shards,
 		Registry:       targets,
-		Quarantine:     quarantine.NewTable(targets.Epoch()),
 		Issuer:         quota.NewIssuerWithTTL(cmp.Or(r.options.TokenTTL, quota.TokenTTL)),
 		Caller:         r.options.Caller,
 		Receive:        r.receive,
@@ -178,6 +176,10 @@
 		r.service.WatchState(ctx)
 		return nil
 	})
+	g.Go(func() error {
+		r.service.RunQuarantine(ctx)
+		return nil
+	})
 	if manager := r.service.membership; manager != nil {
 		g.Go(func() error {
 			manager.Run(ctx)
--- a/internal/process/control/service.go
+++ b/internal/process/control/service.go
@@ -92,10 +92,7 @@
 	// Shards are the groups of the once ledger, by shard number.
 	Shards   []Shard
 	Registry *registry.Registry
-	// Quarantine collects the requests that crash targets. Its epoch is that of
-	// Registry.
-	Quarantine *quarantine.Table
-	Issuer     *quota.Issuer
+	Issuer   *quota.Issuer
 	// Substitute, if set, grants tokens while no issuer does.
 	Substitute *quota.Substitute
 	Caller     Caller
@@ -115,6 +112,8 @@
 	versions versionTracker
 	domains  replicaDomains
 	skips    skipLog
+	// inbox holds the reports of crashes that the target log does not have yet.
+	inbox *quarantine.Inbox
 	// membership is nil if only operators admit and remove members.
 	membership *membershipManager
 }
@@ -122,7 +121,7 @@
 // New returns a service. It starts no goroutines: the caller must run RunSync and
 // WatchState.
 func New(o Options) *Service {
-	s := &Service{options: o, tokens: newTokenIssuer(o), renewals: newBarrierBatcher(o.Group, renewalBarrierInterval)}
+	s := &Service{options: o, tokens: newTokenIssuer(o), renewals: newBarrierBatcher(o.Group, renewalBarrierInterval), inbox: quarantine.NewInbox()}
 	s.domains.learn(o.Address, o.FailureDomain)
 	if o.AutoMembership != nil {
 		s.membership = newMembershipManager(s, *o.AutoMembership, o.Log)
@@ -165,9 +164,10 @@
 		protocol.MethodRemove:  rpc.Method(s.Remove, operators...),
 		protocol.MethodOrder:   rpc.Method(s.Order, operators...),
 		protocol.MethodJoin:    rpc.Method(s.Join, mesh.Replica),
+		protocol.MethodCrashes: rpc.Method(s.RecordCrashes, mesh.Replica),
 		protocol.MethodReplica: rpc.Method(s.Receive, mesh.Replica),
 		protocol.MethodSync:    rpc.Method(s.Sync, mesh.Replica),
 	}
-	addForwarded(handlers, protocol.MethodRenew, protocol.MethodDepart, protocol.MethodOnce, protocol.MethodApply, protocol.MethodAdmit, protocol.MethodRemove, protocol.MethodOrder, protocol.MethodJoin)
+	addForwarded(handlers, protocol.MethodRenew, protocol.MethodDepart, protocol.MethodCrashes, protocol.MethodOnce, protocol.MethodApply, protocol.MethodAdmit, protocol.MethodRemove, protocol.MethodOrder, protocol.MethodJoin)
 	return handlers
 }
--- a/internal/process/control/sync.go
+++ b/internal/process/control/sync.go
@@ -18,28 +18,10 @@
 	syncTimeout = 700 * time.Millisecond
 )
 
-// SyncRequest requests the soft state of another replica.
-type SyncRequest struct {
-	registry.ExchangeRequest
-	// QuarantineVersion is that of the last reply of the same epoch.
-	QuarantineVersion uint64 `json:"qv,omitempty"`
-}
-
-// SyncReply is the soft state of the replying replica.
-type SyncReply struct {
-	registry.ExchangeReply
-	// Crashes are the crash reports that have changed since the requested version.
-	Crashes           []protocol.CrashReport `json:"cr,omitempty"`
-	QuarantineVersion uint64                 `json:"qv,omitempty"`
-}
-
-// Sync returns to another replica the daemons that renew with this one, and the crash
-// reports that it knows.
-func (s *Service) Sync(_ context.Context, _ mesh.Peer, req SyncRequest) (SyncReply, error) {
-	now := s.options.Clock()
-	reply := SyncReply{ExchangeReply: s.options.Registry.Changes(now, req.ExchangeRequest)}
+// Sync returns to another replica the daemons that renew with this one.
+func (s *Service) Sync(_ context.Context, _ mesh.Peer, req registry.ExchangeRequest) (registry.ExchangeReply, error) {
+	reply := s.options.Registry.Changes(s.options.Clock(), req)
 	reply.FailureDomain = s.options.FailureDomain
-	reply.Crashes, reply.QuarantineVersion = s.options.Quarantine.Changes(now, req.Epoch, req.QuarantineVersion)
 	return reply, nil
 }
 
@@ -78,26 +60,23 @@
 // syncWith polls one replica for changes of its registry until ctx ends.
 func (s *Service) syncWith(ctx context.Context, address string) {
 	follower := registry.NewFollower(s.options.Registry)
-	quarantineVersion := uint64(0)
 	every(ctx, syncInterval, func() {
-		reply, err := s.exchange(ctx, address, SyncRequest{ExchangeRequest: follower.Request(), QuarantineVersion: quarantineVersion})
+		reply, err := s.exchange(ctx, address, follower.Request())
 		if err != nil {
 			return
 		}
-		quarantineVersion = reply.QuarantineVersion
-		s.options.Quarantine.Merge(s.options.Clock(), reply.Crashes)
 		s.domains.learn(address, reply.FailureDomain)
 		if s.options.ReplicaDomain != nil {
 			s.options.ReplicaDomain(address, reply.FailureDomain)
 		}
-		follower.Apply(s.options.Clock(), reply.ExchangeReply)
+		follower.Apply(s.options.Clock(), reply)
 	})
 }
 
-func (s *Service) exchange(ctx context.Context, address string, position SyncRequest) (SyncReply, error) {
+func (s *Service) exchange(ctx context.Context, address string, position registry.ExchangeRequest) (registry.ExchangeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	var reply SyncReply
+	var reply registry.ExchangeReply
 	err := s.options.Caller.Call(ctx, address, protocol.MethodSync, position, &reply)
 	return reply, err
 }
--- a/internal/process/quarantine/list.go
+++ b/internal/process/quarantine/list.go
@@ -40,7 +40,7 @@
 
 	mu sync.Mutex
 	// entries are the quarantined requests. They are kept while no replica replies.
-	entries map[Fingerprint]listEntry
+	entries map[Fingerprint]bool
 	// epoch and version are those of the last update.
 	epoch   string
 	version uint64
@@ -65,24 +65,17 @@
 	sent, reported int
 }
 
-type listEntry struct {
-	// epoch is that of the update that listed the request last.
-	epoch   string
-	expires time.Time
-}
-
 // NewList returns an empty list. renew is called, without a lock held, when there is a
 // crash to report.
 func NewList(now func() time.Time, renew func(), log *zap.Logger) *List {
-	return &List{now: now, renew: renew, log: log, entries: make(map[Fingerprint]listEntry), losses: make(map[Fingerprint]time.Time)}
+	return &List{now: now, renew: renew, log: log, entries: make(map[Fingerprint]bool), losses: make(map[Fingerprint]time.Time)}
 }
 
 // Check returns an error if no target may get the request. Errors: Quarantined.
 func (l *List) Check(content Fingerprint) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	entry, ok := l.entries[content]
-	if !ok || l.now().After(entry.expires) {
+	if !l.entries[content] {
 		return nil
 	}
 	return fault.New(fault.Quarantined, "requests with this content (%s) have crashed %d targets or more", content, crashesToQuarantine)
@@ -164,8 +157,7 @@
 	l.familiar.add(content)
 	at, lost := l.losses[content]
 	lost = lost && l.now().Sub(at) <= recentLossTTL
-	_, listed := l.entries[content]
-	if !lost && !listed {
+	if !lost && !l.entries[content] {
 		return
 	}
 	delete(l.losses, content)
@@ -192,8 +184,9 @@
 }
 
 // Apply applies the reply to the last renewal. A replica that has restarted, or another
-// one, gets all reports again with the next renewal.
-func (l *List) Apply(u *protocol.QuarantineUpdate) {
+// one, gets all reports again with the next renewal. confirmed says that the replica knows
+// everything that was recorded before the renewal; one that does not releases nothing.
+func (l *List) Apply(confirmed bool, u *protocol.QuarantineUpdate) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.completed = l.completed[l.completedSent:]
@@ -207,23 +200,27 @@
 	}
 	if u != nil {
 		l.epoch, l.version = u.Epoch, u.Version
-		l.replace(u)
+		l.replace(confirmed, u.Contents)
 	}
 }
 
-func (l *List) replace(u *protocol.QuarantineUpdate) {
-	now := l.now()
-	listed := make(map[Fingerprint]bool, len(u.Contents))
-	for _, c := range u.Contents {
+func (l *List) replace(confirmed bool, contents []uint64) {
+	listed := make(map[Fingerprint]bool, len(contents))
+	for _, c := range contents {
 		content := Fingerprint(c)
 		listed[content] = true
-		if _, known := l.entries[content]; !known {
+		if !l.entries[content] {
 			l.log.Info("request is quarantined", zap.Stringer("content", content))
 		}
-		l.entries[content] = listEntry{epoch: u.Epoch, expires: now.Add(reportTTL)}
+		l.entries[content] = true
+	}
+	if !confirmed {
+		// The version is not that of the entries: the next reply has all of them.
+		l.version = 0
+		return
 	}
-	for content, entry := range l.entries {
-		if entry.epoch == u.Epoch && !listed[content] || now.After(entry.expires) {
+	for content := range l.entries {
+		if !listed[content] {
 			delete(l.entries, content)
 			l.log.Info("request is no longer quarantined", zap.Stringer("content", content))
 		}
--- a/internal/process/quarantine/table_test.go
+++ b/internal/process/quarantine/table_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"testing"
@@ -17,27 +16,55 @@
 
 const deadly = Fingerprint(1 << 40)
 
-// replica is a table with the daemons that renew with it.
+// replica is a replica with the daemons that renew with it, and the leader of its group.
 type replica struct {
+	epoch string
 	table *Table
+	inbox *Inbox
 	lists []*List
 }
 
-func newReplica(epoch string, lists ...*List) *replica { return &replica{NewTable(epoch), lists} }
+// began is the start of the state machine's time.
+var began = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newReplica(epoch string, lists ...*List) *replica {
+	return &replica{epoch, NewTable(), NewInbox(), lists}
+}
 
 func newList() *List { return NewList(time.Now, func() {}, zap.NewNop()) }
 
+// commit records what the replica has not recorded yet, and the verdicts that are due.
+func (r *replica) commit() {
+	now := time.Since(began)
+	r.table.Expire(now)
+	if pending, ok := r.inbox.Pending(time.Now(), r.table); ok {
+		r.table.Record(now, pending.Crashes)
+		r.table.Complete(pending.Completed)
+	}
+	if due, _ := r.table.Due(now); len(due) > 0 {
+		r.table.Convict(now, due)
+	}
+}
+
 // renew renews all daemons once.
 func (r *replica) renew() {
 	for _, l := range r.lists {
 		var request protocol.RenewRequest
 		l.Fill(&request)
-		r.table.Merge(time.Now(), request.Crashes)
-		r.table.Completed(time.Now(), request.Completed)
-		l.Apply(r.table.Update(time.Now(), request.QuarantineEpoch, request.QuarantineVersion))
+		r.inbox.Add(time.Now(), request)
+		r.commit()
+		r.commit()
+		l.Apply(true, r.table.Update(r.epoch, request.QuarantineEpoch, request.QuarantineVersion))
 	}
 }
 
+// restarted returns the replica after its restart, which restores what was committed.
+func (r *replica) restarted(epoch string) *replica {
+	next := newReplica(epoch, r.lists...)
+	next.table.Restore(r.table.Snapshot())
+	return next
+}
+
 // crash reports a crash of a daemon's target that ran the deadly request, if any, and
 // others drawn from as many contents.
 func crash(l *List, random *rand.Rand, incarnation string, running, contents int, deadly ...Fingerprint) {
@@ -99,67 +126,87 @@
 	}
 }
 
-// TestQuarantineEndsWithTheReplica guards against a request that is released when the
-// replicas restart without their soft state, or when the daemon that reported a crash
-// restarts.
+// TestQuarantineEndsWithTheReplica guards against a request that is released when all
+// replicas and daemons restart, and against evidence that is forgotten then: after two
+// crashes the third is enough.
 func TestQuarantineEndsWithTheReplica(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		random := rand.New(rand.NewPCG(1, 4))
-		r := newReplica("r", newList(), newList())
-		for i := range 3 {
-			crash(r.lists[0], random, fmt.Sprint("i-", i), 5, 1000, deadly)
-		}
-		r.renew()
-		time.Sleep(confirmDelay)
-		r.renew()
-		must.Error(t, r.lists[1].Check(deadly))
-
-		r = newReplica("r2", r.lists...)
-		for range 4 {
+	for crashes := range 4 {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 4))
+			r := newReplica("r", newList(), newList())
+			for i := range crashes {
+				crash(r.lists[0], random, fmt.Sprint("i-", i), 5, 1000, deadly)
+			}
+			r.renew()
+			if crashes == 3 {
+				time.Sleep(confirmDelay)
+				r.renew()
+				must.Error(t, r.lists[1].Check(deadly))
+			}
+			r = r.restarted("r2")
+			r.lists = []*List{newList(), newList()}
+			if crashes == 3 {
+				r.renew()
+				must.Error(t, r.lists[1].Check(deadly), must.Sprint("known with the first reply"))
+				return
+			}
+			for i := range 3 - crashes {
+				r.renew()
+				time.Sleep(2 * confirmDelay)
+				r.renew()
+				must.NoError(t, r.lists[1].Check(deadly))
+				crash(r.lists[1], random, fmt.Sprint("j-", i), 5, 1000, deadly)
+			}
 			r.renew()
-			must.Error(t, r.lists[1].Check(deadly))
 			time.Sleep(confirmDelay)
-		}
-		restarted := newList()
-		r.lists = append(r.lists[1:], restarted)
-		r.renew()
-		must.Error(t, restarted.Check(deadly))
-	})
+			r.renew()
+			must.Error(t, r.lists[0].Check(deadly))
+		})
+	}
+}
+
+// TestUnconfirmedReplyReleasesARequest guards against a replica that lags behind, or is cut
+// off, and whose list lacks a request that is quarantined.
+func TestUnconfirmedReplyReleasesARequest(t *testing.T) {
+	l := newList()
+	l.Apply(true, &protocol.QuarantineUpdate{Epoch: "a", Version: 7, Contents: []uint64{1, 2}})
+	l.Apply(false, &protocol.QuarantineUpdate{Epoch: "b", Version: 6, Contents: []uint64{2, 3}})
+	for content := range Fingerprint(3) {
+		must.Error(t, l.Check(content+1))
+	}
+	var request protocol.RenewRequest
+	l.Fill(&request)
+	must.Zero(t, request.QuarantineVersion)
+	l.Apply(true, &protocol.QuarantineUpdate{Epoch: "b", Version: 8, Contents: []uint64{2}})
+	must.NoError(t, l.Check(1))
+	must.Error(t, l.Check(2))
 }
 
-// TestReplicasExchangeCrashes checks that reports and clearances reach replicas that no
-// daemon sent them to.
-func TestReplicasExchangeCrashes(t *testing.T) {
+// TestReportsOfADaemonReachARestartedReplica checks that evidence that a replica lost with
+// its inbox is reported again, and that one that it has recorded is not recorded twice.
+func TestReportsOfADaemonReachARestartedReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(1, 5))
-		a, b := newReplica("a", newList()), newReplica("b", newList())
-		versions := map[*replica]uint64{}
-		exchange := func(from, to *replica) {
-			reports, version := from.table.Changes(time.Now(), from.table.epoch, versions[from])
-			versions[from] = version
-			to.table.Merge(time.Now(), reports)
-		}
-		for i := range 3 {
-			crash(a.lists[0], random, fmt.Sprint("i-", i), 0, 1, deadly, deadly+1)
-		}
-		a.renew()
-		exchange(a, b)
-		b.lists[0].Lost(deadly + 1)
-		b.lists[0].Completed(deadly + 1)
-		b.renew()
-		exchange(b, a)
-		time.Sleep(confirmDelay)
-		for _, r := range []*replica{a, b} {
-			r.renew()
-			time.Sleep(confirmDelay)
-			r.renew()
-			must.Error(t, r.lists[0].Check(deadly))
-			must.NoError(t, r.lists[0].Check(deadly+1))
-		}
-		exchange(a, b)
-		exchange(b, a)
-		reports, _ := a.table.Changes(time.Now(), "a", versions[a])
-		must.SliceEmpty(t, reports, must.Sprint("nothing has changed"))
+		r := newReplica("r", newList())
+		var request protocol.RenewRequest
+		crash(r.lists[0], random, "i-1", 0, 1, deadly)
+		r.lists[0].Fill(&request)
+		r.lists[0].Apply(true, r.table.Update("r", "", 0))
+		r = newReplica("r2", r.lists...)
+		r.renew()
+		r.renew()
+		must.MapLen(t, 1, r.table.reports)
+		_, pending := r.inbox.Pending(time.Now(), r.table)
+		must.False(t, pending)
+		r.lists[0].Completed(deadly)
+		r.renew()
+		must.MapEmpty(t, r.table.suspected)
+		_, pending = r.inbox.Pending(time.Now(), r.table)
+		must.False(t, pending)
+		again := request.Crashes
+		r.inbox.Add(time.Now(), protocol.RenewRequest{Crashes: again})
+		_, pending = r.inbox.Pending(time.Now(), r.table)
+		must.False(t, pending, must.Sprint("cleared already"))
 	})
 }
 
@@ -181,8 +228,12 @@
 		must.SliceLen(t, maxOwnReports, r.lists[0].reports)
 		time.Sleep(reportTTL)
 		r.renew()
-		must.NoError(t, r.lists[0].Check(deadly))
 		must.MapEmpty(t, r.table.reports)
+		must.MapEmpty(t, r.table.suspected)
+		must.Error(t, r.lists[0].Check(deadly))
+		time.Sleep(verdictTTL - reportTTL)
+		r.renew()
+		must.NoError(t, r.lists[0].Check(deadly))
 		must.MapEmpty(t, r.lists[0].entries)
 	})
 }
@@ -225,20 +276,39 @@
 	})
 }
 
-// TestCrashFromTheFutureIsForgotten guards against a report with an odd age, from a daemon
-// or a replica, that is never forgotten.
-func TestCrashFromTheFutureIsForgotten(t *testing.T) {
+// TestOddEvidenceIsBounded guards against evidence without end: of one crash, of many, or of
+// completed requests.
+func TestOddEvidenceIsBounded(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	for _, age := range []time.Duration{-time.Hour, math.MinInt64} {
-		table := NewTable("e")
-		table.Merge(now, []protocol.CrashReport{{Incarnation: "a/1", Suspects: []uint64{1}, Age: age}})
-		reports, _ := table.Changes(now, "", 0)
-		must.Len(t, 1, reports)
-		must.Eq(t, 0, reports[0].Age)
-		table.Update(now.Add(reportTTL), "", 0)
-		reports, _ = table.Changes(now.Add(reportTTL), "", 0)
-		must.SliceEmpty(t, reports)
+	inbox, table := NewInbox(), NewTable()
+	many := make([]uint64, 3*maxCompleted)
+	for i := range many {
+		many[i] = uint64(i)
+	}
+	for i := range 3 * maxReports {
+		inbox.Add(now, protocol.RenewRequest{Crashes: []protocol.CrashReport{{Incarnation: fmt.Sprint("i-", i), Suspects: many[:2*maxSuspects]}}})
+	}
+	inbox.Add(now, protocol.RenewRequest{Completed: many})
+	must.MapLen(t, maxReports, inbox.crashes)
+	must.MapLen(t, maxCompleted, inbox.completed)
+	pending, ok := inbox.Pending(now, table)
+	must.True(t, ok)
+	for range 2 {
+		table.Record(0, pending.Crashes)
+	}
+	must.MapLen(t, maxReports, table.reports)
+	must.MapLen(t, maxSuspects, table.reports["i-0"].suspects)
+	must.MapLen(t, maxSuspects, table.suspected)
+	var contents []uint64
+	for content := range uint64(2 * maxVerdicts) {
+		contents = append(contents, content)
 	}
+	table.Convict(time.Second, contents)
+	must.MapLen(t, maxVerdicts, table.verdicts)
+	_, ok = inbox.Pending(now.Add(inboxTTL), table)
+	must.False(t, ok)
+	must.MapEmpty(t, inbox.crashes)
+	must.MapEmpty(t, inbox.completed)
 }
 
 // TestCrashesOfOneMomentCountOnce checks that a request that has completed before needs
--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -220,6 +220,9 @@
 	if l.options.AdoptDepartures != nil {
 		l.options.AdoptDepartures(reply.Departed)
 	}
+	if l.options.Quarantine != nil {
+		l.options.Quarantine.Apply(reply.Confirmed, reply.Quarantine)
+	}
 	before := l.options.Configuration.Current().Number()
 	if err := l.options.Configuration.Accept(sentAt, reply); err != nil {
 		l.options.Log.Warn("configuration rejected", zap.Error(err))
@@ -230,9 +233,6 @@
 		l.options.Recorder.Record(protocol.Event{Name: "configuration.advanced", Detail: formatChange(before, after)})
 	}
 	l.options.Registry.Apply(reply.Registry)
-	if l.options.Quarantine != nil {
-		l.options.Quarantine.Apply(reply.Quarantine)
-	}
 	l.options.Quota.ApplyGrants(sentAt, reply.Quota)
 	l.replicas.set(reply.Replicas, reply.ReplicaDomains)
 	if l.options.ReplicaDomain != nil && len(reply.ReplicaDomains) == len(reply.Replicas) {
--- a/internal/process/targetlog/command.go
+++ b/internal/process/targetlog/command.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
@@ -13,6 +14,11 @@
 	// Now is the leader's time in nanoseconds; see replica.Clock.
 	Now       int64      `cbor:"1,keyasint"`
 	Departure *Departure `cbor:"2,keyasint,omitempty"`
+	// Crashes and Completed are evidence about requests that crash targets; Convicted are
+	// requests that the leader finds at fault. See quarantine.Table.
+	Crashes   []protocol.CrashReport `cbor:"3,keyasint,omitempty"`
+	Completed []uint64               `cbor:"4,keyasint,omitempty"`
+	Convicted []uint64               `cbor:"5,keyasint,omitempty"`
 }
 
 // Departure records that targets of one instance leave.
--- a/internal/process/targetlog/doc.go
+++ b/internal/process/targetlog/doc.go
@@ -1,4 +1,5 @@
 // Package targetlog is the replicated state about targets: what a daemon has
-// acknowledged to its target, and must still know after all processes have restarted.
-// Daemons have no disk.
+// acknowledged to its target, what targets were running when they crashed, and which
+// requests no target may get. All processes may restart, and daemons have no disk; this must
+// still be known then.
 package targetlog
--- a/internal/process/targetlog/machine.go
+++ b/internal/process/targetlog/machine.go
@@ -8,11 +8,15 @@
 
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 )
 
 // Machine is the replicated state machine. It implements replica.TimedMachine. The
 // methods that only read may be called from any goroutine.
 type Machine struct {
+	// Quarantine is the part about requests that crash targets.
+	Quarantine *quarantine.Table
+
 	mu         sync.RWMutex
 	now        time.Duration
 	departures departures
@@ -22,10 +26,14 @@
 type machineSnapshot struct {
 	Now        time.Duration `cbor:"1,keyasint"`
 	Departures departures    `cbor:"2,keyasint"`
+	// Quarantine is unset in snapshots of a build that kept it elsewhere.
+	Quarantine quarantine.Snapshot `cbor:"3,keyasint"`
 }
 
 // NewMachine returns a state machine that knows nothing.
-func NewMachine() *Machine { return &Machine{departures: make(departures)} }
+func NewMachine() *Machine {
+	return &Machine{Quarantine: quarantine.NewTable(), departures: make(departures)}
+}
 
 // Now returns the highest time in any command so far.
 func (m *Machine) Now() time.Duration {
@@ -59,14 +67,29 @@
 	if c.Departure != nil {
 		m.departures.add(m.now, *c.Departure)
 	}
+	m.applyCrashes(c)
 	return nil
 }
 
+// applyCrashes applies the part of a command about requests that crash targets.
+func (m *Machine) applyCrashes(c Command) {
+	m.Quarantine.Expire(m.now)
+	if len(c.Crashes) > 0 {
+		m.Quarantine.Record(m.now, c.Crashes)
+	}
+	if len(c.Completed) > 0 {
+		m.Quarantine.Complete(c.Completed)
+	}
+	if len(c.Convicted) > 0 {
+		m.Quarantine.Convict(m.now, c.Convicted)
+	}
+}
+
 // Snapshot returns the encoded state. Errors: Internal.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	b, err := canonical.Marshal(machineSnapshot{m.now, m.departures})
+	b, err := canonical.Marshal(machineSnapshot{m.now, m.departures, m.Quarantine.Snapshot()})
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "encode the snapshot of the target log")
 	}
@@ -86,6 +109,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.now, m.departures = snapshot.Now, snapshot.Departures
+	m.Quarantine.Restore(snapshot.Quarantine)
 	return nil
 }
 
--- a/internal/process/targetlog/machine_test.go
+++ b/internal/process/targetlog/machine_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 )
 
 func depart(t *testing.T, m *Machine, now time.Duration, instance string, incarnations ...string) {
@@ -59,3 +61,26 @@
 	must.NoError(t, restored.Restore(empty))
 	depart(t, restored, 0, "i", "a/1")
 }
+
+// TestSnapshotAtTheDesignSize bounds the snapshot of a day of the design size: 420 targets
+// leave, and 8 crash with 100 suspects each.
+func TestSnapshotAtTheDesignSize(t *testing.T) {
+	m := NewMachine()
+	for n := range 420 {
+		depart(t, m, time.Duration(n)*time.Millisecond, fmt.Sprint("daemon-", n), fmt.Sprintf("i-%010d/1775281379300", n))
+	}
+	for n := range 8 {
+		c := protocol.CrashReport{Incarnation: fmt.Sprintf("i-%010d/1775281379300", n)}
+		for i := range 100 {
+			c.Suspects = append(c.Suspects, uint64(n*100+i)<<40)
+		}
+		command, err := Command{Crashes: []protocol.CrashReport{c}}.Encode(m.Now())
+		must.NoError(t, err)
+		must.LessEq(t, 1<<10, len(command), must.Sprint("one crash in the log"))
+		m.Apply(0, command)
+	}
+	snapshot, err := m.Snapshot()
+	must.NoError(t, err)
+	t.Logf("%d bytes", len(snapshot))
+	must.LessEq(t, 64<<10, len(snapshot))
+}
--- a/internal/request/relay/quarantine_test.go
+++ b/internal/request/relay/quarantine_test.go
@@ -35,6 +35,9 @@
 type crashingMesh struct {
 	*mesh
 	table *quarantine.Table
+	inbox *quarantine.Inbox
+
+	began time.Time
 
 	mu    sync.Mutex
 	crash map[*instance]func()
@@ -45,8 +48,8 @@
 }
 
 func newCrashingMesh(t *testing.T, targets int) *crashingMesh {
-	m := &crashingMesh{mesh: newMeshOn(t, memnet.New(time.Millisecond), version.Idempotent, 1, targets), crash: make(map[*instance]func()), starts: make(map[*instance]int)}
-	m.table = quarantine.NewTable("epoch")
+	m := &crashingMesh{mesh: newMeshOn(t, memnet.New(time.Millisecond), version.Idempotent, 1, targets), crash: make(map[*instance]func()), starts: make(map[*instance]int), began: time.Now()}
+	m.table, m.inbox = quarantine.NewTable(), quarantine.NewInbox()
 	for _, inst := range m.instances {
 		m.start(inst, 0)
 	}
@@ -94,11 +97,25 @@
 		for _, inst := range m.instances {
 			var request protocol.RenewRequest
 			inst.quarantine.Fill(&request)
-			m.table.Merge(time.Now(), request.Crashes)
-			m.table.Completed(time.Now(), request.Completed)
-			inst.quarantine.Apply(m.table.Update(time.Now(), request.QuarantineEpoch, request.QuarantineVersion))
+			m.inbox.Add(time.Now(), request)
+			m.commit()
+			inst.quarantine.Apply(true, m.table.Update("epoch", request.QuarantineEpoch, request.QuarantineVersion))
+		}
+	}
+}
+
+// commit records what the daemons have reported, and the verdicts that are due.
+func (m *crashingMesh) commit() {
+	now := time.Since(m.began)
+	for range 2 {
+		if pending, ok := m.inbox.Pending(time.Now(), m.table); ok {
+			m.table.Record(now, pending.Crashes)
+			m.table.Complete(pending.Completed)
 		}
 	}
+	if due, _ := m.table.Due(now); len(due) > 0 {
+		m.table.Convict(now, due)
+	}
 }
 
 // TestRequestCrashesTargetAfterTarget guards against a request that is sent on after it
