A target that lost a request is reached for, to see whether it has crashed

Cause: a crash showed in a refused connection or in the first heartbeat after the restart, seconds later. On a quiet service no further request is sent to the target.

The daemon beside the target opens a connection when a request was lost, at most each 250 ms and only while nothing shows yet that the target is down. A refused one is a crash, as that of a request is.

Ruled out: judging by the lost connection alone; a faulty target breaks single ones.

--- a/internal/connection/http1/client.go
+++ b/internal/connection/http1/client.go
@@ -120,6 +120,17 @@
 	return newConn(raw, p, c.countingConn(raw, address)), nil
 }
 
+// Reach opens a connection to an address and closes it. Errors: ConnectFailed; see
+// fault.OfContext if ctx ends.
+func (c *Client) Reach(ctx context.Context, address string) error {
+	cn, err := c.dial(ctx, c.pool(address), address)
+	if err != nil {
+		return err
+	}
+	cn.close()
+	return nil
+}
+
 func (c *Client) countingConn(raw net.Conn, address string) *countingConn {
 	ignore := func(string, int) {}
 	counter := &countingConn{Conn: raw, address: address, headBudget: -1, sent: ignore, received: ignore}
--- a/internal/process/local/crash_test.go
+++ b/internal/process/local/crash_test.go
@@ -1,12 +1,14 @@
 package local
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/limiter"
 	"github.com/teaselrack/teaselrack/internal/process/quarantine"
@@ -63,3 +65,41 @@
 		must.SliceLen(t, 6, reported["a/2000"])
 	})
 }
+
+// TestCrashOnAQuietServiceIsFoundLate guards against a crash that shows only in the first
+// heartbeat after the restart, because no further request is sent. A target that breaks off
+// single connections is reached for at most once per reachInterval.
+func TestCrashOnAQuietServiceIsFoundLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		down, reached := false, 0
+		var reported []quarantine.Fingerprint
+		f.target.options.Crashed = func(_ string, suspects []quarantine.Fingerprint) { reported = append(reported, suspects...) }
+		f.target.options.Reach = func(context.Context) error {
+			reached++
+			if down {
+				return fault.New(fault.ConnectFailed, "refused")
+			}
+			return nil
+		}
+		must.NoError(t, f.target.Heartbeat(heartbeat(1)))
+		const lost = 40
+		for content := range quarantine.Fingerprint(lost) {
+			f.lose(t, content)
+			time.Sleep(reachInterval / 4)
+			must.NoError(t, f.admit(t))
+		}
+		must.SliceEmpty(t, reported)
+		must.Eq(t, lost/4, reached)
+		time.Sleep(reachInterval)
+		down = true
+		f.lose(t, lost)
+		synctest.Wait()
+		must.Eq(t, []quarantine.Fingerprint{lost}, reported)
+		a, _ := f.target.Announcement()
+		must.Eq(t, protocol.Cold, a.State)
+		must.NoError(t, f.target.Heartbeat(heartbeat(2)))
+		a, _ = f.target.Announcement()
+		must.Eq(t, protocol.Warm, a.State)
+	})
+}
--- a/internal/process/local/target.go
+++ b/internal/process/local/target.go
@@ -56,6 +56,8 @@
 	// Crashed, if set, is called, without a lock held, with the requests that an
 	// incarnation of the target was running when it crashed.
 	Crashed func(incarnation string, suspects []quarantine.Fingerprint)
+	// Reach, if set, opens a connection to the target. Errors: ConnectFailed.
+	Reach func(ctx context.Context) error
 	// Changed is called, without a lock held, after the announcement has
 	// changed, or a departure is to be reported.
 	Changed func()
@@ -95,6 +97,8 @@
 	stated protocol.LatestStatement
 	// crashes determines what the target was running when it crashed.
 	crashes quarantine.Detector
+	// reachedAt is when the target was last reached for; see checkReachable.
+	reachedAt time.Time
 	// responded is true once this incarnation of the target has responded to a request.
 	responded bool
 	// excessLoggedAt is when the log last reported requests beyond the stated limit.
@@ -380,8 +384,12 @@
 	t.release(now, now.Sub(s.ticket.Started), s.end(err))
 	changed := t.detectRestart(err)
 	detected := t.detectCrash(now, s, err)
+	check := t.mayHaveCrashed(now, s, err)
 	t.mu.Unlock()
 	t.reportCrash(detected)
+	if check {
+		go t.checkReachable(s.heartbeat)
+	}
 	if changed {
 		t.options.Log.Info("target is suspected to have restarted", zap.String("id", s.ID), zap.Error(err))
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -187,6 +187,7 @@
 		Permitted: n.targetPermitted,
 		Changed:   n.targetChanged,
 		Crashed:   n.quarantine.AddCrash,
+		Reach:     func(ctx context.Context) error { return n.targetClient.Reach(ctx, t.Target) },
 		Now:       time.Now,
 		Log:       n.log,
 	})
--- a/internal/request/relay/common_crash_test.go
+++ b/internal/request/relay/common_crash_test.go
@@ -90,21 +90,28 @@
 }
 
 // TestOnlyRequestOfAServiceCrashesAllTargets guards against a request at fault that is
-// taken for a victim of a common crash: it is all that its service gets, and falls on all
-// targets within a second.
+// taken for a victim of a common crash, or that is found late: it is all that its service
+// gets, and no other request shows that a target is down.
 func TestOnlyRequestOfAServiceCrashesAllTargets(t *testing.T) {
-	const duration = 14 * time.Second
-	synctest.Test(t, func(t *testing.T) {
-		m := newCrashingMesh(t, 4)
-		sender := m.addRemote()
-		var pending sync.WaitGroup
-		pending.Go(func() { m.renew(duration) })
-		for range int(duration / (100 * time.Millisecond)) {
-			pending.Go(func() { m.send(sender, "GET", deadlyPath, nil, "") })
-			time.Sleep(100 * time.Millisecond)
+	const duration = 20 * time.Second
+	for _, targets := range []int{4, 9, 33} {
+		for _, interval := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprintf("%d targets each %s", targets, interval), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					m := newCrashingMesh(t, targets)
+					sender := m.addRemote()
+					var pending sync.WaitGroup
+					pending.Go(func() { m.renew(duration) })
+					for range int(duration / interval) {
+						pending.Go(func() { m.send(sender, "GET", deadlyPath, nil, "") })
+						time.Sleep(interval)
+					}
+					pending.Wait()
+					must.GreaterEq(t, 3, len(m.crashes))
+					must.LessEq(t, maxDeadlyRetries, m.late, must.Sprint("after the third crash, of ", len(m.crashes)))
+					time.Sleep(downTime)
+				})
+			})
 		}
-		pending.Wait()
-		must.GreaterEq(t, 3, len(m.crashes))
-		must.LessEq(t, maxDeadlyRetries, m.late, must.Sprint("after the third crash"))
-	})
+	}
 }
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -243,7 +243,9 @@
 // newTarget returns the state that the daemon of an instance has of its target after
 // the first heartbeat.
 func (m *mesh) newTarget(name, service, address string, list *quarantine.List) *local.Target {
+	client := http1.NewClient(m.clientOptions(http1.Options{}))
 	target := local.New(local.Options{
+		Reach:   func(ctx context.Context) error { return client.Reach(ctx, address) },
 		Service: service, Address: address, Interval: time.Minute,
 		ColdRate: func() float64 { return 0 }, Permitted: func() error { return nil }, Changed: func() {},
 		Crashed: list.AddCrash, Now: time.Now, Log: zap.NewNop(),
