A quarantined request is probed at one target

Cause: a verdict without a way back.

Ten seconds after a verdict, and a minute after that, one daemon that refuses the request may send it to one target, once and without a second attempt. The grant is a command of the target log: two probes while a verdict lasts, by whichever daemons and replicas restart. A probe with which nothing was sent is given back. Two are less than the three tries that BUDGET leaves.

Ruled out: probes by each daemon; verdicts that end after ten minutes, which cost three targets each time.

--- a/internal/connection/protocol/crash.go
+++ b/internal/connection/protocol/crash.go
@@ -16,6 +16,22 @@
 	// Completed are requests that have completed after they were suspected or
 	// quarantined.
 	Completed []uint64 `json:"cc,omitempty"`
+	// Probes asks for probes of quarantined requests.
+	Probes []ProbeRequest `json:"p,omitempty"`
+}
+
+// ProbeRequest asks that a daemon may send a quarantined request to one target.
+type ProbeRequest struct {
+	Content uint64 `json:"c"`
+	// Holder is the name of the daemon from its start to its end.
+	Holder string `json:"h"`
+}
+
+// Probe permits a daemon to send a quarantined request to one target, once.
+type Probe struct {
+	Content uint64 `json:"c"`
+	// Number is that of the probe among those of the request.
+	Number int `json:"n"`
 }
 
 // QuarantineUpdate lists the requests that no target may get.
@@ -25,4 +41,6 @@
 	Epoch    string   `json:"e"`
 	Version  uint64   `json:"v"`
 	Contents []uint64 `json:"c,omitempty"`
+	// Probes are those that were granted to the daemon.
+	Probes []Probe `json:"p,omitempty"`
 }
--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -174,6 +174,9 @@
 	// Completed are fingerprints of requests that were lost and have completed since.
 	Crashes   []CrashReport `json:"cr,omitempty"`
 	Completed []uint64      `json:"cc,omitempty"`
+	// Refused are quarantined requests that this daemon has refused since the last
+	// renewal.
+	Refused []uint64 `json:"rf,omitempty"`
 	// QuarantineEpoch and QuarantineVersion identify the list of quarantined requests
 	// that the daemon has.
 	QuarantineEpoch   string `json:"qe,omitempty"`
--- a/internal/process/control/quarantine.go
+++ b/internal/process/control/quarantine.go
@@ -42,7 +42,7 @@
 
 // recordPending records the reports that the target log does not have yet.
 func (s *Service) recordPending(ctx context.Context) {
-	evidence, ok := s.inbox.Pending(s.options.Clock(), s.options.Targets.Quarantine)
+	evidence, ok := s.inbox.Pending(s.options.Clock(), s.options.Targets.Quarantine, s.options.TargetClock.Now())
 	if !ok {
 		return
 	}
@@ -62,7 +62,7 @@
 	if forwarded, err := s.forward(ctx, s.options.Group, protocol.MethodCrashes, evidence, &protocol.Empty{}); forwarded {
 		return protocol.Empty{}, err
 	}
-	return protocol.Empty{}, s.proposeTargets(ctx, targetlog.Command{Crashes: evidence.Crashes, Completed: evidence.Completed})
+	return protocol.Empty{}, s.proposeTargets(ctx, targetlog.Command{Crashes: evidence.Crashes, Completed: evidence.Completed, Probes: evidence.Probes})
 }
 
 // quarantineDue commits verdicts, and forgets old ones. Only the leader does so.
--- a/internal/process/control/renew.go
+++ b/internal/process/control/renew.go
@@ -24,7 +24,7 @@
 	}
 	now := s.options.Clock()
 	s.options.Registry.Renew(now, req)
-	s.inbox.Add(now, req)
+	s.inbox.Add(now, holderName(req), req)
 	reply := protocol.RenewReply{Confirmed: s.renewals.Wait(ctx) == nil}
 	if err := s.fillVersion(&reply, req); err != nil {
 		return protocol.RenewReply{}, err
@@ -34,7 +34,7 @@
 		reply.Departed = s.options.Targets.Departed(req.Instance)
 	}
 	reply.Quota = s.grantQuota(ctx, req)
-	reply.Quarantine = s.options.Targets.Quarantine.Update(s.options.Registry.Epoch(), req.QuarantineEpoch, req.QuarantineVersion)
+	reply.Quarantine = s.options.Targets.Quarantine.Update(s.options.TargetClock.Now(), s.options.Registry.Epoch(), holderName(req), req)
 	if s.membership != nil {
 		reply.Replicas = s.replicaAddresses()
 		reply.ReplicaDomains = s.domains.of(reply.Replicas)
--- a/internal/process/quarantine/inbox.go
+++ b/internal/process/quarantine/inbox.go
@@ -15,8 +15,11 @@
 	// clearedFor is how long a completed request is cleared of crashes that are
 	// reported later: the report of a crash may be delayed.
 	clearedFor = 2 * time.Second
-	// maxCompleted bounds the completed requests that an inbox remembers.
+	// maxCompleted bounds the completed requests that an inbox remembers, and maxRefused
+	// the refused ones. refusedFor is how long a refused one is remembered.
 	maxCompleted = 16384
+	maxRefused   = 256
+	refusedFor   = time.Second
 )
 
 // Inbox holds what daemons have reported to one replica until the replicated table has
@@ -30,6 +33,13 @@
 	crashes map[string]reportedCrash // by incarnation
 	// completed are requests that have completed lately, and when.
 	completed map[uint64]time.Time
+	// refused are quarantined requests that a daemon could probe.
+	refused map[uint64]refusal
+}
+
+type refusal struct {
+	holder string
+	at     time.Time
 }
 
 type reportedCrash struct {
@@ -39,12 +49,13 @@
 
 // NewInbox returns an empty inbox.
 func NewInbox() *Inbox {
-	return &Inbox{Added: make(chan struct{}, 1), crashes: make(map[string]reportedCrash), completed: make(map[uint64]time.Time)}
+	return &Inbox{Added: make(chan struct{}, 1), crashes: make(map[string]reportedCrash), completed: make(map[uint64]time.Time), refused: make(map[uint64]refusal)}
 }
 
-// Add adds what a daemon has reported in a renewal.
-func (i *Inbox) Add(now time.Time, r protocol.RenewRequest) {
-	if len(r.Crashes) == 0 && len(r.Completed) == 0 {
+// Add adds what a daemon has reported in a renewal. holder is its name from its start to
+// its end.
+func (i *Inbox) Add(now time.Time, holder string, r protocol.RenewRequest) {
+	if len(r.Crashes) == 0 && len(r.Completed) == 0 && len(r.Refused) == 0 {
 		return
 	}
 	i.mu.Lock()
@@ -59,6 +70,11 @@
 			i.completed[content] = now
 		}
 	}
+	for _, content := range r.Refused {
+		if len(i.refused) < maxRefused {
+			i.refused[content] = refusal{holder, now}
+		}
+	}
 	i.mu.Unlock()
 	select {
 	case i.Added <- struct{}{}:
@@ -66,8 +82,9 @@
 	}
 }
 
-// Pending returns what the table does not have yet. ok is false if there is nothing.
-func (i *Inbox) Pending(now time.Time, t *Table) (pending protocol.CrashEvidence, ok bool) {
+// Pending returns what the table does not have yet, and the probes that it may grant at
+// the time tableNow of the state machine. ok is false if there is nothing.
+func (i *Inbox) Pending(now time.Time, t *Table, tableNow time.Duration) (pending protocol.CrashEvidence, ok bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	maps.DeleteFunc(i.completed, func(_ uint64, at time.Time) bool { return now.Sub(at) >= clearedFor })
@@ -88,5 +105,11 @@
 			pending.Completed = append(pending.Completed, content)
 		}
 	}
-	return pending, len(pending.Crashes) > 0 || len(pending.Completed) > 0
+	maps.DeleteFunc(i.refused, func(_ uint64, r refusal) bool { return now.Sub(r.at) >= refusedFor })
+	for content, r := range i.refused {
+		if v, listed := t.verdicts[content]; listed && v.mayProbe(tableNow) {
+			pending.Probes = append(pending.Probes, protocol.ProbeRequest{Content: content, Holder: r.holder})
+		}
+	}
+	return pending, len(pending.Crashes) > 0 || len(pending.Completed) > 0 || len(pending.Probes) > 0
 }
--- a/internal/process/quarantine/list.go
+++ b/internal/process/quarantine/list.go
@@ -25,6 +25,8 @@
 	// recentLossTTL how long it does.
 	maxRecentLosses = 2048
 	recentLossTTL   = time.Minute
+	// maxReportedRefusals bounds the refused requests that one renewal names.
+	maxReportedRefusals = 16
 	// RetryAfter is the time after which the caller of a quarantined request is told
 	// to retry.
 	RetryAfter = time.Minute
@@ -41,6 +43,10 @@
 	mu sync.Mutex
 	// entries are the quarantined requests. They are kept while no replica replies.
 	entries map[Fingerprint]bool
+	// probes are those that were granted to this daemon, and refused the quarantined
+	// requests that it has refused since the last renewal.
+	probes  map[Fingerprint]probe
+	refused map[Fingerprint]bool
 	// epoch and version are those of the last update.
 	epoch   string
 	version uint64
@@ -68,7 +74,7 @@
 // NewList returns an empty list. renew is called, without a lock held, when there is a
 // crash to report.
 func NewList(now func() time.Time, renew func(), log *zap.Logger) *List {
-	return &List{now: now, renew: renew, log: log, entries: make(map[Fingerprint]bool), losses: make(map[Fingerprint]time.Time)}
+	return &List{now: now, renew: renew, log: log, entries: make(map[Fingerprint]bool), probes: make(map[Fingerprint]probe), refused: make(map[Fingerprint]bool), losses: make(map[Fingerprint]time.Time)}
 }
 
 // Check returns an error if no target may get the request. Errors: Quarantined.
@@ -78,6 +84,9 @@
 	if !l.entries[content] {
 		return nil
 	}
+	if len(l.refused) < maxReportedRefusals {
+		l.refused[content] = true
+	}
 	return fault.New(fault.Quarantined, "requests with this content (%s) have crashed %d targets or more", content, crashesToQuarantine)
 }
 
@@ -179,6 +188,11 @@
 			})
 		}
 	}
+	for content := range l.refused {
+		r.Refused = append(r.Refused, uint64(content))
+	}
+	slices.Sort(r.Refused)
+	clear(l.refused)
 	r.Completed = slices.Clone(l.completed)
 	l.completedSent = len(l.completed)
 }
@@ -201,6 +215,7 @@
 	if u != nil {
 		l.epoch, l.version = u.Epoch, u.Version
 		l.replace(confirmed, u.Contents)
+		l.addProbes(u.Probes)
 	}
 }
 
@@ -222,6 +237,7 @@
 	for content := range l.entries {
 		if !listed[content] {
 			delete(l.entries, content)
+			delete(l.probes, content)
 			l.log.Info("request is no longer quarantined", zap.Stringer("content", content))
 		}
 	}
--- a/internal/process/quarantine/table.go
+++ b/internal/process/quarantine/table.go
@@ -31,7 +31,7 @@
 
 // Table is the replicated state about requests that crash targets: which requests the
 // targets were running at each crash, and which are quarantined. The methods of a replicated
-// state machine, Record, Complete, Convict, Expire and Restore, must be called in the same
+// state machine, Record, Complete, Convict, Probe, Expire and Restore, must be called in the same
 // order on each replica; times are those of the state machine. Other methods only read. All
 // are safe for concurrent use.
 //
@@ -62,12 +62,6 @@
 	received time.Duration
 }
 
-// verdict is the quarantine of one request.
-type verdict struct {
-	// Since is when it began.
-	Since time.Duration `cbor:"1,keyasint"`
-}
-
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{reports: make(map[string]*report), suspected: make(map[uint64]int), verdicts: make(map[uint64]verdict)}
@@ -207,15 +201,15 @@
 	}
 }
 
-// Update returns the quarantined requests, or nil if they are those of the given epoch and
-// version. epoch is that of the replica.
-func (t *Table) Update(epoch, knownEpoch string, knownVersion uint64) *protocol.QuarantineUpdate {
+// Update returns the quarantined requests and the probes of a holder, or nil if they are
+// those of the epoch and version that request names. epoch is that of the replica.
+func (t *Table) Update(now time.Duration, epoch, holder string, request protocol.RenewRequest) *protocol.QuarantineUpdate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if epoch == knownEpoch && knownVersion == t.listVersion {
+	if epoch == request.QuarantineEpoch && request.QuarantineVersion == t.listVersion {
 		return nil
 	}
-	return &protocol.QuarantineUpdate{Epoch: epoch, Version: t.listVersion, Contents: slices.Sorted(maps.Keys(t.verdicts))}
+	return &protocol.QuarantineUpdate{Epoch: epoch, Version: t.listVersion, Contents: slices.Sorted(maps.Keys(t.verdicts)), Probes: t.probesOf(now, holder)}
 }
 
 // lacks reports whether Record would change what is known about a crash.
--- a/internal/process/quarantine/table_test.go
+++ b/internal/process/quarantine/table_test.go
@@ -37,9 +37,10 @@
 func (r *replica) commit() {
 	now := time.Since(began)
 	r.table.Expire(now)
-	if pending, ok := r.inbox.Pending(time.Now(), r.table); ok {
+	if pending, ok := r.inbox.Pending(time.Now(), r.table, time.Since(began)); ok {
 		r.table.Record(now, pending.Crashes)
 		r.table.Complete(pending.Completed)
+		r.table.Probe(now, pending.Probes)
 	}
 	if due, _ := r.table.Due(now); len(due) > 0 {
 		r.table.Convict(now, due)
@@ -48,13 +49,14 @@
 
 // renew renews all daemons once.
 func (r *replica) renew() {
-	for _, l := range r.lists {
+	for i, l := range r.lists {
 		var request protocol.RenewRequest
 		l.Fill(&request)
-		r.inbox.Add(time.Now(), request)
+		holder := fmt.Sprint("d", i)
+		r.inbox.Add(time.Now(), holder, request)
 		r.commit()
 		r.commit()
-		l.Apply(true, r.table.Update(r.epoch, request.QuarantineEpoch, request.QuarantineVersion))
+		l.Apply(true, r.table.Update(time.Since(began), r.epoch, holder, request))
 	}
 }
 
@@ -191,21 +193,21 @@
 		var request protocol.RenewRequest
 		crash(r.lists[0], random, "i-1", 0, 1, deadly)
 		r.lists[0].Fill(&request)
-		r.lists[0].Apply(true, r.table.Update("r", "", 0))
+		r.lists[0].Apply(true, r.table.Update(0, "r", "d", protocol.RenewRequest{}))
 		r = newReplica("r2", r.lists...)
 		r.renew()
 		r.renew()
 		must.MapLen(t, 1, r.table.reports)
-		_, pending := r.inbox.Pending(time.Now(), r.table)
+		_, pending := r.inbox.Pending(time.Now(), r.table, time.Since(began))
 		must.False(t, pending)
 		r.lists[0].Completed(deadly)
 		r.renew()
 		must.MapEmpty(t, r.table.suspected)
-		_, pending = r.inbox.Pending(time.Now(), r.table)
+		_, pending = r.inbox.Pending(time.Now(), r.table, time.Since(began))
 		must.False(t, pending)
 		again := request.Crashes
-		r.inbox.Add(time.Now(), protocol.RenewRequest{Crashes: again})
-		_, pending = r.inbox.Pending(time.Now(), r.table)
+		r.inbox.Add(time.Now(), "d", protocol.RenewRequest{Crashes: again})
+		_, pending = r.inbox.Pending(time.Now(), r.table, time.Since(began))
 		must.False(t, pending, must.Sprint("cleared already"))
 	})
 }
@@ -286,12 +288,13 @@
 		many[i] = uint64(i)
 	}
 	for i := range 3 * maxReports {
-		inbox.Add(now, protocol.RenewRequest{Crashes: []protocol.CrashReport{{Incarnation: fmt.Sprint("i-", i), Suspects: many[:2*maxSuspects]}}})
+		inbox.Add(now, "d", protocol.RenewRequest{Crashes: []protocol.CrashReport{{Incarnation: fmt.Sprint("i-", i), Suspects: many[:2*maxSuspects]}}})
 	}
-	inbox.Add(now, protocol.RenewRequest{Completed: many})
+	inbox.Add(now, "d", protocol.RenewRequest{Completed: many, Refused: many})
 	must.MapLen(t, maxReports, inbox.crashes)
+	must.MapLen(t, maxRefused, inbox.refused)
 	must.MapLen(t, maxCompleted, inbox.completed)
-	pending, ok := inbox.Pending(now, table)
+	pending, ok := inbox.Pending(now, table, 0)
 	must.True(t, ok)
 	for range 2 {
 		table.Record(0, pending.Crashes)
@@ -305,10 +308,11 @@
 	}
 	table.Convict(time.Second, contents)
 	must.MapLen(t, maxVerdicts, table.verdicts)
-	_, ok = inbox.Pending(now.Add(inboxTTL), table)
+	_, ok = inbox.Pending(now.Add(inboxTTL), table, 0)
 	must.False(t, ok)
 	must.MapEmpty(t, inbox.crashes)
 	must.MapEmpty(t, inbox.completed)
+	must.MapEmpty(t, inbox.refused)
 }
 
 // TestCrashesOfOneMomentCountOnce checks that a request that has completed before needs
--- a/internal/process/targetlog/machine.go
+++ b/internal/process/targetlog/machine.go
@@ -83,6 +83,9 @@
 	if len(c.Convicted) > 0 {
 		m.Quarantine.Convict(m.now, c.Convicted)
 	}
+	if len(c.Probes) > 0 {
+		m.Quarantine.Probe(m.now, c.Probes)
+	}
 }
 
 // Snapshot returns the encoded state. Errors: Internal.
--- a/internal/request/relay/common_crash_test.go
+++ b/internal/request/relay/common_crash_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 )
 
 const (
@@ -89,6 +91,42 @@
 	}
 }
 
+// TestRefusedRequestIsProbed checks that a request that was quarantined by mistake is served
+// again, and that one at fault reaches at most as many targets as it may over two minutes.
+func TestRefusedRequestIsProbed(t *testing.T) {
+	const duration, interval = 2 * time.Minute, 200 * time.Millisecond
+	for _, path := range []string{commonPath, deadlyPath} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newCrashingMesh(t, 6)
+			sender := m.addRemote()
+			var pending sync.WaitGroup
+			pending.Go(func() { m.renew(duration) })
+			if path == commonPath {
+				content := quarantine.NewFingerprint("GET", host, commonPath, nil, 0)
+				for i := range 3 {
+					sender.quarantine.AddCrash(fmt.Sprint("i/", i), []quarantine.Fingerprint{content})
+				}
+				time.Sleep(2 * time.Second)
+				response, _ := m.send(sender, "GET", path, nil, "")
+				must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+			}
+			for range int((duration - 2*time.Second) / interval) {
+				pending.Go(func() { m.send(sender, "GET", path, nil, "") })
+				time.Sleep(interval)
+			}
+			pending.Wait()
+			response, text := m.send(sender, "GET", path, nil, "")
+			if path == commonPath {
+				must.Eq(t, http.StatusOK, response.StatusCode, must.Sprint(text))
+			} else {
+				must.Eq(t, http.StatusServiceUnavailable, response.StatusCode, must.Sprint(text))
+				must.LessEq(t, maxDeadlyRetries, m.late, must.Sprint("after the third crash, of ", len(m.crashes)))
+			}
+			time.Sleep(downTime)
+		})
+	}
+}
+
 // TestOnlyRequestOfAServiceCrashesAllTargets guards against a request at fault that is
 // taken for a victim of a common crash, or that is found late: it is all that its service
 // gets, and no other request shows that a target is down.
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -88,6 +88,7 @@
 		defer req.following.Stop()
 	}
 	if err != nil {
+		e.returnProbe(req, err)
 		e.respondWithError(w, req, err)
 		return
 	}
@@ -146,8 +147,8 @@
 		return nil, err
 	}
 	req.content = quarantine.NewFingerprint(req.request.Method, req.request.Host, req.request.RequestURI, req.body.prefix, req.body.length)
-	if err := e.Quarantine.Check(req.content); err != nil {
-		return nil, withRetryAfter(err, quarantine.RetryAfter)
+	if err := e.checkQuarantine(req); err != nil {
+		return nil, err
 	}
 	e.count(req)
 	if err := e.shed(ctx, req); err != nil {
@@ -162,6 +163,27 @@
 	return e.send(ctx, req)
 }
 
+// checkQuarantine returns an error if no target may get the request, and this daemon has no
+// probe for it. Errors: Quarantined.
+func (e *EntryHandler) checkQuarantine(req *inboundRequest) error {
+	err := e.Quarantine.Check(req.content)
+	if err == nil {
+		return nil
+	}
+	if req.probe = e.Quarantine.TakeProbe(req.content); !req.probe {
+		return withRetryAfter(err, quarantine.RetryAfter)
+	}
+	e.Log.Info("quarantined request is sent to one target", zap.String("request", req.id), zap.Stringer("content", req.content))
+	return nil
+}
+
+// returnProbe gives the probe back if no target may have received the request.
+func (e *EntryHandler) returnProbe(req *inboundRequest, err error) {
+	if req.probe && err != nil && fault.OutcomeOf(err) == fault.NotRun {
+		e.Quarantine.ReturnProbe(req.content)
+	}
+}
+
 // count counts the request in the call graph and the retry budget.
 func (e *EntryHandler) count(req *inboundRequest) {
 	if req.fromTarget {
@@ -268,7 +290,7 @@
 // another one, and takes a token from the retry budget for that. took is the time that the
 // target took; a repeat needs as much again.
 func (e *EntryHandler) mayRepeatFailed(ctx context.Context, req *inboundRequest, history *attempts, took time.Duration) bool {
-	if req.route.Mode != version.Idempotent || req.body.rest != nil || ctx.Err() != nil || history.forwards >= maxForwards {
+	if req.probe || req.route.Mode != version.Idempotent || req.body.rest != nil || ctx.Err() != nil || history.forwards >= maxForwards {
 		return false
 	}
 	now := time.Now()
@@ -295,6 +317,9 @@
 	if err != nil && fault.OutcomeOf(err) == fault.NotRun {
 		return fault.ResponseFor(fault.KindOf(err)).Retry
 	}
+	if req.probe {
+		return false
+	}
 	idempotent := req.route.Mode == version.Idempotent
 	if response == nil && !idempotent {
 		return false
@@ -378,7 +403,7 @@
 	m := &ForwardingMetadata{
 		RequestID: req.id, Service: req.service, Route: req.route.Name, Team: req.team, Origin: e.Service, Rank: req.rank, FromTarget: req.fromTarget, ClientRetry: req.clientRetry,
 		Idempotent: req.route.Mode == version.Idempotent, Remaining: req.deadline.Sub(now), ObjectiveRemaining: req.objectiveDeadline.Sub(now),
-		Known: choice.Stated(), Repeat: history.delivered > 0 || req.call.Repeat, LastResort: history.lastResort || history.forwards == maxForwards-1 || req.body.rest != nil,
+		Known: choice.Stated(), Repeat: history.delivered > 0 || req.call.Repeat, Probe: req.probe, LastResort: history.lastResort || history.forwards == maxForwards-1 || req.body.rest != nil,
 	}
 	if m.Remaining <= 0 {
 		return nil, fault.New(fault.DeadlineNotRun, "deadline exceeded before the request was sent")
--- a/internal/request/relay/forwarding_metadata.go
+++ b/internal/request/relay/forwarding_metadata.go
@@ -38,6 +38,9 @@
 	// LastResort is true if no other target takes the request, or it may be forwarded to
 	// no further one.
 	LastResort bool
+	// Probe is true if the request is quarantined, and this is the one target that gets
+	// it all the same.
+	Probe bool
 	// Remaining is the time until the final response is due.
 	Remaining time.Duration
 	// ObjectiveRemaining is the time until the latency objective ends. It is
@@ -58,6 +61,7 @@
 	flagClientRetry = "b"
 	flagRepeat      = "a"
 	flagLastResort  = "l"
+	flagProbe       = "p"
 )
 
 // Encode returns m as the value of a header. Durations are in microseconds.
@@ -78,6 +82,9 @@
 	if m.LastResort {
 		flags += flagLastResort
 	}
+	if m.Probe {
+		flags += flagProbe
+	}
 	return strings.Join([]string{
 		"1", m.Service, m.Team, m.Origin, strconv.Itoa(m.Rank), flags,
 		formatMicroseconds(m.Remaining), formatMicroseconds(m.ObjectiveRemaining), m.RequestID, m.Route,
@@ -112,6 +119,7 @@
 		ClientRetry:        strings.Contains(fields[5], flagClientRetry),
 		Repeat:             strings.Contains(fields[5], flagRepeat),
 		LastResort:         strings.Contains(fields[5], flagLastResort),
+		Probe:              strings.Contains(fields[5], flagProbe),
 		Remaining:          time.Duration(remaining) * time.Microsecond,
 		ObjectiveRemaining: time.Duration(objectiveRemaining) * time.Microsecond,
 		RequestID:          fields[8],
--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -76,7 +76,9 @@
 	cancel context.CancelFunc
 	body   bufferedBody
 	// content identifies the request across callers and attempts.
-	content  quarantine.Fingerprint
+	content quarantine.Fingerprint
+	// probe is true if the request is quarantined and may be sent to one target.
+	probe    bool
 	revision uint64
 	// progress tells where the request is while it is followed.
 	progress  drain.Progress
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -211,7 +211,7 @@
 	}
 	p.Target.AdoptStatement(m.Known)
 	content := contentOf(r)
-	if err := p.Quarantine.Check(content); err != nil {
+	if err := p.Quarantine.Check(content); err != nil && !m.Probe {
 		return nil, withRetryAfter(err, quarantine.RetryAfter)
 	}
 	r.Progress.Reach(drain.WaitingForSlot)
--- a/internal/request/relay/quarantine_test.go
+++ b/internal/request/relay/quarantine_test.go
@@ -97,9 +97,9 @@
 		for _, inst := range m.instances {
 			var request protocol.RenewRequest
 			inst.quarantine.Fill(&request)
-			m.inbox.Add(time.Now(), request)
+			m.inbox.Add(time.Now(), inst.name, request)
 			m.commit()
-			inst.quarantine.Apply(true, m.table.Update("epoch", request.QuarantineEpoch, request.QuarantineVersion))
+			inst.quarantine.Apply(true, m.table.Update(time.Since(m.began), "epoch", inst.name, request))
 		}
 	}
 }
@@ -108,9 +108,10 @@
 func (m *crashingMesh) commit() {
 	now := time.Since(m.began)
 	for range 2 {
-		if pending, ok := m.inbox.Pending(time.Now(), m.table); ok {
+		if pending, ok := m.inbox.Pending(time.Now(), m.table, now); ok {
 			m.table.Record(now, pending.Crashes)
 			m.table.Complete(pending.Completed)
+			m.table.Probe(now, pending.Probes)
 		}
 	}
 	if due, _ := m.table.Due(now); len(due) > 0 {
