--- a/internal/process/control/quarantine.go
+++ b/internal/process/control/quarantine.go
@@ -16,6 +16,9 @@
 	// idleEvidenceInterval the same while there is none.
 	evidenceInterval     = 100 * time.Millisecond
 	idleEvidenceInterval = time.Second
+	// evidenceDelay is the time from a report to its recording: other daemons report
+	// crashes of the same moment.
+	evidenceDelay = 20 * time.Millisecond
 	// evidenceTimeout bounds the recording of evidence and of a verdict. The next look
 	// repeats what has failed.
 	evidenceTimeout = 500 * time.Millisecond
@@ -33,6 +36,7 @@
 		case <-ctx.Done():
 			return
 		case <-s.inbox.Added:
+			time.Sleep(evidenceDelay)
 		case <-time.After(interval):
 		}
 		s.recordPending(ctx)
--- a/internal/process/node/departures.go
+++ b/internal/process/node/departures.go
@@ -23,12 +23,18 @@
 func (n *Node) AwaitDeparture(ctx context.Context, h local.Heartbeat) error {
 	ctx, cancel := context.WithTimeout(ctx, maxDepartureWait)
 	defer cancel()
+	n.wakeRecording()
 	return n.target.AwaitRecorded(ctx, h)
 }
 
 // targetChanged reports what the local target has announced.
 func (n *Node) targetChanged() {
 	n.renewNow()
+	n.wakeRecording()
+}
+
+// wakeRecording makes recordDepartures look for departures.
+func (n *Node) wakeRecording() {
 	select {
 	case n.departures <- struct{}{}:
 	default:
--- a/internal/process/quarantine/inbox.go
+++ b/internal/process/quarantine/inbox.go
@@ -15,6 +15,8 @@
 	// clearedFor is how long a completed request is cleared of crashes that are
 	// reported later: the report of a crash may be delayed.
 	clearedFor = 2 * time.Second
+	// maxPendingCrashes bounds the crashes that are recorded at once.
+	maxPendingCrashes = 32
 	// maxCompleted bounds the completed requests that an inbox remembers, and maxRefused
 	// the refused ones. refusedFor is how long a refused one is remembered.
 	maxCompleted = 16384
@@ -98,6 +100,7 @@
 		pending.Crashes = append(pending.Crashes, c.report)
 	}
 	slices.SortFunc(pending.Crashes, func(a, b protocol.CrashReport) int {
+		pending.Crashes = pending.Crashes[:min(len(pending.Crashes), maxPendingCrashes)]
 		return i.crashes[a.Incarnation].received.Compare(i.crashes[b.Incarnation].received)
 	})
 	for content := range i.completed {
--- a/internal/process/quarantine/table_test.go
+++ b/internal/process/quarantine/table_test.go
@@ -294,13 +294,18 @@
 	must.MapLen(t, maxReports, inbox.crashes)
 	must.MapLen(t, maxRefused, inbox.refused)
 	must.MapLen(t, maxCompleted, inbox.completed)
-	pending, ok := inbox.Pending(now, table, 0)
-	must.True(t, ok)
-	for range 2 {
-		table.Record(0, pending.Crashes)
+	for range maxReports / maxPendingCrashes {
+		pending, ok := inbox.Pending(now, table, 0)
+		must.True(t, ok)
+		must.Len(t, maxPendingCrashes, pending.Crashes)
+		for range 2 {
+			table.Record(0, pending.Crashes)
+		}
 	}
 	must.MapLen(t, maxReports, table.reports)
-	must.MapLen(t, maxSuspects, table.reports["i-0"].suspects)
+	for _, r := range table.reports {
+		must.MapLen(t, maxSuspects, r.suspects)
+	}
 	must.MapLen(t, maxSuspects, table.suspected)
 	var contents []uint64
 	for content := range uint64(2 * maxVerdicts) {
@@ -308,7 +313,7 @@
 	}
 	table.Convict(time.Second, contents)
 	must.MapLen(t, maxVerdicts, table.verdicts)
-	_, ok = inbox.Pending(now.Add(inboxTTL), table, 0)
+	_, ok := inbox.Pending(now.Add(inboxTTL), table, 0)
 	must.False(t, ok)
 	must.MapEmpty(t, inbox.crashes)
 	must.MapEmpty(t, inbox.completed)
