--- a/internal/request/relay/common_crash_test.go
+++ b/internal/request/relay/common_crash_test.go
@@ -38,17 +38,21 @@
 // that most callers send, because all targets of its service crashed for another reason
 // while they were running it. A request at fault is found beside that.
 func TestCommonRequestIsRefusedAfterACommonCrash(t *testing.T) {
-	const duration = 14 * time.Second
+	const (
+		duration = 14 * time.Second
+		// slowTime is how long requests take after the second start of a target.
+		slowTime = 350 * time.Millisecond
+	)
 	for _, test := range []struct {
 		name string
-		// waves are the times at which all targets crash. The second one finds targets
-		// that have just started and completed nothing.
+		// waves are the times at which all targets crash.
 		waves []time.Duration
 		// deadly is the time from which deadlyPath is sent too.
 		deadly time.Duration
 	}{
 		{"one wave", []time.Duration{3 * time.Second}, 0},
-		{"two waves", []time.Duration{3 * time.Second, 3*time.Second + downTime + 30*time.Millisecond}, 0},
+		// The second wave finds targets that have just started and completed nothing.
+		{"two waves", []time.Duration{3 * time.Second, 3*time.Second + downTime + slowTime - 10*time.Millisecond}, 0},
 		{"one wave, deadly before", []time.Duration{5 * time.Second}, 3 * time.Second},
 		{"two waves, deadly between", []time.Duration{3 * time.Second, 8 * time.Second}, 5 * time.Second},
 	} {
@@ -56,6 +60,7 @@
 			t.Run(fmt.Sprintf("%s/%d targets", test.name, targets), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					m := newCrashingMesh(t, targets)
+					m.serviceTimes = []time.Duration{serviceTime, slowTime}
 					sender := m.addRemote()
 					var pending sync.WaitGroup
 					pending.Go(func() { m.renew(duration) })
--- a/internal/request/relay/quarantine_test.go
+++ b/internal/request/relay/quarantine_test.go
@@ -29,6 +29,7 @@
 	quarantineTime   = 3 * time.Second
 	downTime         = 3 * time.Second
 	deadlyPath       = "/p/deadly"
+	serviceTime      = 60 * time.Millisecond
 )
 
 // crashingMesh is a mesh in virtual time whose targets crash when they run deadlyPath.
@@ -38,6 +39,8 @@
 	inbox *quarantine.Inbox
 
 	began time.Time
+	// serviceTimes are those of the first starts of a target. Later ones take serviceTime.
+	serviceTimes []time.Duration
 
 	mu    sync.Mutex
 	crash map[*instance]func()
@@ -70,7 +73,11 @@
 
 // run serves a request at the nth start of a target.
 func (m *crashingMesh) run(inst *instance, n int, w http.ResponseWriter, r *http.Request) {
-	time.Sleep(60 * time.Millisecond)
+	if n < len(m.serviceTimes) {
+		time.Sleep(m.serviceTimes[n])
+	} else {
+		time.Sleep(serviceTime)
+	}
 	if r.URL.Path != deadlyPath {
 		id := DefaultNames().RequestID
 		w.Header().Set(id, r.Header.Get(id))
