--- a/internal/process/local/crash_test.go
+++ b/internal/process/local/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,12 +73,13 @@
 func TestCrashOnAQuietServiceIsFoundLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture()
-		down, reached := false, 0
+		var down atomic.Bool
+		var reached atomic.Int64
 		var reported []quarantine.Fingerprint
 		f.target.options.Crashed = func(_ string, suspects []quarantine.Fingerprint) { reported = append(reported, suspects...) }
 		f.target.options.Reach = func(context.Context) error {
-			reached++
-			if down {
+			reached.Add(1)
+			if down.Load() {
 				return fault.New(fault.ConnectFailed, "refused")
 			}
 			return nil
@@ -90,9 +92,9 @@
 			must.NoError(t, f.admit(t))
 		}
 		must.SliceEmpty(t, reported)
-		must.Eq(t, lost/4, reached)
+		must.Eq(t, lost/4, reached.Load())
 		time.Sleep(reachInterval)
-		down = true
+		down.Store(true)
 		f.lose(t, lost)
 		synctest.Wait()
 		must.Eq(t, []quarantine.Fingerprint{lost}, reported)
