What another daemon has seen complete is familiar evidence too

Whether a request had completed before was told by the daemon of the crashed target only. One that is sent rarely had completed at other targets; it was lost in three crashes of two waves and counted as one that never completed.

An entry that loses a request that it has seen complete says so with its next renewal. Replicas record that for suspects. A request at fault completes nowhere.

TestRequestKnownToOthersIsQuarantined fails without it (no daemon could say so).

--- a/internal/connection/protocol/crash.go
+++ b/internal/connection/protocol/crash.go
@@ -16,6 +16,9 @@
 	// Completed are requests that have completed after they were suspected or
 	// quarantined.
 	Completed []uint64 `json:"cc,omitempty"`
+	// Familiar are suspects that had completed before, as other daemons know than those
+	// that reported the crashes.
+	Familiar []uint64 `json:"fm,omitempty"`
 	// Probes asks for probes of quarantined requests.
 	Probes []ProbeRequest `json:"p,omitempty"`
 }
--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -174,6 +174,9 @@
 	// Completed are fingerprints of requests that were lost and have completed since.
 	Crashes   []CrashReport `json:"cr,omitempty"`
 	Completed []uint64      `json:"cc,omitempty"`
+	// Familiar are fingerprints of requests that were lost, and that had completed here
+	// before.
+	Familiar []uint64 `json:"fm,omitempty"`
 	// Refused are quarantined requests that this daemon has refused since the last
 	// renewal.
 	Refused []uint64 `json:"rf,omitempty"`
--- a/internal/process/control/quarantine.go
+++ b/internal/process/control/quarantine.go
@@ -66,7 +66,7 @@
 	if forwarded, err := s.forward(ctx, s.options.Group, protocol.MethodCrashes, evidence, &protocol.Empty{}); forwarded {
 		return protocol.Empty{}, err
 	}
-	return protocol.Empty{}, s.proposeTargets(ctx, targetlog.Command{Crashes: evidence.Crashes, Completed: evidence.Completed, Probes: evidence.Probes})
+	return protocol.Empty{}, s.proposeTargets(ctx, targetlog.Command{Crashes: evidence.Crashes, Completed: evidence.Completed, Familiar: evidence.Familiar, Probes: evidence.Probes})
 }
 
 // quarantineDue commits verdicts, and forgets old ones. Only the leader does so.
--- a/internal/process/quarantine/inbox.go
+++ b/internal/process/quarantine/inbox.go
@@ -17,8 +17,11 @@
 	clearedFor = 2 * time.Second
 	// maxPendingCrashes bounds the crashes that are recorded at once.
 	maxPendingCrashes = 32
-	// maxCompleted bounds the completed requests that an inbox remembers, and maxRefused
-	// the refused ones. refusedFor is how long a refused one is remembered.
+	// familiarFor is how long an inbox remembers that a lost request had completed before.
+	familiarFor = 10 * time.Second
+	// maxCompleted bounds the completed requests that an inbox remembers, and the familiar
+	// ones, and maxRefused the refused ones. refusedFor is how long a refused one is
+	// remembered.
 	maxCompleted = 16384
 	maxRefused   = 256
 	refusedFor   = time.Second
@@ -35,6 +38,8 @@
 	crashes map[string]reportedCrash // by incarnation
 	// completed are requests that have completed lately, and when.
 	completed map[uint64]time.Time
+	// familiar are lost requests that had completed before, and when that was reported.
+	familiar map[uint64]time.Time
 	// refused are quarantined requests that a daemon could probe.
 	refused map[uint64]refusal
 }
@@ -51,13 +56,13 @@
 
 // NewInbox returns an empty inbox.
 func NewInbox() *Inbox {
-	return &Inbox{Added: make(chan struct{}, 1), crashes: make(map[string]reportedCrash), completed: make(map[uint64]time.Time), refused: make(map[uint64]refusal)}
+	return &Inbox{Added: make(chan struct{}, 1), crashes: make(map[string]reportedCrash), completed: make(map[uint64]time.Time), familiar: make(map[uint64]time.Time), refused: make(map[uint64]refusal)}
 }
 
 // Add adds what a daemon has reported in a renewal. holder is its name from its start to
 // its end.
 func (i *Inbox) Add(now time.Time, holder string, r protocol.RenewRequest) {
-	if len(r.Crashes) == 0 && len(r.Completed) == 0 && len(r.Refused) == 0 {
+	if len(r.Crashes) == 0 && len(r.Completed) == 0 && len(r.Familiar) == 0 && len(r.Refused) == 0 {
 		return
 	}
 	i.mu.Lock()
@@ -72,6 +77,11 @@
 			i.completed[content] = now
 		}
 	}
+	for _, content := range r.Familiar {
+		if len(i.familiar) < maxCompleted {
+			i.familiar[content] = now
+		}
+	}
 	for _, content := range r.Refused {
 		if len(i.refused) < maxRefused {
 			i.refused[content] = refusal{holder, now}
@@ -108,11 +118,17 @@
 			pending.Completed = append(pending.Completed, content)
 		}
 	}
+	maps.DeleteFunc(i.familiar, func(_ uint64, at time.Time) bool { return now.Sub(at) >= familiarFor })
+	for content := range i.familiar {
+		if t.suspected[content] > 0 && !t.isFamiliar(content) {
+			pending.Familiar = append(pending.Familiar, content)
+		}
+	}
 	maps.DeleteFunc(i.refused, func(_ uint64, r refusal) bool { return now.Sub(r.at) >= refusedFor })
 	for content, r := range i.refused {
 		if v, listed := t.verdicts[content]; listed && v.mayProbe(tableNow) {
 			pending.Probes = append(pending.Probes, protocol.ProbeRequest{Content: content, Holder: r.holder})
 		}
 	}
-	return pending, len(pending.Crashes) > 0 || len(pending.Completed) > 0 || len(pending.Probes) > 0
+	return pending, len(pending.Crashes) > 0 || len(pending.Completed) > 0 || len(pending.Familiar) > 0 || len(pending.Probes) > 0
 }
--- a/internal/process/quarantine/list.go
+++ b/internal/process/quarantine/list.go
@@ -61,6 +61,9 @@
 	losses        map[Fingerprint]time.Time
 	completed     []uint64
 	completedSent int
+	// familiarLosses are requests that were lost since the last renewal, and that had
+	// completed before.
+	familiarLosses map[Fingerprint]bool
 }
 
 // ownReport is the report of one crash of the local target.
@@ -74,7 +77,7 @@
 // NewList returns an empty list. renew is called, without a lock held, when there is a
 // crash to report.
 func NewList(now func() time.Time, renew func(), log *zap.Logger) *List {
-	return &List{now: now, renew: renew, log: log, entries: make(map[Fingerprint]bool), probes: make(map[Fingerprint]probe), refused: make(map[Fingerprint]bool), losses: make(map[Fingerprint]time.Time)}
+	return &List{now: now, renew: renew, log: log, entries: make(map[Fingerprint]bool), probes: make(map[Fingerprint]probe), refused: make(map[Fingerprint]bool), losses: make(map[Fingerprint]time.Time), familiarLosses: make(map[Fingerprint]bool)}
 }
 
 // Check returns an error if no target may get the request. Errors: Quarantined.
@@ -142,6 +145,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.addLoss(content)
+	if l.familiar.has(content) && len(l.familiarLosses) < maxSuspects {
+		l.familiarLosses[content] = true
+	}
 }
 
 func (l *List) addLoss(content Fingerprint) {
@@ -193,6 +199,11 @@
 	}
 	slices.Sort(r.Refused)
 	clear(l.refused)
+	for content := range l.familiarLosses {
+		r.Familiar = append(r.Familiar, uint64(content))
+	}
+	slices.Sort(r.Familiar)
+	clear(l.familiarLosses)
 	r.Completed = slices.Clone(l.completed)
 	l.completedSent = len(l.completed)
 }
--- a/internal/process/quarantine/table.go
+++ b/internal/process/quarantine/table.go
@@ -31,7 +31,7 @@
 
 // Table is the replicated state about requests that crash targets: which requests the
 // targets were running at each crash, and which are quarantined. The methods of a replicated
-// state machine, Record, Complete, Convict, Probe, Expire and Restore, must be called in the same
+// state machine, Record, Complete, Familiar, Convict, Probe, Expire and Restore, must be called in the same
 // order on each replica; times are those of the state machine. Other methods only read. All
 // are safe for concurrent use.
 //
@@ -159,6 +159,30 @@
 	t.revision++
 }
 
+// Familiar records that requests had completed before they were lost.
+func (t *Table) Familiar(contents []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, content := range contents {
+		for _, r := range t.reports {
+			if r.suspects[content] {
+				r.familiar[content] = true
+			}
+		}
+	}
+	t.revision++
+}
+
+// isFamiliar reports whether a suspect is known to have completed before.
+func (t *Table) isFamiliar(content uint64) bool {
+	for _, r := range t.reports {
+		if r.suspects[content] && r.familiar[content] {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) release(content uint64) {
 	if _, listed := t.verdicts[content]; listed {
 		delete(t.verdicts, content)
--- a/internal/process/quarantine/table_test.go
+++ b/internal/process/quarantine/table_test.go
@@ -39,6 +39,7 @@
 	r.table.Expire(now)
 	if pending, ok := r.inbox.Pending(time.Now(), r.table, time.Since(began)); ok {
 		r.table.Record(now, pending.Crashes)
+		r.table.Familiar(pending.Familiar)
 		r.table.Complete(pending.Completed)
 		r.table.Probe(now, pending.Probes)
 	}
@@ -290,7 +291,7 @@
 	for i := range 3 * maxReports {
 		inbox.Add(now, "d", protocol.RenewRequest{Crashes: []protocol.CrashReport{{Incarnation: fmt.Sprint("i-", i), Suspects: many[:2*maxSuspects]}}})
 	}
-	inbox.Add(now, "d", protocol.RenewRequest{Completed: many, Refused: many})
+	inbox.Add(now, "d", protocol.RenewRequest{Completed: many, Familiar: many, Refused: many})
 	must.MapLen(t, maxReports, inbox.crashes)
 	must.MapLen(t, maxRefused, inbox.refused)
 	must.MapLen(t, maxCompleted, inbox.completed)
@@ -317,6 +318,7 @@
 	must.False(t, ok)
 	must.MapEmpty(t, inbox.crashes)
 	must.MapEmpty(t, inbox.completed)
+	must.MapEmpty(t, inbox.familiar)
 	must.MapEmpty(t, inbox.refused)
 }
 
@@ -351,3 +353,28 @@
 		})
 	}
 }
+
+// TestRequestKnownToOthersIsQuarantined guards against a request that is blamed for crashes of
+// one moment because the daemons that report them have not seen it complete, while the one
+// that sent it has.
+func TestRequestKnownToOthersIsQuarantined(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newReplica("r", newList(), newList(), newList(), newList())
+			if known {
+				r.lists[0].Completed(deadly)
+			}
+			r.lists[0].Lost(deadly)
+			r.renew()
+			for i := range 3 {
+				r.lists[i+1].AddCrash(fmt.Sprint("i-", i), []Fingerprint{deadly})
+			}
+			for range 3 {
+				r.renew()
+				time.Sleep(confirmDelay)
+			}
+			r.renew()
+			must.Eq(t, !known, r.lists[0].Check(deadly) != nil)
+		})
+	}
+}
--- a/internal/process/targetlog/command.go
+++ b/internal/process/targetlog/command.go
@@ -19,6 +19,8 @@
 	Crashes   []protocol.CrashReport `cbor:"3,keyasint,omitempty"`
 	Completed []uint64               `cbor:"4,keyasint,omitempty"`
 	Convicted []uint64               `cbor:"5,keyasint,omitempty"`
+	// Familiar are suspects that had completed before they were lost.
+	Familiar []uint64 `cbor:"7,keyasint,omitempty"`
 	// Probes are requests for probes.
 	Probes []protocol.ProbeRequest `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/process/targetlog/machine.go
+++ b/internal/process/targetlog/machine.go
@@ -77,6 +77,9 @@
 	if len(c.Crashes) > 0 {
 		m.Quarantine.Record(m.now, c.Crashes)
 	}
+	if len(c.Familiar) > 0 {
+		m.Quarantine.Familiar(c.Familiar)
+	}
 	if len(c.Completed) > 0 {
 		m.Quarantine.Complete(c.Completed)
 	}
--- a/internal/process/targetlog/replicas_test.go
+++ b/internal/process/targetlog/replicas_test.go
@@ -31,7 +31,7 @@
 	case 3:
 		c.Completed = contents()
 	}
-	c.Convicted = contents()
+	c.Convicted, c.Familiar = contents(), contents()
 	c.Probes = []protocol.ProbeRequest{{Content: uint64(random.IntN(12)), Holder: "h"}}
 	return c
 }
--- a/internal/request/relay/quarantine_test.go
+++ b/internal/request/relay/quarantine_test.go
@@ -117,6 +117,7 @@
 	for range 2 {
 		if pending, ok := m.inbox.Pending(time.Now(), m.table, now); ok {
 			m.table.Record(now, pending.Crashes)
+			m.table.Familiar(pending.Familiar)
 			m.table.Complete(pending.Completed)
 			m.table.Probe(now, pending.Probes)
 		}
