Logs and metrics tell when a configuration is in effect, and on whose word

What could not be told apart in the record: whether daemons did not hear of the change, or heard of it and had no renewal confirmed, and how long after the acknowledgment the last one had it.

- a daemon logs with a new configuration its revision, the replica that sent it, whether a quorum had confirmed it and how old the last confirmed renewal was
- a daemon counts renewals by result and shows the age of the last confirmed one
- the leader logs when all daemons in contact have a version, and how long after it first saw it

No logic changes.

--- a/internal/process/configuration/holder.go
+++ b/internal/process/configuration/holder.go
@@ -234,15 +234,21 @@
 	}
 }
 
+// ConfirmedAgo returns the time since the last confirmed renewal was sent; ok is false if
+// there was none.
+func (h *Holder) ConfirmedAgo() (age time.Duration, ok bool) {
+	at := h.renewedAt.Load()
+	return h.now().Sub(h.start) - time.Duration(at-1), at != 0
+}
+
 // Fresh returns nil while the lease is valid, and LeaseExpired afterwards. Callers
 // check it again immediately before they dispatch a request, because the process
 // may have been frozen.
 func (h *Holder) Fresh() error {
-	at := h.renewedAt.Load()
-	if at == 0 {
+	age, ok := h.ConfirmedAgo()
+	if !ok {
 		return fault.New(fault.LeaseExpired, "no control replica has confirmed the configuration yet")
 	}
-	age := h.now().Sub(h.start) - time.Duration(at-1)
 	if age >= FreshnessLease {
 		return fault.New(fault.LeaseExpired, "the configuration was last confirmed %s ago", age.Round(time.Millisecond))
 	}
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
@@ -15,6 +17,8 @@
 	mu      sync.Mutex
 	version uint64
 	since   time.Time
+	// logged is the last version that was logged as being in effect on all daemons.
+	logged uint64
 }
 
 // observe records version and returns how long ago this replica first saw it.
@@ -32,14 +36,30 @@
 // soon after this replica becomes leader, until ctx ends.
 func (s *Service) WatchState(ctx context.Context) {
 	every(ctx, watchInterval, func() {
-		s.versions.observe(s.options.Machine.State().Number(), s.options.Clock())
+		s.logInEffect()
 		s.tokens.checkLeadership()
 	})
 }
 
+// logInEffect logs on the leader, once for each version, that every daemon in contact has
+// the version in effect, and how long after this replica first saw it.
+func (s *Service) logInEffect() {
+	now, number := s.options.Clock(), s.options.Machine.State().Number()
+	age := s.versions.observe(number, now)
+	if _, leads := s.options.Group.Leader(); !leads || number == s.versions.logged || len(s.options.Registry.Behind(now, number, contactTimeout)) > 0 {
+		return
+	}
+	s.versions.logged = number
+	s.options.Log.Info("configuration is in effect on all daemons in contact", zap.Uint64("number", number), zap.Duration("after", age))
+}
+
 // watchInterval is the time between two checks of WatchState.
 const watchInterval = 50 * time.Millisecond
 
+// contactTimeout is how long after its last renewal a daemon counts as being in contact with
+// the replicas: longer than a renewal takes to get past a replica that does not reply.
+const contactTimeout = 1500 * time.Millisecond
+
 // Status returns the status of this replica in each group, and of the daemons
 // that have renewed within registry.RecordTTL. InEffect is true once the version
 // is in effect on every daemon.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -336,6 +336,10 @@
 	if n.target != nil {
 		n.stats.Write(w)
 		_, _ = fmt.Fprintf(w, "teaselrack_configuration_revision %d\n", n.configuration.Current().Revision())
+		if age, ok := n.configuration.ConfirmedAgo(); ok {
+			_, _ = fmt.Fprintf(w, "teaselrack_configuration_confirmed_age_seconds %g\n", age.Seconds())
+		}
+		n.renewal.WriteMetrics(w)
 		_, _ = fmt.Fprintf(w, "teaselrack_target_load %g\n", n.target.Load())
 		_, _ = fmt.Fprintf(w, "teaselrack_target_level %g\n", n.target.Bottleneck().Level)
 		if limit, ok := n.target.StatedLimit(); ok {
--- a/internal/process/registry/registry.go
+++ b/internal/process/registry/registry.go
@@ -208,6 +208,28 @@
 	return all
 }
 
+// Behind returns the daemons that renewed within the given time and act on a configuration
+// older than version, sorted by instance. A daemon without a configuration acts on none.
+func (r *Registry) Behind(now time.Time, version uint64, within time.Duration) []string {
+	var behind []string
+	for i := range r.daemons {
+		behind = r.daemons[i].appendBehind(behind, now, version, within)
+	}
+	slices.Sort(behind)
+	return behind
+}
+
+func (sh *daemonShard) appendBehind(behind []string, now time.Time, version uint64, within time.Duration) []string {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for instance, d := range sh.daemons {
+		if held := d.record.Version; held != 0 && held < version && now.Sub(d.renewed) < within {
+			behind = append(behind, instance)
+		}
+	}
+	return behind
+}
+
 func (sh *daemonShard) statuses(now time.Time) []protocol.DaemonStatus {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -90,6 +90,7 @@
 	options  Options
 	replicas *replicaList
 	trigger  chan struct{}
+	attempts attemptCounts
 	// connection is the state of the connection to the replicas. Only Run uses
 	// it.
 	connection connectionState
@@ -187,9 +188,12 @@
 	var reply protocol.RenewReply
 	if err := l.options.Caller.Call(ctx, address, protocol.MethodRenew, request, &reply); err != nil {
 		l.options.Log.Debug("renewal failed", zap.String("replica", address), zap.Error(err))
+		l.attempts.failed.Add(1)
 		return false
 	}
-	return l.apply(sentAt, reply)
+	confirmed := l.apply(address, sentAt, reply)
+	l.attempts.countReply(confirmed)
+	return confirmed
 }
 
 func (l *Loop) request() protocol.RenewRequest {
@@ -214,8 +218,9 @@
 	return request
 }
 
-// apply applies a reply. It reports whether the reply renewed the lease.
-func (l *Loop) apply(sentAt time.Time, reply protocol.RenewReply) bool {
+// apply applies the reply of the replica at address. It reports whether the reply renewed
+// the lease.
+func (l *Loop) apply(address string, sentAt time.Time, reply protocol.RenewReply) bool {
 	// Before the configuration: a daemon without one sends its targets nothing.
 	if l.options.AdoptDepartures != nil {
 		l.options.AdoptDepartures(reply.Departed)
@@ -224,12 +229,14 @@
 		l.options.Quarantine.Apply(reply.Confirmed, reply.Quarantine)
 	}
 	before := l.options.Configuration.Current().Number()
+	age, _ := l.options.Configuration.ConfirmedAgo()
 	if err := l.options.Configuration.Accept(sentAt, reply); err != nil {
 		l.options.Log.Warn("configuration rejected", zap.Error(err))
 		return false
 	}
 	if after := l.options.Configuration.Current().Number(); after != before {
-		l.options.Log.Info("new configuration is in effect", zap.Uint64("number", after))
+		l.options.Log.Info("new configuration is in effect", zap.Uint64("number", after), zap.Uint64("revision", l.options.Configuration.Current().Revision()),
+			zap.String("replica", address), zap.Bool("confirmed", reply.Confirmed), zap.Duration("last_confirmed", age))
 		l.options.Recorder.Record(protocol.Event{Name: "configuration.advanced", Detail: formatChange(before, after)})
 	}
 	l.options.Registry.Apply(reply.Registry)
