--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -226,7 +226,9 @@
 	floor   configuration.Floor
 	// contentOnly makes the daemon follow the content only. It then stores no floor.
 	contentOnly bool
-	run         atomic.Pointer[daemonRun]
+	// interval is the time between two renewals; 0 is the default.
+	interval time.Duration
+	run      atomic.Pointer[daemonRun]
 
 	mu      sync.Mutex
 	targets []protocol.Announcement
@@ -262,6 +264,7 @@
 	run.loop = renewal.New(renewal.Options{
 		Instance: d.name, Session: run.session, PeerAddress: d.name + ":1", FailureDomain: "a",
 		Replicas:      c.addresses(),
+		Interval:      d.interval,
 		Subscriptions: func() []string { return []string{"tides"} },
 		Caller:        &networkClient{c.net, d.name, mesh.Peer{Name: d.name, Role: mesh.Daemon}},
 		Configuration: run.configuration, Registry: run.registry, Quota: run.quota, Quarantine: run.quarantine,
