An order is acknowledged once the daemons in contact act on it

Cause: an acknowledgment said that a change was durable, and nothing of the daemons. Each learns of it at its next renewal that a quorum confirms. If replicas are lost or stall right after the acknowledgment, that renewal is as far away as the next leader, and requests of the platform go on meanwhile without an end: they ask for no lease.

The leader now waits, after the commit, until every daemon that renewed within 1.5 s reports the version or a later one, and until it has asked every replying member for its daemons since the commit. A daemon renews again at once after a change, to report it. So what is acknowledged holds on these daemons whichever replicas are lost. A new leader waits anew for an order that is sent again. A daemon without contact is not waited for; one that reports an older version all the time is, for 3 s, and is named in the log. An order that is durable and not in effect yet is answered with not_in_effect (503), and may be sent again.

With repeated orders acknowledged at once, TestOrderIsSentAgainAfterALostLeader fails.

Ruled out: a lease for requests of the platform that is shorter than the bound.

--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -102,6 +102,9 @@
 	// NotLeader is a command sent to a replica that is not the leader; it was not
 	// accepted.
 	NotLeader Kind = "not_leader"
+	// NotInEffect is an order that was accepted and is not known to be in effect on all
+	// daemons yet; it may be sent again.
+	NotInEffect Kind = "not_in_effect"
 	// NotFounded is a replica that belongs to no group yet.
 	NotFounded Kind = "not_founded"
 	// AlreadyFounded is a second attempt to found a group.
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -82,6 +82,7 @@
 	RevisionConflict: {http.StatusPreconditionFailed, NotRun, false, 0},
 	NoLeader:         {http.StatusServiceUnavailable, Unknown, true, retrySoon},
 	NotLeader:        {http.StatusServiceUnavailable, NotRun, true, retrySoon},
+	NotInEffect:      {http.StatusServiceUnavailable, Unknown, true, retrySoon},
 	NotFounded:       {http.StatusServiceUnavailable, NotRun, true, retryLater},
 	AlreadyFounded:   {http.StatusConflict, NotRun, false, 0},
 	MembershipBusy:   {http.StatusConflict, NotRun, true, retrySoon},
--- a/internal/process/control/late_configuration_test.go
+++ b/internal/process/control/late_configuration_test.go
@@ -1,14 +1,18 @@
 package control_test
 
 import (
+	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/teaselrack/teaselrack/internal/connection/mesh"
+	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/process/control"
 )
 
@@ -102,3 +106,87 @@
 		})
 	}
 }
+
+// orderAnywhere is like order, for replicas that stop and start meanwhile.
+func (c *cluster) orderAnywhere(encoded []byte, within time.Duration) error {
+	var err error
+	for start := time.Now(); time.Since(start) < within; time.Sleep(20 * time.Millisecond) {
+		for _, address := range c.addresses() {
+			if err = c.sendOrder(address, encoded); err == nil {
+				return nil
+			}
+		}
+	}
+	return err
+}
+
+// TestOrderIsSentAgainAfterALostLeader guards against an order that a new leader
+// acknowledges at once, because an earlier one has committed it, while daemons that had no
+// contact with a quorum in between act on the older configuration.
+func TestOrderIsSentAgainAfterALostLeader(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newManagedCluster(t, seed)
+				c.addDaemons(16)
+				must.NoError(t, c.order(configurationOrder(t, 1, 0), 8*time.Second))
+				c.awaitRevision(1, 2*time.Second)
+
+				done := make(chan error, 1)
+				go func() { done <- c.orderAnywhere(configurationOrder(t, 2, 1), 12*time.Second) }()
+				time.Sleep(time.Duration(seed) * 80 * time.Millisecond)
+				leader := c.leader()
+				others := slices.DeleteFunc(slices.Clone(c.replicas), func(r *replicaProcess) bool { return r == leader })
+				c.net.freeze(leader.address)
+				time.AfterFunc(stall, func() { c.net.unfreeze(leader.address) })
+				c.loseReplicas(others[seed%4], others[(seed+1)%4])
+				must.NoError(t, <-done)
+				must.SliceEmpty(t, c.daemonsBelow(2))
+			})
+		})
+	}
+}
+
+// TestOrderWaitsForNoDaemonWithoutContact guards against a daemon that cannot be reached,
+// or that does not put a change into effect, and keeps operators from every change.
+func TestOrderWaitsForNoDaemonWithoutContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newManagedCluster(t, 1)
+		c.addDaemons(4)
+		must.NoError(t, c.order(configurationOrder(t, 1, 0), 8*time.Second))
+		c.awaitRevision(1, 2*time.Second)
+		time.Sleep(time.Second)
+		began := time.Now()
+		must.NoError(t, c.order(configurationOrder(t, 2, 1), 4*time.Second))
+		must.Less(t, time.Second, time.Since(began), must.Sprint("in calm"))
+
+		c.net.isolate("d0", c.addresses(), true)
+		began = time.Now()
+		must.NoError(t, c.order(configurationOrder(t, 3, 2), 4*time.Second))
+		must.Less(t, 2500*time.Millisecond, time.Since(began), must.Sprint("one daemon is cut off"))
+		must.Eq(t, []string{"d0"}, c.daemonsBelow(3))
+		c.net.isolate("d0", c.addresses(), false)
+
+		ctx, cancel := context.WithCancel(t.Context())
+		var renewals sync.WaitGroup
+		renewals.Go(func() { c.renewAs(ctx, protocol.RenewRequest{Instance: "stuck", Version: 1, Digest: "x"}) })
+		time.Sleep(time.Second)
+		began = time.Now()
+		must.NoError(t, c.order(configurationOrder(t, 4, 3), 6*time.Second))
+		must.Between(t, control.DefaultEffectTimeout, time.Since(began), control.DefaultEffectTimeout+time.Second, must.Sprint("one daemon keeps the older configuration"))
+		cancel()
+		renewals.Wait()
+	})
+}
+
+// renewAs sends the same renewal to the first replica again and again until ctx ends.
+func (c *cluster) renewAs(ctx context.Context, request protocol.RenewRequest) {
+	client := &networkClient{c.net, request.Instance, mesh.Peer{Name: request.Instance, Role: mesh.Daemon}}
+	for ctx.Err() == nil {
+		if err := client.Call(ctx, c.replicas[0].address, protocol.MethodRenew, request, &protocol.RenewReply{}); err != nil && ctx.Err() == nil {
+			c.t.Errorf("renew as %s: %v", request.Instance, err)
+			return
+		}
+		time.Sleep(nodeRenewInterval)
+	}
+}
--- a/internal/process/control/orders.go
+++ b/internal/process/control/orders.go
@@ -14,9 +14,11 @@
 // leader is repeated: a fraction of the time that an election takes.
 const leaderRetryDelay = 50 * time.Millisecond
 
-// Order commits an order: a note whose number the group assigns. It is idempotent.
-// Errors: NoteInvalid, RevisionConflict; NotFounded and NotLeader if the order was
-// not accepted; NoLeader if it may or may not have been accepted.
+// Order commits an order: a note whose number the group assigns. It is idempotent. It
+// returns once the daemons in contact act on the order; see awaitEffect. Errors:
+// NoteInvalid, RevisionConflict; NotFounded and NotLeader if the order was not accepted;
+// NoLeader if it may or may not have been accepted; NotInEffect if it was, but may not be
+// in effect everywhere.
 func (s *Service) Order(ctx context.Context, peer mesh.Peer, req protocol.OrderRequest) (protocol.ApplyReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
@@ -68,7 +70,14 @@
 	if err != nil {
 		return protocol.ApplyReply{}, err
 	}
-	return s.applyReply(peer, result)
+	reply, err = s.applyReply(peer, result)
+	if err != nil {
+		return protocol.ApplyReply{}, err
+	}
+	if err := s.awaitEffect(ctx, reply.Number); err != nil {
+		return protocol.ApplyReply{}, err
+	}
+	return reply, nil
 }
 
 // Confirmed returns the state in effect. The state includes everything that was
--- a/internal/process/control/service.go
+++ b/internal/process/control/service.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -65,7 +66,7 @@
 }
 
 // Options holds the settings and dependencies of a Service. All fields are
-// required except AutoMembership, FailureDomain, ReplicaDomain and
+// required except AutoMembership, FailureDomain, ReplicaDomain, EffectTimeout and
 // Substitute.
 type Options struct {
 	// Address is the control address of this replica.
@@ -93,6 +94,9 @@
 	Shards   []Shard
 	Registry *registry.Registry
 	Issuer   *quota.Issuer
+	// EffectTimeout is how long the acknowledgment of an order waits for daemons that are
+	// in contact and do not put it into effect. Default DefaultEffectTimeout.
+	EffectTimeout time.Duration
 	// Substitute, if set, grants tokens while no issuer does.
 	Substitute *quota.Substitute
 	Caller     Caller
@@ -105,13 +109,15 @@
 // Service implements the methods of the control role of one replica. Its methods
 // are safe for concurrent use.
 type Service struct {
-	options  Options
-	tokens   *tokenIssuer
-	renewals *barrierBatcher
-	leader   leaderWatch
-	versions versionTracker
-	domains  replicaDomains
-	skips    skipLog
+	options   Options
+	tokens    *tokenIssuer
+	renewals  *barrierBatcher
+	leader    leaderWatch
+	versions  versionTracker
+	domains   replicaDomains
+	skips     skipLog
+	exchanges exchangeTimes
+	effect    effectWait
 	// inbox holds the reports of crashes that the target log does not have yet.
 	inbox *quarantine.Inbox
 	// membership is nil if only operators admit and remove members.
@@ -121,6 +127,7 @@
 // New returns a service. It starts no goroutines: the caller must run RunSync and
 // WatchState.
 func New(o Options) *Service {
+	o.EffectTimeout = cmp.Or(o.EffectTimeout, DefaultEffectTimeout)
 	s := &Service{options: o, tokens: newTokenIssuer(o), renewals: newBarrierBatcher(o.Group, renewalBarrierInterval), inbox: quarantine.NewInbox()}
 	s.domains.learn(o.Address, o.FailureDomain)
 	if o.AutoMembership != nil {
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -56,10 +56,6 @@
 // watchInterval is the time between two checks of WatchState.
 const watchInterval = 50 * time.Millisecond
 
-// contactTimeout is how long after its last renewal a daemon counts as being in contact with
-// the replicas: longer than a renewal takes to get past a replica that does not reply.
-const contactTimeout = 1500 * time.Millisecond
-
 // Status returns the status of this replica in each group, and of the daemons
 // that have renewed within registry.RecordTTL. InEffect is true once the version
 // is in effect on every daemon.
--- a/internal/process/control/sync.go
+++ b/internal/process/control/sync.go
@@ -45,6 +45,7 @@
 		if !slices.Contains(addresses, address) {
 			cancel()
 			delete(cancels, address)
+			s.exchanges.remove(address)
 		}
 	}
 	for _, address := range addresses {
@@ -61,6 +62,7 @@
 func (s *Service) syncWith(ctx context.Context, address string) {
 	follower := registry.NewFollower(s.options.Registry)
 	every(ctx, syncInterval, func() {
+		began := s.options.Clock()
 		reply, err := s.exchange(ctx, address, follower.Request())
 		if err != nil {
 			return
@@ -69,7 +71,9 @@
 		if s.options.ReplicaDomain != nil {
 			s.options.ReplicaDomain(address, reply.FailureDomain)
 		}
-		follower.Apply(s.options.Clock(), reply)
+		if follower.Apply(s.options.Clock(), reply) {
+			s.exchanges.record(address, began)
+		}
 	})
 }
 
--- a/internal/process/registry/follower.go
+++ b/internal/process/registry/follower.go
@@ -21,8 +21,8 @@
 func (f *Follower) Request() ExchangeRequest { return f.position }
 
 // Apply applies the reply to the last request. If the reply does not match what the
-// registry has, the next request asks for everything.
-func (f *Follower) Apply(now time.Time, reply ExchangeReply) {
+// registry has, it returns false, and the next request asks for everything.
+func (f *Follower) Apply(now time.Time, reply ExchangeReply) bool {
 	if reply.Epoch != f.position.Epoch || reply.Instances != nil {
 		f.instances = reply.Instances
 	}
@@ -31,13 +31,15 @@
 		heartbeats, ok := reply.unpackHeartbeats(f.instances)
 		if !ok {
 			f.reset()
-			return
+			return false
 		}
 		reply.Alive = heartbeats
 	}
 	if !f.registry.Merge(now, reply) {
 		f.reset()
+		return false
 	}
+	return true
 }
 
 func (f *Follower) reset() {
--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -91,6 +91,9 @@
 	replicas *replicaList
 	trigger  chan struct{}
 	attempts attemptCounts
+	// reported is the number of the configuration that the last confirmed renewal reported.
+	// Only Run uses it.
+	reported uint64
 	// connection is the state of the connection to the replicas. Only Run uses
 	// it.
 	connection connectionState
@@ -144,6 +147,9 @@
 	switch {
 	case !confirmed:
 		return retryDelay
+	case l.options.Configuration.Current().Number() != l.reported:
+		// The replicas wait for the report before they acknowledge the change.
+		return 0
 	case l.options.Clock().Sub(l.connection.since) < startupPeriod && l.hasServiceWithoutTargets():
 		return min(startupRenewInterval, l.options.Interval)
 	}
@@ -193,6 +199,9 @@
 	}
 	confirmed := l.apply(address, sentAt, reply)
 	l.attempts.countReply(confirmed)
+	if confirmed {
+		l.reported = request.Version
+	}
 	return confirmed
 }
 
