--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -349,6 +349,11 @@
 	if n.controlRole != nil {
 		status := n.controlRole.Status()
 		_, _ = fmt.Fprintf(w, "teaselrack_group_term %d\nteaselrack_group_commit %d\nteaselrack_group_members %d\n", status.Term, status.Commit, len(status.Members))
+		leads := 0
+		if status.Role == protocol.RoleLeader {
+			leads = 1
+		}
+		_, _ = fmt.Fprintf(w, "teaselrack_group_leads %d\n", leads)
 	}
 }
 
