A leader that was paused does not trust its view of who is in contact

An acknowledgment now also waits until the leader has run for 1.5 s without a pause of more than 0.5 s, which is long enough for each daemon to renew.

TestLeaderThatWasPausedForgetsItsDaemons fails without the check (acknowledged 1.5 s before the daemon reports the version) and passes with it.

--- a/internal/process/control/effect.go
+++ b/internal/process/control/effect.go
@@ -59,14 +59,14 @@
 		if _, leads := s.options.Group.Leader(); !leads {
 			return fault.New(fault.NotInEffect, "this replica lost its leadership before version %d was known to be in effect on all daemons", number)
 		}
-		complete := s.registryIsComplete(committed)
+		complete := s.pauses.runningFor(now) >= contactTimeout && s.registryIsComplete(committed)
 		behind := s.options.Registry.Behind(now, number, contactTimeout)
 		if complete && len(behind) == 0 {
 			return nil
 		}
 		if now.Sub(began) >= s.options.EffectTimeout {
 			s.options.Log.Warn("acknowledging a configuration that is not known to be in effect on all daemons in contact", zap.Uint64("number", number),
-				zap.Duration("waited", now.Sub(began)), zap.Bool("all_replicas_asked", complete), zap.Strings("behind", behind))
+				zap.Duration("waited", now.Sub(began)), zap.Bool("all_daemons_known", complete), zap.Strings("behind", behind))
 			return nil
 		}
 		select {
--- a/internal/process/control/service.go
+++ b/internal/process/control/service.go
@@ -118,6 +118,7 @@
 	skips     skipLog
 	exchanges exchangeTimes
 	effect    effectWait
+	pauses    pauseWatch
 	// inbox holds the reports of crashes that the target log does not have yet.
 	inbox *quarantine.Inbox
 	// membership is nil if only operators admit and remove members.
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -32,10 +32,11 @@
 	return now.Sub(v.since)
 }
 
-// WatchState records when versions are first seen, and resets the quota issuer
-// soon after this replica becomes leader, until ctx ends.
+// WatchState records when versions are first seen and when this process was paused, and
+// resets the quota issuer soon after this replica becomes leader, until ctx ends.
 func (s *Service) WatchState(ctx context.Context) {
 	every(ctx, watchInterval, func() {
+		s.pauses.observe(s.options.Clock())
 		s.logInEffect()
 		s.tokens.checkLeadership()
 	})
