A daemon that was paused renews before it handles requests

What callers can see: requests run under an older configuration for a moment after a daemon that stood still (stopped, starved of processor time) goes on. Orders are acknowledged without a daemon that has been out of contact for 1.5 s, and such a daemon finds the requests that arrived meanwhile before its next renewal ends. A request of the platform asks for no lease, so nothing held it back.

A daemon now notices that an attempt to renew is overdue, which only a pause explains (an attempt ends after 700 ms whatever the replicas do), and lets requests wait for the next renewal, for 1.5 s at most. While replicas are lost and the daemon runs, nothing waits.

Evidence: TestResumedDaemonActsOnTheOldConfiguration on real processes, two daemons stopped during an order, the replica that they renew with stopped too: on a daemon answered 404 on the new route, here both act on it.

--- a/e2e/late_configuration_test.go
+++ b/e2e/late_configuration_test.go
@@ -110,3 +110,36 @@
 		}
 	}
 }
+
+// TestResumedDaemonActsOnTheOldConfiguration guards against daemons that stood still while a
+// change was acknowledged without them, and handle the requests that they find when they go
+// on under the old configuration. The replica that they renew with does not reply either.
+func TestResumedDaemonActsOnTheOldConfiguration(t *testing.T) {
+	m := startMesh(t, meshDaemons)
+	m.order("/-/config/put", configuration(1), formTimeout)
+	must.NoError(t, system.Await(formTimeout, func() error { return m.checkWhole(1) }))
+	// Daemons move to the replica of their failure domain.
+	time.Sleep(2 * time.Second)
+	lost := m.replicas[1]
+	if lost.metric("teaselrack_group_leads") > 0 {
+		lost = m.replicas[2]
+	}
+	stopped := slices.DeleteFunc(slices.Clone(m.daemons), func(d *meshProcess) bool { return d.domain != lost.domain })
+	for _, d := range stopped {
+		d.signal(syscall.SIGSTOP)
+	}
+	m.order("/-/config/put", configuration(2), formTimeout)
+	lost.signal(syscall.SIGSTOP)
+	time.Sleep(inForceLimit)
+	m.client.Timeout = formTimeout
+	known := make([]chan bool, len(stopped))
+	for i, d := range stopped {
+		known[i] = make(chan bool, 1)
+		go func() { known[i] <- d.knows(2) }()
+	}
+	time.Sleep(time.Second)
+	for i, d := range stopped {
+		d.signal(syscall.SIGCONT)
+		must.True(t, <-known[i], must.Sprintf("%s did not act on revision 2", d.name))
+	}
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -205,6 +205,7 @@
 		Levels: levels, CallGraph: callGraph, Balancer: balancer,
 		HeaderNames: t.HeaderNames, Service: t.Service, Address: t.Target, Target: n.target,
 		TargetClient: n.targetClient, Quarantine: n.quarantine, Shutdown: n.drain.Schedule, Log: n.log, Stats: n.stats,
+		CatchUp: n.renewal.CatchUp,
 	}
 	n.entryHandler = &relay.EntryHandler{
 		HeaderNames: t.HeaderNames, Instance: n.options.Instance, Service: t.Service,
@@ -217,6 +218,7 @@
 		Quarantine: n.quarantine,
 		Local:      n.peerHandler, PeerClient: n.peerClient, Shutdown: n.drain.Schedule, Log: n.log, Stats: n.stats,
 		Traffic: n.traffic,
+		CatchUp: n.renewal.CatchUp,
 	}
 }
 
--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -91,6 +91,7 @@
 	replicas *replicaList
 	trigger  chan struct{}
 	attempts attemptCounts
+	pauses   *pauseDetector
 	// reported is the number of the configuration that the last confirmed renewal reported.
 	// Only Run uses it.
 	reported uint64
@@ -107,7 +108,7 @@
 	if o.TokenTimeout == 0 {
 		o.TokenTimeout = callTimeout
 	}
-	return &Loop{options: o, replicas: newReplicaList(o.Replicas, o.Instance, o.FailureDomain), trigger: make(chan struct{}, 1)}
+	return &Loop{options: o, replicas: newReplicaList(o.Replicas, o.Instance, o.FailureDomain), trigger: make(chan struct{}, 1), pauses: newPauseDetector()}
 }
 
 // RenewNow makes the next renewal start at once. It does not block.
@@ -122,7 +123,9 @@
 func (l *Loop) Run(ctx context.Context) error {
 	l.connection.since = l.options.Clock()
 	for {
+		l.pauses.renewalBegins(time.Now())
 		confirmed := l.Renew(ctx)
+		l.pauses.renewalEnded(time.Now())
 		l.logConnection(ctx, confirmed)
 		l.trySeeds(confirmed)
 		select {
@@ -189,6 +192,7 @@
 func (l *Loop) renewAt(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	defer l.pauses.attemptEnded(time.Now())
 	request := l.request()
 	sentAt := l.options.Clock()
 	var reply protocol.RenewReply
--- a/internal/process/renewal/loop_test.go
+++ b/internal/process/renewal/loop_test.go
@@ -206,3 +206,16 @@
 		must.NoError(t, <-done)
 	})
 }
+
+// newTestLoop returns the loop of a daemon without targets.
+func newTestLoop(caller Caller) *Loop {
+	return New(Options{
+		Instance: "d", Replicas: []string{"r"}, Subscriptions: func() []string { return []string{"s"} },
+		Caller: caller, Configuration: configuration.NewHolder(configuration.HolderOptions{Now: time.Now}), Registry: registry.NewTable(time.Now),
+		Quota: quota.NewHolder(time.Now, func(context.Context, []protocol.QuotaRequest) ([]protocol.QuotaGrant, time.Time, error) {
+			return nil, time.Now(), nil
+		}),
+		Targets: func() []protocol.Announcement { return nil }, Leaving: func() bool { return false },
+		Clock: time.Now, Recorder: discardRecorder{}, Log: zap.NewNop(),
+	})
+}
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -75,6 +75,9 @@
 	Stats    *Stats
 	// Traffic counts the bytes exchanged with other daemons.
 	Traffic *traffic.Counter
+	// CatchUp, if set, waits until the configuration is known to be current again, where
+	// this process was paused.
+	CatchUp func(ctx context.Context, now time.Time)
 }
 
 func (e *EntryHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -133,6 +136,9 @@
 }
 
 func (e *EntryHandler) serve(ctx context.Context, w http.ResponseWriter, req *inboundRequest) (*Response, error) {
+	if e.CatchUp != nil {
+		e.CatchUp(ctx, req.receivedAt)
+	}
 	state := e.Configuration.Current()
 	if state.Number() == 0 {
 		return nil, withRetryAfter(fault.New(fault.LeaseExpired, "no configuration received yet"), noConfigurationRetryAfter)
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -57,6 +57,8 @@
 	Shutdown func() drain.Schedule
 	Log      *zap.Logger
 	Stats    *Stats
+	// CatchUp is that of EntryHandler.
+	CatchUp func(ctx context.Context, now time.Time)
 }
 
 // ServeHTTP serves the requests that other daemons forward.
@@ -68,6 +70,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), m.Remaining)
 	defer cancel()
+	if p.CatchUp != nil {
+		p.CatchUp(ctx, time.Now())
+	}
 	progress := &drain.Progress{ID: m.RequestID, Route: m.Route, Began: time.Now()}
 	defer drain.Follow(r.Context(), progress).Stop()
 	body, err := bufferBody(r.Body, r.ContentLength)
