Bounds of the deployment are read, and checked against what this build needs

Nothing read ack_ms, apply_ms, evacuate_ms and contact_ms: intervals and timeouts of ours were right for the deployments of today by chance, and no word was said where they are not. A process now logs a warning for each bound that is shorter than it can keep, and an acknowledgment waits for daemons no longer than the bound on it allows.

TestBoundsThatCannotBeKept.

Looked at for the same: a departure holds at once in the daemon beside the target, which acknowledges it; a lower stated limit too; withdrawn keys and lower quotas are part of the configuration, and so of what an acknowledgment waits for.

--- a/internal/process/control/effect.go
+++ b/internal/process/control/effect.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// contactTimeout is how long after its last renewal a daemon counts as being in
+	// ContactTimeout is how long after its last renewal a daemon counts as being in
 	// contact with the replicas: longer than a renewal takes to get past a replica that
 	// does not reply.
-	contactTimeout = 1500 * time.Millisecond
+	ContactTimeout = 1500 * time.Millisecond
 	// DefaultEffectTimeout is how long the acknowledgment of an order waits for daemons
 	// that are in contact and do not put it into effect.
 	DefaultEffectTimeout = 3 * time.Second
@@ -59,8 +59,8 @@
 		if _, leads := s.options.Group.Leader(); !leads {
 			return fault.New(fault.NotInEffect, "this replica lost its leadership before version %d was known to be in effect on all daemons", number)
 		}
-		complete := s.pauses.runningFor(now) >= contactTimeout && s.registryIsComplete(committed)
-		behind := s.options.Registry.Behind(now, number, contactTimeout)
+		complete := s.pauses.runningFor(now) >= ContactTimeout && s.registryIsComplete(committed)
+		behind := s.options.Registry.Behind(now, number, ContactTimeout)
 		if complete && len(behind) == 0 {
 			return nil
 		}
@@ -81,7 +81,7 @@
 // replying member before the time since. Leader only.
 func (s *Service) registryIsComplete(since time.Time) bool {
 	for _, m := range s.options.Group.Status().Members {
-		if m.Address != s.options.Address && m.Silent < contactTimeout && s.exchanges.lastBegan(m.Address).Before(since) {
+		if m.Address != s.options.Address && m.Silent < ContactTimeout && s.exchanges.lastBegan(m.Address).Before(since) {
 			return false
 		}
 	}
--- a/internal/process/control/pause_watch_test.go
+++ b/internal/process/control/pause_watch_test.go
@@ -37,18 +37,18 @@
 			}
 		}
 		s.options.Registry.Renew(time.Now(), protocol.RenewRequest{Instance: "d", Version: 1})
-		observeFor(2 * contactTimeout)
+		observeFor(2 * ContactTimeout)
 		time.Sleep(pause)
 		s.options.Registry.Expire(time.Now())
 
 		done := make(chan error, 1)
 		go func() { done <- s.awaitEffect(t.Context(), 2) }()
 		var observer sync.WaitGroup
-		observer.Go(func() { observeFor(4 * contactTimeout) })
+		observer.Go(func() { observeFor(4 * ContactTimeout) })
 		defer observer.Wait()
-		time.Sleep(contactTimeout / 2)
+		time.Sleep(ContactTimeout / 2)
 		s.options.Registry.Renew(time.Now(), protocol.RenewRequest{Instance: "d", Version: 1})
-		time.Sleep(contactTimeout)
+		time.Sleep(ContactTimeout)
 		must.Eq(t, 0, len(done), must.Sprint("acknowledged while the daemon acts on the older version"))
 		s.options.Registry.Renew(time.Now(), protocol.RenewRequest{Instance: "d", Version: 2})
 		must.NoError(t, <-done)
--- a/internal/process/control/role.go
+++ b/internal/process/control/role.go
@@ -25,7 +25,7 @@
 )
 
 // RoleOptions configures the control role and holds its dependencies. All fields
-// are required except FailureDomain, ReplicaDomain, OpenDisk, AutoMembership, LedgerShards, HeartbeatInterval,
+// are required except FailureDomain, ReplicaDomain, OpenDisk, AutoMembership, EffectTimeout, LedgerShards, HeartbeatInterval,
 // ElectionTimeout, MaxQuotaOutage and TokenTTL.
 type RoleOptions struct {
 	// DataDir is the data directory; each group has a subdirectory in it.
@@ -42,6 +42,8 @@
 	Replicas func() []string
 	// AutoMembership, if set, enables membership management without an operator.
 	AutoMembership *AutoMembership
+	// EffectTimeout is passed to the service; see Options.EffectTimeout.
+	EffectTimeout time.Duration
 	// LedgerShards is the number of groups of the once ledger. With 0 the role
 	// serves no once ledger.
 	LedgerShards int
@@ -102,6 +104,7 @@
 		ReplicaDomain:  r.options.ReplicaDomain,
 		Replicas:       r.options.Replicas,
 		AutoMembership: r.options.AutoMembership,
+		EffectTimeout:  r.options.EffectTimeout,
 		Log:            r.options.Log,
 		Group:          group,
 		Machine:        machine,
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -47,7 +47,7 @@
 func (s *Service) logInEffect() {
 	now, number := s.options.Clock(), s.options.Machine.State().Number()
 	age := s.versions.observe(number, now)
-	if _, leads := s.options.Group.Leader(); !leads || number == s.versions.logged || len(s.options.Registry.Behind(now, number, contactTimeout)) > 0 {
+	if _, leads := s.options.Group.Leader(); !leads || number == s.versions.logged || len(s.options.Registry.Behind(now, number, ContactTimeout)) > 0 {
 		return
 	}
 	s.versions.logged = number
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -136,6 +136,7 @@
 	}
 	n := &Node{options: o, log: o.Log, drain: drain.New(), stats: relay.NewStats(), traffic: traffic.NewCounter(o.FailureDomain), clock: clock.New(), group: lifecycle.New(o.Log)}
 	n.drain.Log = o.Log
+	o.Bounds.logUnmet(o.Log)
 	n.SetSeeds(o.Seeds)
 	n.tuneMemory()
 	n.events = events.New(o.Instance, eventCapacity, time.Now)
@@ -260,6 +261,7 @@
 		FailureDomain:     n.options.FailureDomain,
 		ReplicaDomain:     n.traffic.Learn,
 		Replicas:          n.currentSeeds,
+		EffectTimeout:     n.options.Bounds.effectTimeout(),
 		AutoMembership:    &control.AutoMembership{ToleratedLosses: c.ToleratedLosses, Founder: c.Founder},
 		HeartbeatInterval: heartbeatInterval,
 		ElectionTimeout:   electionTimeout,
--- a/internal/process/node/options.go
+++ b/internal/process/node/options.go
@@ -27,6 +27,8 @@
 	// Handlers are additional HTTP listeners by address. Each function creates
 	// the handler once the node exists.
 	Handlers map[string]func(*Node) http.Handler
+	// Bounds are those of the deployment.
+	Bounds Bounds
 	// ShutdownTimeout is the maximum duration of a graceful shutdown.
 	ShutdownTimeout time.Duration
 	// MemoryLimit is the amount of memory that the process may use, in bytes. 0
--- a/internal/process/renewal/loop.go
+++ b/internal/process/renewal/loop.go
@@ -38,6 +38,12 @@
 	seedsAfter = 10 * time.Second
 )
 
+// LongestRenewal returns the time from the start of a confirmed renewal to the end of the next
+// one, while so many replicas do not reply and the others confirm renewals at once.
+func LongestRenewal(interval time.Duration, silent int) time.Duration {
+	return interval + time.Duration(silent+1)*callTimeout
+}
+
 // Caller sends calls to replicas. rpc.Pool implements it.
 type Caller interface {
 	Call(ctx context.Context, address, method string, params, reply any) error
