--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -17,7 +17,8 @@
 	mu      sync.Mutex
 	version uint64
 	since   time.Time
-	// logged is the last version that was logged as being in effect on all daemons.
+	// logged is the last version that was logged as being in effect on all daemons. Only
+	// WatchState uses it.
 	logged uint64
 }
 
