--- a/internal/process/control/late_configuration_test.go
+++ b/internal/process/control/late_configuration_test.go
@@ -66,9 +66,14 @@
 	return behind
 }
 
-// loseReplicas stops replicas, which lose their disks, and starts them again, empty, a
-// little later.
-func (c *cluster) loseReplicas(lost ...*replicaProcess) {
+// stallLeaderAndLoseTwo stalls the leader. Two other replicas lose their disks and start
+// again, empty, a little later.
+func (c *cluster) stallLeaderAndLoseTwo(seed uint64) {
+	leader := c.leader()
+	others := slices.DeleteFunc(slices.Clone(c.replicas), func(r *replicaProcess) bool { return r == leader })
+	c.net.freeze(leader.address)
+	time.AfterFunc(stall, func() { c.net.unfreeze(leader.address) })
+	lost := []*replicaProcess{others[seed%4], others[(seed+1)%4]}
 	for _, r := range lost {
 		r.stop()
 		clear(r.disks)
@@ -94,11 +99,7 @@
 				must.NoError(t, c.order(configurationOrder(t, 2, 1), 4*time.Second))
 				acknowledged := time.Now()
 
-				leader := c.leader()
-				others := slices.DeleteFunc(slices.Clone(c.replicas), func(r *replicaProcess) bool { return r == leader })
-				c.net.freeze(leader.address)
-				time.AfterFunc(stall, func() { c.net.unfreeze(leader.address) })
-				c.loseReplicas(others[seed%4], others[(seed+1)%4])
+				c.stallLeaderAndLoseTwo(seed)
 				time.Sleep(time.Until(acknowledged.Add(applyLimit)))
 				must.SliceEmpty(t, c.daemonsBelow(2), must.Sprintf("daemons that act on the older configuration %s after the acknowledgment", applyLimit))
 				must.Eq(t, 2, c.revision())
@@ -107,19 +108,6 @@
 	}
 }
 
-// orderAnywhere is like order, for replicas that stop and start meanwhile.
-func (c *cluster) orderAnywhere(encoded []byte, within time.Duration) error {
-	var err error
-	for start := time.Now(); time.Since(start) < within; time.Sleep(20 * time.Millisecond) {
-		for _, address := range c.addresses() {
-			if err = c.sendOrder(address, encoded); err == nil {
-				return nil
-			}
-		}
-	}
-	return err
-}
-
 // TestOrderIsSentAgainAfterALostLeader guards against an order that a new leader
 // acknowledges at once, because an earlier one has committed it, while daemons that had no
 // contact with a quorum in between act on the older configuration.
@@ -133,13 +121,9 @@
 				c.awaitRevision(1, 2*time.Second)
 
 				done := make(chan error, 1)
-				go func() { done <- c.orderAnywhere(configurationOrder(t, 2, 1), 12*time.Second) }()
+				go func() { done <- c.order(configurationOrder(t, 2, 1), 12*time.Second) }()
 				time.Sleep(time.Duration(seed) * 80 * time.Millisecond)
-				leader := c.leader()
-				others := slices.DeleteFunc(slices.Clone(c.replicas), func(r *replicaProcess) bool { return r == leader })
-				c.net.freeze(leader.address)
-				time.AfterFunc(stall, func() { c.net.unfreeze(leader.address) })
-				c.loseReplicas(others[seed%4], others[(seed+1)%4])
+				c.stallLeaderAndLoseTwo(seed)
 				must.NoError(t, <-done)
 				must.SliceEmpty(t, c.daemonsBelow(2))
 			})
--- a/internal/process/control/membership_manager_test.go
+++ b/internal/process/control/membership_manager_test.go
@@ -67,15 +67,11 @@
 	return encoded
 }
 
-// order sends an order to the running replicas in turn until one returns success
-// or a final error.
+// order sends an order to the replicas in turn until one returns success or a final error.
 func (c *cluster) order(encoded []byte, within time.Duration) error {
 	err := fault.New(fault.NoLeader, "no replica is running")
 	for start := time.Now(); time.Since(start) < within; time.Sleep(20 * time.Millisecond) {
 		for _, r := range c.replicas {
-			if r.role == nil {
-				continue
-			}
 			if err = c.sendOrder(r.address, encoded); err == nil || fault.Is(err, fault.RevisionConflict) || fault.Is(err, fault.NoteInvalid) {
 				return err
 			}
