--- a/e2e/late_configuration_test.go
+++ b/e2e/late_configuration_test.go
@@ -40,11 +40,11 @@
 		go spin(stopBusy)
 	}
 	random := rand.New(rand.NewPCG(*lateSeed, 1))
-	m.order("/-/config/put", configuration(1), formTimeout)
+	m.putConfiguration(1)
 	for revision := 2; revision <= *lateRounds+1; revision++ {
 		must.NoError(t, system.Await(formTimeout, func() error { return m.checkWhole(revision - 1) }))
 		began := time.Now()
-		acknowledging := m.order("/-/config/put", configuration(revision), formTimeout)
+		acknowledging := m.putConfiguration(revision)
 		acknowledged := time.Now()
 		stalled, lost := m.victims(random, acknowledging)
 		stalled.signal(syscall.SIGSTOP)
@@ -116,7 +116,7 @@
 // on under the old configuration. The replica that they renew with does not reply either.
 func TestResumedDaemonActsOnTheOldConfiguration(t *testing.T) {
 	m := startMesh(t, meshDaemons)
-	m.order("/-/config/put", configuration(1), formTimeout)
+	m.putConfiguration(1)
 	must.NoError(t, system.Await(formTimeout, func() error { return m.checkWhole(1) }))
 	// Daemons move to the replica of their failure domain.
 	time.Sleep(2 * time.Second)
@@ -128,7 +128,7 @@
 	for _, d := range stopped {
 		d.signal(syscall.SIGSTOP)
 	}
-	m.order("/-/config/put", configuration(2), formTimeout)
+	m.putConfiguration(2)
 	lost.signal(syscall.SIGSTOP)
 	time.Sleep(inForceLimit)
 	m.client.Timeout = formTimeout
--- a/e2e/mesh_test.go
+++ b/e2e/mesh_test.go
@@ -184,30 +184,25 @@
 	}
 }
 
-// post sends an order to one replica, and returns the status of the response or 0.
-func (m *mesh) post(p *meshProcess, path string, body []byte) int {
-	response, err := m.client.Post("http://"+p.address(controlPort)+path, "application/json", bytes.NewReader(body))
-	if err != nil {
-		return 0
-	}
-	_ = response.Body.Close()
-	return response.StatusCode
-}
-
-// order sends an order to the replicas in turn until one acknowledges it, and returns that
-// replica.
-func (m *mesh) order(path string, body []byte, within time.Duration) *meshProcess {
+// putConfiguration sends the configuration of a revision to the replicas in turn until one
+// acknowledges it, and returns that replica.
+func (m *mesh) putConfiguration(revision int) *meshProcess {
 	m.t.Helper()
-	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+	body := configuration(revision)
+	for deadline := time.Now().Add(formTimeout); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
 		for _, p := range m.replicas {
-			status := m.post(p, path, body)
-			if status == http.StatusOK {
+			response, err := m.client.Post("http://"+p.address(controlPort)+"/-/config/put", "application/json", bytes.NewReader(body))
+			if err != nil {
+				continue
+			}
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
 				return p
 			}
-			must.NotEq(m.t, http.StatusUnprocessableEntity, status, must.Sprintf("order %s", path))
+			must.NotEq(m.t, http.StatusUnprocessableEntity, response.StatusCode, must.Sprintf("revision %d", revision))
 		}
 	}
-	m.t.Fatalf("%s was not acknowledged within %s", path, within)
+	m.t.Fatalf("revision %d was not acknowledged within %s", revision, formTimeout)
 	return nil
 }
 
