Requests after a pause wait long enough to get past two lost replicas

Two replicas may be lost at any time. A daemon that goes on after a pause and tries both first needs 1.4 s for them and up to 0.25 s for a confirmed renewal; its requests waited for 1.5 s and were then handled under the old configuration.

TestRequestAfterAPauseWithLostReplicas failed with 1.5 s (no confirmed renewal when the wait ended) and passes with 2 s.

--- a/internal/process/renewal/catch_up.go
+++ b/internal/process/renewal/catch_up.go
@@ -13,8 +13,8 @@
 	// no reply.
 	pauseLimit = 2 * time.Second
 	// maxCatchUp is how long requests wait at most for the first renewal after a pause: long
-	// enough to get past one or two replicas that do not reply.
-	maxCatchUp = 1500 * time.Millisecond
+	// enough to get past two replicas that do not reply to one that does.
+	maxCatchUp = 2 * time.Second
 )
 
 // pauseDetector tells whether this process was paused, as a stopped or starved process is,
--- a/internal/process/renewal/catch_up_test.go
+++ b/internal/process/renewal/catch_up_test.go
@@ -58,6 +58,45 @@
 	})
 }
 
+// TestRequestAfterAPauseWithLostReplicas guards against a wait after a pause that ends before
+// a renewal gets past two lost replicas to one that confirms with its next barrier.
+func TestRequestAfterAPauseWithLostReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const barrier = 200 * time.Millisecond
+		group := &fakeReplicas{began: time.Now()}
+		loop := newTestLoop(lostReplicas{group, barrier})
+		loop.replicas.set([]string{"lost-1", "lost-2", "r"}, []string{"", "", ""})
+		for current := ""; current != "r"; {
+			current = loop.replicas.current()
+			loop.replicas.fail(current, time.Now())
+		}
+		loop.pauses.attemptEnded(time.Now().Add(-2 * pauseLimit))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- loop.Run(ctx) }()
+		loop.CatchUp(ctx, time.Now())
+		confirmed := group.renewals.Load()
+		cancel()
+		must.NoError(t, <-done)
+		must.Eq(t, 1, confirmed, must.Sprint("renewals that were confirmed"))
+	})
+}
+
+// lostReplicas are two lost replicas and one that replies after a time.
+type lostReplicas struct {
+	*fakeReplicas
+	after time.Duration
+}
+
+func (r lostReplicas) Call(ctx context.Context, address, method string, params, reply any) error {
+	if address != "r" {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(r.after)
+	return r.fakeReplicas.Call(ctx, address, method, params, reply)
+}
+
 // silentReplicas never reply.
 type silentReplicas struct{}
 
