--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -19,6 +19,7 @@
 // that the case could not run.
 var cases = map[string]func(rec *record, program string, trouble bool) (bool, error){
 	"early":   early,
+	"odd":     odd,
 	"release": release,
 }
 
