--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -18,9 +18,10 @@
 // cases holds the cases by name. Each returns whether the rule was broken; the error says
 // that the case could not run.
 var cases = map[string]func(rec *record, program string, trouble bool) (bool, error){
-	"early":   early,
-	"odd":     odd,
-	"release": release,
+	"early":    early,
+	"evacuate": evacuate,
+	"odd":      odd,
+	"release":  release,
 }
 
 func main() {
