--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(rec *record, program string, trouble bool) (bool, error){
 	"early":    early,
 	"evacuate": evacuate,
+	"framing":  framing,
 	"odd":      odd,
 	"release":  release,
 }
