--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 here="$(cd "$(dirname "$0")" && pwd)" || exit 2
 cd "$here/../.." || exit 2
 [ -x build/review2/lab2 ] && [ -x target/teaselrackd ] || exit 2
-exec build/review2/lab2 evacuate target/teaselrackd "$here"
+exec build/review2/lab2 evacuate target/teaselrackd "$here/record.txt"
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 )
 
 // Exit codes of a case.
@@ -27,14 +26,14 @@
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: lab2 CASE PROGRAM FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: lab2 CASE PROGRAM RECORD")
 		os.Exit(couldnt)
 	}
 	os.Exit(run(cases[os.Args[1]], os.Args[2], os.Args[3]))
 }
 
-func run(play func(*record, string, bool) (bool, error), program, folder string) int {
-	rec, err := openRecord(filepath.Join(folder, "record.txt"))
+func run(play func(*record, string, bool) (bool, error), program, path string) int {
+	rec, err := openRecord(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldnt
