Clients that do not behave: a test that shows them on real processes

A crowd of 500 clients sends heads, bodies, chunks, HTTP/2 header blocks or requests without end to one listener after the other, or nothing, and keeps its last connections open. The process must live, its resident memory with the receive queues of its connections and its sockets must stay within the limits of its settings, and one ordinary request must be answered.

The limits of the platform's processes are lowered to 64 MB and 600 descriptors, those of a daemon of the product's own interface to 300 connections; its memory is the 256 MB of docs/CAPACITY.md.

A daemon of the product's own interface holds up to 543 MB for clients that do not read, and answers nobody while they hold its connections. Empty lines without end break no bound: the server refuses the first.

The end-to-end tests get a time limit of 20 minutes.

--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,7 @@
 # test-e2e starts real processes on free loopback ports and stops them by id.
 test-e2e: build
 	@mkdir -p build
-	cd e2e && TEASELRACK_BIN=$(CURDIR)/$(BIN) $(GO) test -json -count=1 ./... | (cd .. && $(VERDICT) --save build/e2e.jsonl)
+	cd e2e && TEASELRACK_BIN=$(CURDIR)/$(BIN) $(GO) test -json -count=1 -timeout 20m ./... | (cd .. && $(VERDICT) --save build/e2e.jsonl)
 
 # proof runs every test and prints the rows of docs/PROOF.md with the results.
 proof: test-race test-bubbles test-faults test-bench test-e2e
--- a/e2e/mesh_test.go
+++ b/e2e/mesh_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -48,6 +49,12 @@
 	replicas []*meshProcess
 	daemons  []*meshProcess
 	client   *http.Client
+	limits   meshLimits
+}
+
+// meshLimits are the limits in the settings of the processes.
+type meshLimits struct {
+	memoryMB, descriptors int
 }
 
 // meshProcess is one process of a mesh with an address of its own.
@@ -60,12 +67,21 @@
 	started  bool
 	command  *exec.Cmd
 	finished chan struct{}
+	// targetStarted is when the target beside the process started, in Unix milliseconds, and
+	// heartbeats is the number of heartbeats that it has sent.
+	targetStarted int64
+	heartbeats    atomic.Int64
 }
 
 // startMesh starts five replicas and the given number of daemons in four failure domains.
 func startMesh(t *testing.T, daemons int) *mesh {
 	t.Helper()
-	m := &mesh{t: t, program: filepath.Join(programDir, "teaselrackd"), folder: t.TempDir(), client: &http.Client{Timeout: operatorTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	return startMeshWith(t, daemons, meshLimits{memoryMB: 280, descriptors: 4096})
+}
+
+func startMeshWith(t *testing.T, daemons int, limits meshLimits) *mesh {
+	t.Helper()
+	m := &mesh{t: t, limits: limits, program: filepath.Join(programDir, "teaselrackd"), folder: t.TempDir(), client: &http.Client{Timeout: operatorTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for i := range 5 {
 		m.replicas = append(m.replicas, m.newProcess(fmt.Sprint("replica-", i), i, i+1, true))
 	}
@@ -133,7 +149,7 @@
 	return fmt.Sprintf("node = %q\nserves = [%q]\nip = %q\nzone = %q\ninternal_ports = [%d,%d]\nseeds = [%s]\nbootstrap = %t\n", p.name, role, p.ip, p.domain,
 		p.mesh.port+firstInternalPort, p.mesh.port+meshPorts-1, strings.Join(seeds, ","), !p.started) + own +
 		"[zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\nd = \"r\"\n[listen]\n" + fmt.Sprintf("control = %q\n", p.address(controlPort)) + listen +
-		"[limits]\nmemory_mb = 280\n[tolerate]\nmachines = 2\n[bounds]\nack_ms = 4000\napply_ms = 2000\ncontact_ms = 3000\ngrace_s = 6\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 47\ncold_overage = 1.5\n"
+		fmt.Sprintf("[limits]\nmemory_mb = %d\nmax_fds = %d\n", p.mesh.limits.memoryMB, p.mesh.limits.descriptors) + "[tolerate]\nmachines = 2\n[bounds]\nack_ms = 4000\napply_ms = 2000\ncontact_ms = 3000\ngrace_s = 6\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 47\ncold_overage = 1.5\n"
 }
 
 func (p *meshProcess) start() {
--- a/emulator/system/layout.go
+++ b/emulator/system/layout.go
@@ -37,6 +37,8 @@
 	// ControlVia replaces the addresses of the control replicas in the daemon's
 	// settings, if it is not empty.
 	ControlVia []string
+	// Connections is the daemon's limit of open connections; 0 leaves the default.
+	Connections int
 }
 
 // Layout describes a system on loopback: its addresses, files and commands.
@@ -189,6 +191,9 @@
 		replicas = i.ControlVia
 	}
 	line("replicas: [%s]", strings.Join(replicas, ", "))
+	if i.Connections > 0 {
+		line("limits: {connections: %d}", i.Connections)
+	}
 	line("log: {format: json, level: info}")
 	return os.WriteFile(l.settingsFile(i), []byte(b.String()), fileMode)
 }
