Clients that do not behave: bound the open connections of a platform process

Callers saw connections that were reset or never accepted, and a process without descriptors, once enough clients opened connections and sent nothing complete on them: no listener of the platform's processes had a limit, and each connection costs a socket, buffers, goroutines and a receive queue.

A guard now counts the connections of all listeners of a process. Their number follows from memory_mb and from max_fds, which was not read before. When it is reached, the connection that has been without a complete request for longest makes room, so a crowd that sends nothing useful replaces itself and ordinary callers get in; connections with a request are kept. A listener takes its own connections first, so a crowd at one does not close those of the others. A link counts as in use from its first message on.

TestSilentConnections- MakeRoom and TestServedConnectionsAreNotReplaced guard the rule itself.

Ruled out: to wait with accepting at the limit, as before in the product's own daemon: clients that hold all connections keep everybody out, and what waits in the queue of the listener fills receive queues too.

--- /dev/null
+++ b/internal/connection/listener/guard_test.go
@@ -0,0 +1,116 @@
+package listener
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// guardedServer serves requests on a guarded listener: those for /wait until proceed is closed.
+func guardedServer(t *testing.T, c Capacity, part float64) (address string, guard *Guard, proceed chan struct{}) {
+	ln, err := Listen(t.Context(), "127.0.0.1:0")
+	must.NoError(t, err)
+	proceed = make(chan struct{})
+	server := NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-proceed
+		}
+		_, _ = io.WriteString(w, "ok")
+	}), Options{})
+	guard = NewGuard(c)
+	guard.Protect(server)
+	guarded := guard.Listen(ln, part)
+	go func() { _ = server.Serve(guarded) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return ln.Addr().String(), guard, proceed
+}
+
+// open opens a connection and sends text.
+func open(t *testing.T, address, text string) net.Conn {
+	conn, err := net.Dial("tcp", address)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	must.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(conn, text)
+	must.NoError(t, err)
+	return conn
+}
+
+// awaitGuard waits until done reports true of the guard.
+func awaitGuard(t *testing.T, g *Guard, done func() bool) {
+	for range 1000 {
+		g.mu.Lock()
+		ok := done()
+		g.mu.Unlock()
+		if ok {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the guard did not get into the expected state")
+}
+
+const (
+	get     = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	getWait = "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+)
+
+// expectOK reads the head of a response with status 200.
+func expectOK(t *testing.T, conn net.Conn) {
+	t.Helper()
+	line := make([]byte, len("HTTP/1.1 200 OK"))
+	_, err := io.ReadFull(conn, line)
+	must.NoError(t, err)
+	must.Eq(t, "HTTP/1.1 200 OK", string(line))
+}
+
+// TestSilentConnectionsMakeRoom guards against connections without requests that keep others
+// out. The oldest of them is closed, and one with a request that is being served is not.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	address, guard, proceed := guardedServer(t, Capacity{Connections: 3}, 1)
+	served := open(t, address, getWait)
+	awaitGuard(t, guard, func() bool {
+		for c := range guard.conns {
+			if c.served {
+				return true
+			}
+		}
+		return false
+	})
+	oldest := open(t, address, "GET / HTTP/1.1\r\n")
+	awaitGuard(t, guard, func() bool { return len(guard.conns) == 2 })
+	idle := open(t, address, get)
+	expectOK(t, idle)
+	expectOK(t, open(t, address, get))
+	_, err := oldest.Read(make([]byte, 1))
+	must.Error(t, err)
+	close(proceed)
+	expectOK(t, served)
+	awaitGuard(t, guard, func() bool { return guard.replaced == 1 && guard.refused == 0 })
+}
+
+// TestServedConnectionsAreNotReplaced guards against new connections that end requests. There is
+// no room for them.
+func TestServedConnectionsAreNotReplaced(t *testing.T) {
+	address, guard, proceed := guardedServer(t, Capacity{Connections: 2}, 1)
+	first, second := open(t, address, getWait), open(t, address, getWait)
+	awaitGuard(t, guard, func() bool {
+		served := 0
+		for c := range guard.conns {
+			if c.served {
+				served++
+			}
+		}
+		return served == 2
+	})
+	_, err := open(t, address, "").Read(make([]byte, 1))
+	must.Error(t, err)
+	close(proceed)
+	expectOK(t, first)
+	expectOK(t, second)
+	awaitGuard(t, guard, func() bool { return guard.replaced == 0 && guard.refused == 1 })
+}
--- a/internal/connection/rpc/codec.go
+++ b/internal/connection/rpc/codec.go
@@ -7,8 +7,10 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"net"
 	"sync/atomic"
 
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
@@ -32,6 +34,8 @@
 // direction and is flushed after each message. Control messages between two
 // replicas repeat most of their text, so a message shrinks to a few dozen bytes.
 type frameCodec struct {
+	// conn is the connection that a server accepted, nil for that of a client.
+	conn net.Conn
 	// compress is true once frames may be sent compressed.
 	compress atomic.Bool
 	// written and read are the sizes of the last frame in each direction. They are
@@ -105,6 +109,15 @@
 	if err != nil {
 		return err
 	}
+	if err := c.readFrame(r, n, v); err != nil {
+		return err
+	}
+	listener.Served(c.conn)
+	return nil
+}
+
+// readFrame reads the frame that follows the length n.
+func (c *frameCodec) readFrame(r *bufio.Reader, n uint32, v any) error {
 	if n&compressedFlag != 0 {
 		return c.readCompressed(r, n&^compressedFlag, v)
 	}
--- a/internal/connection/rpc/server.go
+++ b/internal/connection/rpc/server.go
@@ -144,7 +144,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	codec := new(frameCodec)
+	codec := &frameCodec{conn: conn}
 	stream := jsonrpc2.NewBufferedStream(deadlineConn{link}, codec)
 	rpc := jsonrpc2.NewConn(ctx, stream, &linkHandler{server: s, peer: peer, codec: codec, inFlight: make(chan struct{}, maxCallsPerLink)}, jsonrpc2.SetLogger(discardLogger{}))
 	<-rpc.DisconnectNotify()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -121,6 +121,8 @@
 	targetClient *http1.Client
 	stats        *relay.Stats
 	traffic      *traffic.Counter
+	// guard bounds what clients can make the process hold.
+	guard *listener.Guard
 	// clock is that of leases and tokens.
 	clock        *clock.Clock
 	entryHandler *relay.EntryHandler
@@ -134,7 +136,8 @@
 	if err := o.Validate(); err != nil {
 		return nil, err
 	}
-	n := &Node{options: o, log: o.Log, drain: drain.New(), stats: relay.NewStats(), traffic: traffic.NewCounter(o.FailureDomain), clock: clock.New(), group: lifecycle.New(o.Log)}
+	guard := listener.NewGuard(listener.CapacityFor(o.MemoryLimit, o.Descriptors))
+	n := &Node{options: o, log: o.Log, drain: drain.New(), guard: guard, stats: relay.NewStats(), traffic: traffic.NewCounter(o.FailureDomain), clock: clock.New(), group: lifecycle.New(o.Log)}
 	n.drain.Log = o.Log
 	o.Bounds.logUnmet(o.Log)
 	n.SetSeeds(o.Seeds)
@@ -337,6 +340,7 @@
 // text format.
 func (n *Node) WriteMetrics(w io.Writer) {
 	n.traffic.Write(w)
+	n.guard.Write(w)
 	if n.target != nil {
 		n.stats.Write(w)
 		_, _ = fmt.Fprintf(w, "teaselrack_configuration_revision %d\n", n.configuration.Current().Revision())
@@ -410,7 +414,7 @@
 				return nil, err
 			}
 			n.refusable = append(n.refusable, ln)
-			n.addActor(endpoint.name, server, ln)
+			n.addActor(endpoint.name, server, ln, listener.TrafficShare)
 			servers = append(servers, server)
 		}
 	}
@@ -420,7 +424,8 @@
 			return nil, err
 		}
 		server := rpc.NewServer(mesh.NewPlainIdentity(n.options.Instance), n.controlRole.Handlers(), n.log)
-		n.group.Add("control links", func() error { return server.Run(ln) }, func(error) { _ = server.Close() })
+		links := n.guard.Listen(ln, listener.TrafficShare)
+		n.group.Add("control links", func() error { return server.Run(links) }, func(error) { _ = server.Close() })
 	}
 	return servers, nil
 }
@@ -435,17 +440,20 @@
 		return err
 	}
 	n.handlerServers = append(n.handlerServers, server)
-	n.addActor("server "+address, server, ln)
+	n.addActor("server "+address, server, ln, listener.CallShare)
 	return nil
 }
 
-// addActor adds a server to the group. The component of a server that was shut down
+// addActor adds a server to the group, whose clients may use a part of the capacity for
+// connections. The component of a server that was shut down
 // returns only when the group ends, because the return of any component ends the group
 // before the shutdown is complete.
-func (n *Node) addActor(name string, server *http.Server, ln net.Listener) {
+func (n *Node) addActor(name string, server *http.Server, ln net.Listener, part float64) {
+	n.guard.Protect(server)
+	guarded := n.guard.Listen(ln, part)
 	stop := make(chan struct{})
 	n.group.Add(name, func() error {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(guarded); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		<-stop
--- a/internal/process/node/options.go
+++ b/internal/process/node/options.go
@@ -34,6 +34,9 @@
 	// MemoryLimit is the amount of memory that the process may use, in bytes. 0
 	// means no limit.
 	MemoryLimit int64
+	// Descriptors is the number of file descriptors that the process may use. 0 means no
+	// limit.
+	Descriptors int
 	Log         *zap.Logger
 }
 
