Clients that do not behave: bound the bytes that nobody has read

Callers saw a process end for want of memory although it used little by itself: what had arrived and was not read counts toward the memory of its machine. The kernel keeps 64 KiB and more for each connection and lets the buffer of one grow to 32 MiB, and holds 4,096 connections that wait to be accepted with as much. On 500 connections the receive queues held 43 to 144 MB.

A connection begins with a receive buffer of 16 KiB (32 KiB in the kernel), which does not grow by itself, and the queue of a listener holds a quarter of the connections that may be open. The listening socket is set before it listens, so no larger window is ever offered; its buffer is not locked, or the scale of the window would stay that of the small one.

TestUnreadBytesAreBounded: at most 32 KiB of a client that writes without end.

Ruled out: to set the buffer of accepted connections only. What the client may send until then has been offered, and is dropped above the buffer.

--- a/internal/connection/listener/capacity.go
+++ b/internal/connection/listener/capacity.go
@@ -5,6 +5,10 @@
 	// its buffers and its goroutines.
 	bytesPerConnection = 48 << 10
 
+	// receiveQueueBytes is the size of the receive buffer that is requested for a connection.
+	// The kernel allocates twice as much.
+	receiveQueueBytes = 16 << 10
+
 	// connectionShare is the share of the memory of a process for open connections.
 	connectionShare = 0.4
 	// descriptorShare is the share of the descriptors of a process for the connections that
--- a/internal/connection/listener/guard.go
+++ b/internal/connection/listener/guard.go
@@ -8,6 +8,15 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+const (
+	// backlogDivisor divides the connections that a listener may have open. The quotient,
+	// at least minBacklog, is the number of connections that wait to be accepted.
+	backlogDivisor = 4
+	minBacklog     = 32
 )
 
 // Guard bounds what the clients of the listeners of one process can make it hold. When there
@@ -36,9 +45,14 @@
 }
 
 // Listen returns a listener for callers, on which at most this part of the connections of the
-// process is open at a time. Protect the server that accepts from it.
-func (g *Guard) Listen(ln net.Listener, part float64) net.Listener {
-	return &guardedListener{Listener: ln, guard: g, limit: g.capacity.share(part)}
+// process is open at a time. Protect the server that accepts from it. Errors: Internal if the
+// queue of the listener cannot be set.
+func (g *Guard) Listen(ln net.Listener, part float64) (net.Listener, error) {
+	limit := g.capacity.share(part)
+	if err := limitBacklog(ln, max(limit/backlogDivisor, minBacklog)); err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "set the queue of the listener on %s", ln.Addr())
+	}
+	return &guardedListener{Listener: ln, guard: g, limit: limit}, nil
 }
 
 // guardedListener accepts connections as long as there is room for them.
@@ -62,6 +76,7 @@
 			_ = accepted.Close()
 			continue
 		}
+		limitReceiveQueue(accepted, receiveQueueBytes)
 		return c, nil
 	}
 }
--- a/internal/connection/listener/guard_test.go
+++ b/internal/connection/listener/guard_test.go
@@ -4,10 +4,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
 )
 
 // guardedServer serves requests on a guarded listener: those for /wait until proceed is closed.
@@ -23,7 +25,8 @@
 	}), Options{})
 	guard = NewGuard(c)
 	guard.Protect(server)
-	guarded := guard.Listen(ln, part)
+	guarded, err := guard.Listen(ln, part)
+	must.NoError(t, err)
 	go func() { _ = server.Serve(guarded) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return ln.Addr().String(), guard, proceed
@@ -114,3 +117,32 @@
 	expectOK(t, second)
 	awaitGuard(t, guard, func() bool { return guard.replaced == 0 && guard.refused == 1 })
 }
+
+// TestUnreadBytesAreBounded guards against clients whose bytes the kernel keeps while nobody reads
+// them.
+func TestUnreadBytesAreBounded(t *testing.T) {
+	ln, err := Listen(t.Context(), "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	guarded, err := NewGuard(Capacity{Connections: 1}).Listen(ln, 1)
+	must.NoError(t, err)
+	client := open(t, ln.Addr().String(), "")
+	accepted, err := guarded.Accept()
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	must.NoError(t, client.SetDeadline(time.Now().Add(time.Second)))
+	_, err = io.Copy(client, neverEnding{})
+	must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	queued := 0
+	raw, err := accepted.(*conn).Conn.(*net.TCPConn).SyscallConn()
+	must.NoError(t, err)
+	must.NoError(t, raw.Control(func(fd uintptr) { queued, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }))
+	must.NoError(t, err)
+	must.LessEq(t, 2*receiveQueueBytes, queued)
+}
+
+// neverEnding is a reader without an end.
+type neverEnding struct{}
+
+// Read implements io.Reader.
+func (neverEnding) Read(b []byte) (int, error) { return len(b), nil }
--- a/internal/connection/listener/server.go
+++ b/internal/connection/listener/server.go
@@ -71,7 +71,7 @@
 // Listen opens a TCP listener whose connections use TCP keep-alive. Errors:
 // SettingsInvalid if the address cannot be used.
 func Listen(ctx context.Context, address string) (*Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+	config := net.ListenConfig{Control: limitReceiveQueues, KeepAliveConfig: net.KeepAliveConfig{
 		Enable:   true,
 		Idle:     keepAliveIdle,
 		Interval: keepAliveInterval,
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -414,7 +414,9 @@
 				return nil, err
 			}
 			n.refusable = append(n.refusable, ln)
-			n.addActor(endpoint.name, server, ln, listener.TrafficShare)
+			if err := n.addActor(endpoint.name, server, ln, listener.TrafficShare); err != nil {
+				return nil, err
+			}
 			servers = append(servers, server)
 		}
 	}
@@ -424,7 +426,10 @@
 			return nil, err
 		}
 		server := rpc.NewServer(mesh.NewPlainIdentity(n.options.Instance), n.controlRole.Handlers(), n.log)
-		links := n.guard.Listen(ln, listener.TrafficShare)
+		links, err := n.guard.Listen(ln, listener.TrafficShare)
+		if err != nil {
+			return nil, err
+		}
 		n.group.Add("control links", func() error { return server.Run(links) }, func(error) { _ = server.Close() })
 	}
 	return servers, nil
@@ -440,17 +445,19 @@
 		return err
 	}
 	n.handlerServers = append(n.handlerServers, server)
-	n.addActor("server "+address, server, ln, listener.CallShare)
-	return nil
+	return n.addActor("server "+address, server, ln, listener.CallShare)
 }
 
 // addActor adds a server to the group, whose clients may use a part of the capacity for
 // connections. The component of a server that was shut down
 // returns only when the group ends, because the return of any component ends the group
 // before the shutdown is complete.
-func (n *Node) addActor(name string, server *http.Server, ln net.Listener, part float64) {
+func (n *Node) addActor(name string, server *http.Server, ln net.Listener, part float64) error {
+	guarded, err := n.guard.Listen(ln, part)
+	if err != nil {
+		return err
+	}
 	n.guard.Protect(server)
-	guarded := n.guard.Listen(ln, part)
 	stop := make(chan struct{})
 	n.group.Add(name, func() error {
 		if err := server.Serve(guarded); !errors.Is(err, http.ErrServerClosed) {
@@ -462,6 +469,7 @@
 		close(stop)
 		_ = server.Close()
 	})
+	return nil
 }
 
 // prune closes idle connections periodically until ctx ends. It returns nil.
