Clients that do not behave: bound the memory for request heads

Callers saw a process grow with the heads that clients send without end, or in many short lines: the server keeps up to 64 KiB of each, and the lines of such a head take many times their bytes, since each becomes a string and an entry of a map. Only the head of one connection was bounded, not that of all.

The guard counts what arrives of each incomplete head, 128 bytes more for each line and the first 4 KiB not at all, until its request has been served.

--- a/internal/connection/listener/capacity.go
+++ b/internal/connection/listener/capacity.go
@@ -9,8 +9,10 @@
 	// The kernel allocates twice as much.
 	receiveQueueBytes = 16 << 10
 
-	// connectionShare is the share of the memory of a process for open connections.
+	// connectionShare and headShare are the shares of the memory of a process for open
+	// connections and for request heads.
 	connectionShare = 0.4
+	headShare       = 1.0 / 16
 	// descriptorShare is the share of the descriptors of a process for the connections that
 	// its listeners accept. The others are for files and for the connections that it opens.
 	descriptorShare = 0.6
@@ -29,6 +31,8 @@
 type Capacity struct {
 	// Connections is the number of open connections.
 	Connections int
+	// HeadBytes bounds the memory for request heads beyond the first freeHeadBytes of each.
+	HeadBytes int64
 }
 
 // CapacityFor returns the capacity of a process that may use so many bytes of memory and
@@ -39,6 +43,7 @@
 	}
 	c := Capacity{
 		Connections: int(connectionShare * float64(memory) / bytesPerConnection),
+		HeadBytes:   int64(headShare * float64(memory)),
 	}
 	if descriptors > 0 {
 		c.Connections = min(c.Connections, int(descriptorShare*float64(descriptors)))
--- a/internal/connection/listener/conn.go
+++ b/internal/connection/listener/conn.go
@@ -1,11 +1,22 @@
 package listener
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"net"
 	"time"
 )
 
+// lineBytes is the memory that each line of a request head takes besides its text.
+const lineBytes = 128
+
+var lineEnd = []byte("\n")
+
+// errNoRoom is the error of a connection whose request head does not fit beside those of
+// others.
+var errNoRoom = errors.New("the request heads that are being received exceed the limit of the process")
+
 // connKey is the key of the *conn in the context of a request.
 type connKey struct{}
 
@@ -38,6 +49,19 @@
 	// served; otherwise the connection has waited for one since waitingSince.
 	served       bool
 	waitingSince time.Time
+	// received is the memory for what has arrived of the next request head, head the part
+	// of it that counts toward the capacity.
+	received, head int64
+}
+
+// Read implements net.Conn. It counts what it reads of a request head.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.listener.guard.countHead(c, b[:n]) {
+		_ = c.Close()
+		return 0, errNoRoom
+	}
+	return n, err
 }
 
 // Close implements net.Conn.
@@ -70,6 +94,42 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.served, c.waitingSince = false, time.Now()
+	g.heads -= c.head
+	c.received, c.head = 0, 0
+}
+
+// countHead counts more bytes of a request head. If there is no room for them, it closes the
+// connection with the longest incomplete head. It returns false if that is c.
+func (g *Guard) countHead(c *conn, read []byte) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.served || !c.listener.countsHeads {
+		return true
+	}
+	if c.received += int64(len(read) + lineBytes*bytes.Count(read, lineEnd)); c.received <= freeHeadBytes {
+		return true
+	}
+	if _, open := g.conns[c]; !open {
+		return false
+	}
+	counted := c.received - freeHeadBytes
+	g.heads += counted - c.head
+	c.head = counted
+	for g.heads > g.capacity.HeadBytes {
+		longest := c
+		for other := range g.conns {
+			if !other.served && (other.head > longest.head || other.head == longest.head && other.waitingSince.Before(longest.waitingSince)) {
+				longest = other
+			}
+		}
+		g.forget(longest)
+		g.replaced++
+		if longest == c {
+			return false
+		}
+		_ = longest.Conn.Close()
+	}
+	return true
 }
 
 // Served marks a connection of a guarded listener as in use for good. It has no effect on
--- a/internal/connection/listener/guard.go
+++ b/internal/connection/listener/guard.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// freeHeadBytes is the memory for each request head that is not counted.
+	freeHeadBytes = 4 << 10
 	// backlogDivisor divides the connections that a listener may have open. The quotient,
 	// at least minBacklog, is the number of connections that wait to be accepted.
 	backlogDivisor = 4
@@ -21,12 +23,15 @@
 
 // Guard bounds what the clients of the listeners of one process can make it hold. When there
 // is no room for another connection, it closes the one that has been without a complete
-// request for longest. Connections whose requests are being served are never closed.
+// request for longest; when there is none for a request head, the one with the longest
+// incomplete head. Connections whose requests are being served are never closed.
 type Guard struct {
 	capacity Capacity
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// heads is the memory that is held for request heads.
+	heads int64
 	// refused and replaced count the connections that were not accepted and those that were
 	// closed to make room.
 	refused, replaced uint64
@@ -42,6 +47,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, _ = fmt.Fprintf(w, "teaselrack_connections_open %d\nteaselrack_connections_refused_total %d\nteaselrack_connections_replaced_total %d\n", len(g.conns), g.refused, g.replaced)
+	_, _ = fmt.Fprintf(w, "teaselrack_request_head_bytes %d\n", g.heads)
 }
 
 // Listen returns a listener for callers, on which at most this part of the connections of the
@@ -52,7 +58,17 @@
 	if err := limitBacklog(ln, max(limit/backlogDivisor, minBacklog)); err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "set the queue of the listener on %s", ln.Addr())
 	}
-	return &guardedListener{Listener: ln, guard: g, limit: limit}, nil
+	return &guardedListener{Listener: ln, guard: g, limit: limit, countsHeads: true}, nil
+}
+
+// ListenLinks returns a listener like that of Listen for the links of other processes, on
+// which request heads are not counted.
+func (g *Guard) ListenLinks(ln net.Listener, part float64) (net.Listener, error) {
+	l, err := g.Listen(ln, part)
+	if err == nil {
+		l.(*guardedListener).countsHeads = false
+	}
+	return l, err
 }
 
 // guardedListener accepts connections as long as there is room for them.
@@ -60,6 +76,8 @@
 	net.Listener
 	guard *Guard
 	limit int
+	// countsHeads is true if request heads count toward the capacity.
+	countsHeads bool
 	// open is the number of connections; guard.mu protects it.
 	open int
 }
@@ -122,13 +140,15 @@
 	return longest
 }
 
-// forget removes a connection. The caller holds g.mu.
+// forget removes a connection and what it holds. The caller holds g.mu.
 func (g *Guard) forget(c *conn) {
 	if _, open := g.conns[c]; !open {
 		return
 	}
 	delete(g.conns, c)
 	c.listener.open--
+	g.heads -= c.head
+	c.head = 0
 }
 
 // Protect makes the server report to the guard which connections have a request that is being
--- a/internal/connection/listener/guard_test.go
+++ b/internal/connection/listener/guard_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -74,7 +75,7 @@
 // TestSilentConnectionsMakeRoom guards against connections without requests that keep others
 // out. The oldest of them is closed, and one with a request that is being served is not.
 func TestSilentConnectionsMakeRoom(t *testing.T) {
-	address, guard, proceed := guardedServer(t, Capacity{Connections: 3}, 1)
+	address, guard, proceed := guardedServer(t, Capacity{Connections: 3, HeadBytes: 1 << 20}, 1)
 	served := open(t, address, getWait)
 	awaitGuard(t, guard, func() bool {
 		for c := range guard.conns {
@@ -99,7 +100,7 @@
 // TestServedConnectionsAreNotReplaced guards against new connections that end requests. There is
 // no room for them.
 func TestServedConnectionsAreNotReplaced(t *testing.T) {
-	address, guard, proceed := guardedServer(t, Capacity{Connections: 2}, 1)
+	address, guard, proceed := guardedServer(t, Capacity{Connections: 2, HeadBytes: 1 << 20}, 1)
 	first, second := open(t, address, getWait), open(t, address, getWait)
 	awaitGuard(t, guard, func() bool {
 		served := 0
@@ -118,6 +119,24 @@
 	awaitGuard(t, guard, func() bool { return guard.replaced == 0 && guard.refused == 1 })
 }
 
+// TestLongestIncompleteHeadIsClosed guards against heads that never end and keep those of others
+// out. One that is within the limits is served.
+func TestLongestIncompleteHeadIsClosed(t *testing.T) {
+	const headBytes = 32 << 10
+	address, guard, _ := guardedServer(t, Capacity{Connections: 10, HeadBytes: headBytes}, 1)
+	line := "A: " + strings.Repeat("b", 1000) + "\r\n"
+	const begin = "GET / HTTP/1.1\r\nHost: h\r\n"
+	longest := open(t, address, begin+strings.Repeat(line, 20))
+	awaitGuard(t, guard, func() bool { return guard.heads > headBytes/2 })
+	within := open(t, address, begin+strings.Repeat(line, 18)+"\r\n")
+	expectOK(t, within)
+	awaitGuard(t, guard, func() bool { return guard.replaced == 1 })
+	_, err := longest.Read(make([]byte, 1))
+	must.Error(t, err)
+	_ = within.Close()
+	awaitGuard(t, guard, func() bool { return guard.heads == 0 && len(guard.conns) == 0 })
+}
+
 // TestUnreadBytesAreBounded guards against clients whose bytes the kernel keeps while nobody reads
 // them.
 func TestUnreadBytesAreBounded(t *testing.T) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -426,7 +426,7 @@
 			return nil, err
 		}
 		server := rpc.NewServer(mesh.NewPlainIdentity(n.options.Instance), n.controlRole.Handlers(), n.log)
-		links, err := n.guard.Listen(ln, listener.TrafficShare)
+		links, err := n.guard.ListenLinks(ln, listener.TrafficShare)
 		if err != nil {
 			return nil, err
 		}
