Clients that do not behave: bound the bodies that are buffered, and their time

Callers saw a replica take 957 and 984 MB for 500 orders without end, and daemons that hold what a caller sent of a body for as long as the caller keeps silent. The limit of a body (16 MiB for an order, 64 KiB buffered of a request) was one of each request, not of all; a declared length was allocated before a byte of it arrived; and nothing ended a body whose sender stops: net/http has no time limit for it, and the deadline of the request was not applied to the read.

A handler reserves what it buffers from the guard of its listener, 1/8 of the memory for all, and refuses with 503 overloaded, not run, what has no room. The connection's reads end with the deadline of the request (503 deadline_not_run, after which the connection is closed); orders, heartbeats and the other calls have 10 s. A body that is longer than the buffer gets a receive buffer of 256 KiB, where there is room, so that the small one does not slow it.

The answer of a request whose body is read slowly but without a stop is not part of this change.

--- a/internal/connection/listener/capacity.go
+++ b/internal/connection/listener/capacity.go
@@ -8,11 +8,14 @@
 	// receiveQueueBytes is the size of the receive buffer that is requested for a connection.
 	// The kernel allocates twice as much.
 	receiveQueueBytes = 16 << 10
+	// bodyQueueBytes replaces receiveQueueBytes while a long body is read.
+	bodyQueueBytes = 128 << 10
 
-	// connectionShare and headShare are the shares of the memory of a process for open
-	// connections and for request heads.
+	// connectionShare, headShare and bodyShare are the shares of the memory of a process for
+	// open connections, for request heads and for request bodies.
 	connectionShare = 0.4
 	headShare       = 1.0 / 16
+	bodyShare       = 1.0 / 8
 	// descriptorShare is the share of the descriptors of a process for the connections that
 	// its listeners accept. The others are for files and for the connections that it opens.
 	descriptorShare = 0.6
@@ -33,6 +36,8 @@
 	Connections int
 	// HeadBytes bounds the memory for request heads beyond the first freeHeadBytes of each.
 	HeadBytes int64
+	// BodyBytes bounds the request bodies that are buffered.
+	BodyBytes int64
 }
 
 // CapacityFor returns the capacity of a process that may use so many bytes of memory and
@@ -44,6 +49,7 @@
 	c := Capacity{
 		Connections: int(connectionShare * float64(memory) / bytesPerConnection),
 		HeadBytes:   int64(headShare * float64(memory)),
+		BodyBytes:   int64(bodyShare * float64(memory)),
 	}
 	if descriptors > 0 {
 		c.Connections = min(c.Connections, int(descriptorShare*float64(descriptors)))
--- a/internal/connection/listener/guard.go
+++ b/internal/connection/listener/guard.go
@@ -30,8 +30,8 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	// heads is the memory that is held for request heads.
-	heads int64
+	// heads and bodies are the memory that is held for request heads and bodies.
+	heads, bodies int64
 	// refused and replaced count the connections that were not accepted and those that were
 	// closed to make room.
 	refused, replaced uint64
@@ -47,7 +47,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, _ = fmt.Fprintf(w, "teaselrack_connections_open %d\nteaselrack_connections_refused_total %d\nteaselrack_connections_replaced_total %d\n", len(g.conns), g.refused, g.replaced)
-	_, _ = fmt.Fprintf(w, "teaselrack_request_head_bytes %d\n", g.heads)
+	_, _ = fmt.Fprintf(w, "teaselrack_request_head_bytes %d\nteaselrack_request_body_bytes %d\n", g.heads, g.bodies)
 }
 
 // Listen returns a listener for callers, on which at most this part of the connections of the
--- /dev/null
+++ b/internal/connection/listener/reservation.go
@@ -0,0 +1,86 @@
+package listener
+
+import (
+	"context"
+	"io"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
+
+// Reservation is the part of a guard's capacity for bodies that one request or message holds.
+// It is for one goroutine. A nil Reservation, like one without a guard, has no limit.
+type Reservation struct {
+	conn *conn
+	held int64
+	// longBody is true if the connection has the receive buffer for a long body.
+	longBody bool
+}
+
+// ReservationFor returns an empty reservation for a request with this context.
+func ReservationFor(ctx context.Context) *Reservation { return reservationOf(connOf(ctx)) }
+
+func reservationOf(c *conn) *Reservation {
+	if c == nil {
+		return nil
+	}
+	return &Reservation{conn: c}
+}
+
+// Grow adds n bytes. Errors: Overloaded if the process holds too much of other bodies.
+func (r *Reservation) Grow(n int64) error {
+	if r == nil {
+		return nil
+	}
+	g := r.conn.listener.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.bodies+n > g.capacity.BodyBytes {
+		return fault.New(fault.Overloaded, "the bodies that are being received exceed the limit of the process of %d bytes", g.capacity.BodyBytes)
+	}
+	g.bodies += n
+	r.held += n
+	return nil
+}
+
+// ReadLongBody gives the connection the receive buffer for a long body, if there is room.
+func (r *Reservation) ReadLongBody() {
+	if r == nil || r.Grow(2*bodyQueueBytes) != nil {
+		return
+	}
+	limitReceiveQueue(r.conn.Conn, bodyQueueBytes)
+	r.longBody = true
+}
+
+// Release gives back what is held. The body of the request has been read, or will not be.
+func (r *Reservation) Release() {
+	if r == nil {
+		return
+	}
+	if r.longBody {
+		limitReceiveQueue(r.conn.Conn, receiveQueueBytes)
+		r.longBody = false
+	}
+	g := r.conn.listener.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bodies -= r.held
+	r.held = 0
+}
+
+// Reader returns a reader of in that adds to the reservation what it reads. It fails with the
+// error of Grow.
+func (r *Reservation) Reader(in io.Reader) io.Reader { return &reservedReader{in, r} }
+
+type reservedReader struct {
+	in          io.Reader
+	reservation *Reservation
+}
+
+// Read implements io.Reader.
+func (r *reservedReader) Read(b []byte) (int, error) {
+	n, err := r.in.Read(b)
+	if growErr := r.reservation.Grow(int64(n)); growErr != nil {
+		return 0, growErr
+	}
+	return n, err
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -86,6 +86,9 @@
 	// set as the soft limit of the Go runtime. The remainder is for memory that
 	// the runtime does not count.
 	softMemoryLimitShare = 0.6
+	// callReadTimeout is the time within which a call to one of Options.Handlers must arrive
+	// with its body.
+	callReadTimeout = 10 * time.Second
 	// gcPercent is the garbage collection target percentage of the Go runtime.
 	// It allows the small heap of a daemon to grow between collections.
 	gcPercent = 400
@@ -444,6 +447,7 @@
 	if err != nil {
 		return err
 	}
+	server.ReadTimeout = callReadTimeout
 	n.handlerServers = append(n.handlerServers, server)
 	return n.addActor("server "+address, server, ln, listener.CallShare)
 }
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -4,10 +4,14 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/quarantine"
@@ -32,9 +36,10 @@
 }
 
 // bufferBody reads the beginning of a body. A body of at most maxBufferedBytes
-// is read completely. The remainder of a longer body is left in rest. The error
-// is that of the read.
-func bufferBody(r io.Reader, length int64) (bufferedBody, error) {
+// is read completely. The remainder of a longer body is left in rest. What is
+// buffered is added to the reservation. The error is that of the read or of the
+// reservation.
+func bufferBody(r io.Reader, length int64, reservation *listener.Reservation) (bufferedBody, error) {
 	if r == nil || r == http.NoBody || length == 0 {
 		return bufferedBody{}, nil
 	}
@@ -42,10 +47,17 @@
 	if length > 0 {
 		size = min(length, maxBufferedBytes)
 	}
+	if err := reservation.Grow(size + 1); err != nil {
+		return bufferedBody{}, err
+	}
 	buf := make([]byte, 0, size+1)
 	for len(buf) <= maxBufferedBytes {
 		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
+			more := min(cap(buf), maxBufferedBytes+1-cap(buf))
+			if err := reservation.Grow(int64(more)); err != nil {
+				return bufferedBody{}, err
+			}
+			buf = slices.Grow(buf, more)
 		}
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -59,6 +71,38 @@
 	return bufferedBody{prefix: buf, rest: r, length: length}, nil
 }
 
+// bufferRequestBody is bufferBody for the body of a request whose sender may stop sending:
+// nothing is read of it after the deadline. Errors: DeadlineNotRun, Overloaded, BadRequest.
+func bufferRequestBody(w http.ResponseWriter, r *http.Request, deadline time.Time, reservation *listener.Reservation) (bufferedBody, error) {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return bufferedBody{}, nil
+	}
+	controller := http.NewResponseController(w)
+	if err := setReadDeadline(controller, deadline); err != nil {
+		return bufferedBody{}, err
+	}
+	body, err := bufferBody(r.Body, r.ContentLength, reservation)
+	switch {
+	case fault.Is(err, fault.Overloaded):
+		return bufferedBody{}, err
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return bufferedBody{}, fault.Wrap(fault.DeadlineNotRun, err, "the deadline passed before the request body was received")
+	case err != nil:
+		return bufferedBody{}, fault.Wrap(fault.BadRequest, err, "the request body was truncated")
+	case body.rest != nil:
+		reservation.ReadLongBody()
+		return body, nil
+	}
+	return body, setReadDeadline(controller, time.Time{})
+}
+
+func setReadDeadline(controller *http.ResponseController, deadline time.Time) error {
+	if err := controller.SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return fault.Wrap(fault.BadRequest, err, "the connection has ended")
+	}
+	return nil
+}
+
 // strippedHeaders are never forwarded. They apply to one connection or to the
 // framing of one message, or daemons exchange them among themselves.
 var strippedHeaders = []string{
@@ -119,7 +163,7 @@
 // It returns AnswerBroken if the body could not be read. The response of a target that has
 // not run the request needs no body: what its head states holds without it.
 func newResponse(resp *http.Response, notRun bool) (*Response, error) {
-	body, err := bufferBody(resp.Body, resp.ContentLength)
+	body, err := bufferBody(resp.Body, resp.ContentLength, nil)
 	response := &Response{Status: resp.StatusCode, Header: forwardedHeaders(resp.Header), bufferedBody: body, NotRun: notRun}
 	if err != nil {
 		_ = resp.Body.Close()
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/connection/traffic"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/balancing"
@@ -81,7 +82,8 @@
 }
 
 func (e *EntryHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	req := &inboundRequest{receivedAt: time.Now(), id: r.Header.Get(e.HeaderNames.RequestID), request: r}
+	req := &inboundRequest{receivedAt: time.Now(), id: r.Header.Get(e.HeaderNames.RequestID), request: r, reservation: listener.ReservationFor(r.Context())}
+	defer req.reservation.Release()
 	// The context of the attempt must stay alive until the response has been
 	// forwarded.
 	response, err := e.serve(r.Context(), w, req)
@@ -231,7 +233,7 @@
 	return nil
 }
 
-// readBody reads the beginning of the request body. Errors: TooLarge,
+// readBody reads the beginning of the request body. Errors: TooLarge, Overloaded,
 // DeadlineNotRun, CallerGone, BadRequest.
 func (e *EntryHandler) readBody(ctx context.Context, w http.ResponseWriter, req *inboundRequest, limits version.Limits) error {
 	r := req.request
@@ -241,12 +243,17 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
 	}
-	body, err := bufferBody(r.Body, r.ContentLength)
-	if err != nil {
-		if ctx.Err() != nil {
-			return fault.OfContext(ctx, err, false)
-		}
-		return fault.Wrap(fault.BadRequest, err, "the request body was truncated")
+	body, err := bufferRequestBody(w, r, req.deadline, req.reservation)
+	switch {
+	case fault.Is(err, fault.Overloaded):
+		return withRetryAfter(err, req.retryAfter())
+	case fault.Is(err, fault.DeadlineNotRun):
+		// The server cancels the context of a request whose connection it cannot read.
+		return err
+	case err != nil && ctx.Err() != nil:
+		return fault.OfContext(ctx, err, false)
+	case err != nil:
+		return err
 	}
 	req.body = body
 	return nil
--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/teaselrack/teaselrack/internal/connection/drain"
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/process/quarantine"
 	"github.com/teaselrack/teaselrack/internal/process/shedding"
 	"github.com/teaselrack/teaselrack/internal/version"
@@ -50,10 +51,12 @@
 type inboundRequest struct {
 	receivedAt time.Time
 	id         string
-	route      version.Route
-	service    string
-	team       string
-	rank       int
+	// reservation is for what is buffered of the body.
+	reservation *listener.Reservation
+	route       version.Route
+	service     string
+	team        string
+	rank        int
 	// fromTarget is true for a request on a route that requires no API key. Such
 	// a request has no team and is treated as one that a target sends.
 	fromTarget bool
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/balancing"
@@ -75,9 +76,12 @@
 	}
 	progress := &drain.Progress{ID: m.RequestID, Route: m.Route, Began: time.Now()}
 	defer drain.Follow(r.Context(), progress).Stop()
-	body, err := bufferBody(r.Body, r.ContentLength)
+	deadline, _ := ctx.Deadline()
+	reservation := listener.ReservationFor(ctx)
+	defer reservation.Release()
+	body, err := bufferRequestBody(w, r, deadline, reservation)
 	if err != nil {
-		p.writePeerError(w, m, fault.Wrap(fault.BadRequest, err, "the request body was truncated"), 0)
+		p.writePeerError(w, m, err, 0)
 		return
 	}
 	if m.Known, err = readPeerStatement(r.Header); err != nil {
--- a/internal/request/relay/peer_response.go
+++ b/internal/request/relay/peer_response.go
@@ -89,7 +89,7 @@
 
 // readPeerError returns the error that another daemon responded with.
 func readPeerError(resp *http.Response, kind fault.Kind, retryAfter time.Duration) error {
-	body, err := bufferBody(resp.Body, resp.ContentLength)
+	body, err := bufferBody(resp.Body, resp.ContentLength, nil)
 	_ = resp.Body.Close()
 	text := string(body.prefix)
 	if err != nil {
