Clients that do not behave: cut off responses that nobody reads

Callers saw listeners that accepted nobody: clients sent requests without end and read no response. A connection with a request is never closed for others, so the guard did not help.

A write of 16 KiB, or of the rest, to a connection of the guard fails after 10 s.

--- a/internal/connection/listener/conn.go
+++ b/internal/connection/listener/conn.go
@@ -8,8 +8,14 @@
 	"time"
 )
 
-// lineBytes is the memory that each line of a request head takes besides its text.
-const lineBytes = 128
+const (
+	// writeTimeout is the time within which a client takes writeBytes of a response, or the
+	// rest of it.
+	writeTimeout = 10 * time.Second
+	writeBytes   = 16 << 10
+	// lineBytes is the memory that each line of a request head takes besides its text.
+	lineBytes = 128
+)
 
 var lineEnd = []byte("\n")
 
@@ -64,6 +70,21 @@
 	return n, err
 }
 
+// Write implements net.Conn. It fails if the client does not read for writeTimeout.
+func (c *conn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(b[written:min(written+writeBytes, len(b))])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	g := c.listener.guard
--- a/internal/connection/listener/guard_test.go
+++ b/internal/connection/listener/guard_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -165,3 +166,18 @@
 
 // Read implements io.Reader.
 func (neverEnding) Read(b []byte) (int, error) { return len(b), nil }
+
+// TestUnreadResponseEnds guards against clients that do not read and keep a request, and what it
+// holds, for as long as they like. It is in virtual time.
+func TestUnreadResponseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := net.Pipe()
+		defer func() { _ = client.Close() }()
+		guard := NewGuard(Capacity{Connections: 1})
+		c := &conn{Conn: server, listener: &guardedListener{guard: guard}}
+		began := time.Now()
+		_, err := c.Write(make([]byte, 10*writeBytes))
+		must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		must.Eq(t, writeTimeout, time.Since(began))
+	})
+}
