Clients that do not behave: count the memory of HTTP/2 connections

Callers saw a daemon grow by half its memory for few bytes: a header block of HTTP/2 names a field with one byte, and takes some hundred for it; blocks without end took 200 to 234 MB at each listener of a process of 64 MB, most of it unread. Their bytes do not show that, and a connection may send 1 MiB of bodies that nobody has read.

A connection that begins with the preface counts 128 KiB toward the memory for request heads, whatever it sends, as long as it is open; its windows are 64 KiB. The first three bytes tell it from HTTP/1, also where they come one by one.

Ruled out: to refuse HTTP/2 without TLS; the product's own interface offers it.

--- a/internal/connection/listener/conn.go
+++ b/internal/connection/listener/conn.go
@@ -15,6 +15,11 @@
 	writeBytes   = 16 << 10
 	// lineBytes is the memory that each line of a request head takes besides its text.
 	lineBytes = 128
+	// http2Bytes is the memory that an HTTP/2 connection takes for the heads that it
+	// decompresses, and for the bytes in its receive window.
+	http2Bytes = 128 << 10
+	// http2Prefix is the beginning of an HTTP/2 connection. No method of HTTP/1 begins so.
+	http2Prefix = "PRI"
 )
 
 var lineEnd = []byte("\n")
@@ -55,6 +60,8 @@
 	// served; otherwise the connection has waited for one since waitingSince.
 	served       bool
 	waitingSince time.Time
+	// prefix is the beginning of what has arrived.
+	prefix []byte
 	// received is the memory for what has arrived of the next request head, head the part
 	// of it that counts toward the capacity.
 	received, head int64
@@ -115,8 +122,26 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.served, c.waitingSince = false, time.Now()
-	g.heads -= c.head
-	c.received, c.head = 0, 0
+	if !c.isHTTP2() {
+		g.heads -= c.head
+		c.received, c.head = 0, 0
+	}
+}
+
+func (c *conn) isHTTP2() bool { return string(c.prefix) == http2Prefix }
+
+// memoryFor returns the memory that what was read takes.
+func (c *conn) memoryFor(read []byte) int64 {
+	if missing := len(http2Prefix) - len(c.prefix); missing > 0 {
+		c.prefix = append(c.prefix, read[:min(missing, len(read))]...)
+		if c.isHTTP2() {
+			return http2Bytes
+		}
+	}
+	if c.isHTTP2() {
+		return 0
+	}
+	return int64(len(read) + lineBytes*bytes.Count(read, lineEnd))
 }
 
 // countHead counts more bytes of a request head. If there is no room for them, it closes the
@@ -127,7 +152,7 @@
 	if c.served || !c.listener.countsHeads {
 		return true
 	}
-	if c.received += int64(len(read) + lineBytes*bytes.Count(read, lineEnd)); c.received <= freeHeadBytes {
+	if c.received += c.memoryFor(read); c.received <= freeHeadBytes {
 		return true
 	}
 	if _, open := g.conns[c]; !open {
--- a/internal/connection/listener/guard_test.go
+++ b/internal/connection/listener/guard_test.go
@@ -181,3 +181,21 @@
 		must.Eq(t, writeTimeout, time.Since(began))
 	})
 }
+
+// TestHTTP2ConnectionsCount guards against HTTP/2 connections whose header blocks, small on the
+// wire, take memory without end, and against the preface arriving byte by byte.
+func TestHTTP2ConnectionsCount(t *testing.T) {
+	address, guard, _ := guardedServer(t, Capacity{Connections: 10, HeadBytes: 2 * http2Bytes}, 1)
+	first := open(t, address, "P")
+	for _, part := range []string{"R", "I * HTTP/2.0\r\n\r\nSM\r\n\r\n"} {
+		time.Sleep(10 * time.Millisecond)
+		_, err := io.WriteString(first, part)
+		must.NoError(t, err)
+	}
+	counted := func() int64 { return guard.heads / (http2Bytes - freeHeadBytes) }
+	awaitGuard(t, guard, func() bool { return counted() == 1 })
+	open(t, address, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+	awaitGuard(t, guard, func() bool { return counted() == 2 })
+	open(t, address, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+	awaitGuard(t, guard, func() bool { return guard.replaced == 1 && counted() == 2 })
+}
--- a/internal/connection/listener/server.go
+++ b/internal/connection/listener/server.go
@@ -29,7 +29,10 @@
 
 	// maxStreams is the maximum number of concurrent requests on one HTTP/2
 	// connection.
-	maxStreams        = 250
+	maxStreams = 250
+	// receiveWindow is the number of bytes that an HTTP/2 connection, or one request on it,
+	// may send before they are read.
+	receiveWindow     = 64 << 10
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
@@ -61,9 +64,11 @@
 		IdleTimeout:       IdleTimeout,
 		ErrorLog:          o.ErrorLog,
 		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams: maxStreams,
-			SendPingTimeout:      SilenceBeforePing,
-			PingTimeout:          PingTimeout,
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerConnection: receiveWindow,
+			MaxReceiveBufferPerStream:     receiveWindow,
+			SendPingTimeout:               SilenceBeforePing,
+			PingTimeout:                   PingTimeout,
 		},
 	}
 }
