Clients that do not behave: bound the messages that links receive

A process that reached the control port of a replica could declare messages of 32 MiB on any number of links, send a part of each and keep it: the codec reads what arrives into memory, without a sum over the links and without a time limit.

What has arrived of a message counts toward the memory for bodies; the link for which there is no room is closed, and its sender dials again. A message must arrive within 30 s of its length, at about 1 MB/s for the longest.

Found by reading; the crowds of TestMisbehavingClients send no frames. Not covered: a client that speaks the protocol of the links without TLS counts as a replica, as before.

--- a/internal/connection/listener/reservation.go
+++ b/internal/connection/listener/reservation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
@@ -19,6 +20,9 @@
 // ReservationFor returns an empty reservation for a request with this context.
 func ReservationFor(ctx context.Context) *Reservation { return reservationOf(connOf(ctx)) }
 
+// ReservationForLink returns an empty reservation for a message on a connection.
+func ReservationForLink(c net.Conn) *Reservation { return reservationOf(guardedConn(c)) }
+
 func reservationOf(c *conn) *Reservation {
 	if c == nil {
 		return nil
@@ -26,7 +30,8 @@
 	return &Reservation{conn: c}
 }
 
-// Grow adds n bytes. Errors: Overloaded if the process holds too much of other bodies.
+// Grow adds n bytes. Errors: Overloaded if the process holds too much of other bodies. The only
+// body that is held may exceed the capacity: its own limit bounds it.
 func (r *Reservation) Grow(n int64) error {
 	if r == nil {
 		return nil
@@ -34,7 +39,7 @@
 	g := r.conn.listener.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.bodies+n > g.capacity.BodyBytes {
+	if g.bodies+n > g.capacity.BodyBytes && g.bodies > r.held {
 		return fault.New(fault.Overloaded, "the bodies that are being received exceed the limit of the process of %d bytes", g.capacity.BodyBytes)
 	}
 	g.bodies += n
--- a/internal/connection/rpc/codec.go
+++ b/internal/connection/rpc/codec.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/fault"
@@ -34,8 +35,10 @@
 // direction and is flushed after each message. Control messages between two
 // replicas repeat most of their text, so a message shrinks to a few dozen bytes.
 type frameCodec struct {
-	// conn is the connection that a server accepted, nil for that of a client.
-	conn net.Conn
+	// conn is the connection that a server accepted, nil for that of a client. reservation
+	// is for the frame that is being read.
+	conn        net.Conn
+	reservation *listener.Reservation
 	// compress is true once frames may be sent compressed.
 	compress atomic.Bool
 	// written and read are the sizes of the last frame in each direction. They are
@@ -109,11 +112,20 @@
 	if err != nil {
 		return err
 	}
+	if c.conn != nil {
+		if err := c.conn.SetReadDeadline(time.Now().Add(frameTimeout)); err != nil {
+			return err
+		}
+	}
 	if err := c.readFrame(r, n, v); err != nil {
 		return err
 	}
+	c.reservation.Release()
+	if c.conn == nil {
+		return nil
+	}
 	listener.Served(c.conn)
-	return nil
+	return c.conn.SetReadDeadline(time.Time{})
 }
 
 // readFrame reads the frame that follows the length n.
@@ -122,7 +134,7 @@
 		return c.readCompressed(r, n&^compressedFlag, v)
 	}
 	c.read = lengthBytes + int(n)
-	b, err := readExactly(r, n)
+	b, err := readExactly(c.reservation.Reader(r), n)
 	if err != nil {
 		return err
 	}
@@ -138,7 +150,7 @@
 		return fault.New(fault.BadRequest, "malformed length of a compressed message")
 	}
 	c.read = 2*lengthBytes + int(n)
-	frame, err := readExactly(r, n)
+	frame, err := readExactly(c.reservation.Reader(r), n)
 	if err != nil {
 		return err
 	}
@@ -146,7 +158,7 @@
 		c.decompressor = flate.NewReader(&c.in)
 	}
 	c.in.Write(frame)
-	b, err := readExactly(c.decompressor, plain)
+	b, err := readExactly(c.reservation.Reader(c.decompressor), plain)
 	if err != nil {
 		return err
 	}
--- a/internal/connection/rpc/link.go
+++ b/internal/connection/rpc/link.go
@@ -21,6 +21,8 @@
 	ProbeTimeout = 400 * time.Millisecond
 	// writeTimeout limits the time of one write to the connection.
 	writeTimeout = 1 * time.Second
+	// frameTimeout is the time within which a frame must arrive whose length has.
+	frameTimeout = 30 * time.Second
 )
 
 // methodProbe checks that the other end responds. methodCompress asks it to send
--- a/internal/connection/rpc/server.go
+++ b/internal/connection/rpc/server.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
@@ -144,7 +145,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	codec := &frameCodec{conn: conn}
+	codec := &frameCodec{conn: conn, reservation: listener.ReservationForLink(conn)}
+	defer codec.reservation.Release()
 	stream := jsonrpc2.NewBufferedStream(deadlineConn{link}, codec)
 	rpc := jsonrpc2.NewConn(ctx, stream, &linkHandler{server: s, peer: peer, codec: codec, inFlight: make(chan struct{}, maxCallsPerLink)}, jsonrpc2.SetLogger(discardLogger{}))
 	<-rpc.DisconnectNotify()
