Clients that do not behave: the bounds hold for the product's own interface

Callers of a daemon of the product's own interface were not served while clients that do not read held its connections, and the daemon took 442 to 543 MB of 256 for them: its limit of connections was one for each listener that kept accepting back, and nothing bounded what is read and unread beside it.

The body of a request, up to 1 MiB, is reserved from the memory for bodies while it is read and sent.

--- a/cmd/teaselrackd/memory.go
+++ b/cmd/teaselrackd/memory.go
@@ -11,9 +11,9 @@
 	// daemonGCPercent is the heap growth, in percent, between two garbage
 	// collections of a daemon without the control role, whose heap is small.
 	daemonGCPercent = 1600
-	// daemonMemoryLimit is the memory use, in bytes, near which such a daemon
+	// daemonMemoryShare is the share of its memory limit near which such a daemon
 	// collects garbage more often.
-	daemonMemoryLimit = 192 << 20
+	daemonMemoryShare = 0.75
 	// replicaGCPercent is the heap growth, in percent, of a control replica, whose
 	// ledger may be large.
 	replicaGCPercent = 400
@@ -30,6 +30,6 @@
 		debug.SetGCPercent(percent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" && !s.Control.Enabled {
-		debug.SetMemoryLimit(daemonMemoryLimit)
+		debug.SetMemoryLimit(int64(daemonMemoryShare * float64(s.Limits.MemoryBytes)))
 	}
 }
--- a/internal/connection/listener/guard.go
+++ b/internal/connection/listener/guard.go
@@ -94,7 +94,12 @@
 			_ = accepted.Close()
 			continue
 		}
-		limitReceiveQueue(accepted, receiveQueueBytes)
+		queue := receiveQueueBytes
+		if !l.countsHeads {
+			// What arrives on a link is read at once.
+			queue = bodyQueueBytes
+		}
+		limitReceiveQueue(accepted, queue)
 		return c, nil
 	}
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -78,7 +78,7 @@
 // an error if a component fails, for example with StorageFailed.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.group.Close()
-	l, err := listen(d.settings.Listen, d.settings.Limits.Connections)
+	l, err := listen(d.settings.Listen, d.settings.Limits)
 	if err != nil {
 		return err
 	}
--- a/internal/process/daemon/listeners.go
+++ b/internal/process/daemon/listeners.go
@@ -5,7 +5,6 @@
 	"net"
 
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/process/settings"
@@ -15,8 +14,9 @@
 // control role.
 type listeners struct {
 	ingress, peer, egress, announce, operators, control net.Listener
-	// opened are the listeners below the limits on connections.
+	// opened are the listeners below those that the guard limits.
 	opened []*listener.Listener
+	guard  *listener.Guard
 }
 
 // refuseNew makes the listeners refuse new connections.
@@ -29,20 +29,21 @@
 }
 
 // listen opens all listeners. If one fails, it closes the others.
-// maxConnections is the maximum number of concurrent connections of each
-// listener. Errors: SettingsInvalid.
-func listen(addresses settings.Listen, maxConnections int) (*listeners, error) {
-	l := new(listeners)
+// Errors: SettingsInvalid.
+func listen(addresses settings.Listen, limits settings.Limits) (*listeners, error) {
+	l := &listeners{guard: listener.NewGuard(capacity(limits))}
 	wanted := []struct {
 		address  string
 		listener *net.Listener
+		open     func(ln net.Listener, part float64) (net.Listener, error)
+		part     float64
 	}{
-		{addresses.Ingress, &l.ingress},
-		{addresses.Peer, &l.peer},
-		{addresses.Egress, &l.egress},
-		{addresses.Announce, &l.announce},
-		{addresses.Operators, &l.operators},
-		{addresses.Control, &l.control},
+		{addresses.Ingress, &l.ingress, l.guard.Listen, listener.TrafficShare},
+		{addresses.Peer, &l.peer, l.guard.ListenLinks, listener.TrafficShare},
+		{addresses.Egress, &l.egress, l.guard.Listen, listener.TrafficShare},
+		{addresses.Announce, &l.announce, l.guard.Listen, listener.CallShare},
+		{addresses.Operators, &l.operators, l.guard.Listen, listener.CallShare},
+		{addresses.Control, &l.control, l.guard.ListenLinks, listener.TrafficShare},
 	}
 	for i, endpoint := range wanted {
 		if endpoint.address == "" {
@@ -51,8 +52,10 @@
 		ln, err := listener.Listen(context.Background(), endpoint.address)
 		if err == nil {
 			l.opened = append(l.opened, ln)
-			*endpoint.listener = netutil.LimitListener(ln, maxConnections)
-			continue
+			if *endpoint.listener, err = endpoint.open(ln, endpoint.part); err == nil {
+				continue
+			}
+			_ = ln.Close()
 		}
 		for _, earlier := range wanted[:i] {
 			if *earlier.listener != nil {
@@ -63,3 +66,10 @@
 	}
 	return l, nil
 }
+
+// capacity returns what clients may hold of the process at the same time.
+func capacity(limits settings.Limits) listener.Capacity {
+	c := listener.CapacityFor(limits.MemoryBytes, 0)
+	c.Connections = min(c.Connections, limits.Connections)
+	return c
+}
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -51,6 +51,9 @@
 	s := d.newServers()
 	d.drain.RefuseNew = func() { l.refuseNew(d.log) }
 	d.addShutdown(ctx, s)
+	for _, server := range []*http.Server{s.ingress, s.egress, s.announce, s.operators, s.peer} {
+		l.guard.Protect(server)
+	}
 	d.addServer("ingress", s.ingress, l.ingress, false)
 	d.addServer("egress", s.egress, l.egress, false)
 	d.addServer("announcements", s.announce, l.announce, false)
--- a/internal/process/settings/provision.go
+++ b/internal/process/settings/provision.go
@@ -32,6 +32,7 @@
 	l.BodyBytes = cmp.Or(l.BodyBytes, DefaultBodyBytes)
 	l.HeaderBytes = cmp.Or(l.HeaderBytes, DefaultHeaderBytes)
 	l.Connections = cmp.Or(l.Connections, DefaultConnections)
+	l.MemoryBytes = cmp.Or(l.MemoryBytes, DefaultMemoryBytes)
 }
 
 func resolve(dir, name string) string {
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -14,6 +14,7 @@
 	DefaultBodyBytes         = 1 << 20
 	DefaultHeaderBytes       = 16 << 10
 	DefaultConnections       = 4096
+	DefaultMemoryBytes       = 256 << 20
 	DefaultRenewInterval     = time.Second
 	DefaultDrainTimeout      = 5 * time.Second
 	DefaultLogFormat         = "json"
@@ -114,9 +115,13 @@
 	BodyBytes int64 `yaml:"body" validate:"min=1,max=1073741824"`
 	// HeaderBytes is the largest request header in bytes. Default 16 KiB.
 	HeaderBytes int `yaml:"header" validate:"min=1024,max=1048576"`
-	// Connections is the maximum number of open connections on each listener.
-	// Default 4096.
+	// Connections is the maximum number of open connections of all listeners. No more
+	// are open than MemoryBytes has room for. Default 4096.
 	Connections int `yaml:"connections" validate:"min=1,max=1000000"`
+	// MemoryBytes is the memory that the process may use, in bytes, with the data that
+	// clients have sent and it has not read. It bounds what clients can make the process
+	// hold. Default 256 MiB.
+	MemoryBytes int64 `yaml:"memory" validate:"min=33554432,max=1099511627776"`
 }
 
 // Log holds the settings of the log output.
--- a/internal/request/hop/body.go
+++ b/internal/request/hop/body.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
@@ -23,9 +25,10 @@
 }
 
 // readBody reads the complete body of r, at most limit bytes, before the deadline
-// of ctx. Errors: TooLarge, DeadlineNotRun, BadRequest. It runs before the request
-// is dispatched, so all of them have the outcome NotRun.
-func readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// of ctx. It adds what it buffers to the reservation. Errors: TooLarge, Overloaded,
+// DeadlineNotRun, BadRequest. It runs before the request is dispatched, so all of them
+// have the outcome NotRun.
+func readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64, reservation *listener.Reservation) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -34,8 +37,10 @@
 		_ = controller.SetReadDeadline(deadline)
 		defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	}
-	body, err := readUpTo(r.Body, r.ContentLength, limit)
+	body, err := readUpTo(r.Body, r.ContentLength, limit, reservation)
 	switch {
+	case fault.Is(err, fault.Overloaded):
+		return nil, err
 	case errors.Is(err, errTooLong):
 		return nil, bodyTooLarge(limit)
 	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -49,13 +54,17 @@
 var errTooLong = errors.New("the body exceeds the limit")
 
 // readUpTo reads r to its end. If r is longer than limit bytes, it stops there and
-// returns errTooLong together with the bytes read so far. length is the expected
+// returns errTooLong together with the bytes read so far; so it does with the error of the
+// reservation. length is the expected
 // length in bytes, or -1 if it is unknown.
-func readUpTo(r io.Reader, length, limit int64) ([]byte, error) {
+func readUpTo(r io.Reader, length, limit int64, reservation *listener.Reservation) ([]byte, error) {
 	size := int64(initialBufferSize)
 	if length >= 0 && length < size {
 		size = length
 	}
+	if err := reservation.Grow(size + 1); err != nil {
+		return nil, err
+	}
 	buf := make([]byte, 0, size+1)
 	for {
 		n, err := r.Read(buf[len(buf):cap(buf)])
@@ -70,7 +79,10 @@
 			return buf, err
 		}
 		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
+			if err := reservation.Grow(int64(cap(buf))); err != nil {
+				return buf, err
+			}
+			buf = slices.Grow(buf, cap(buf))
 		}
 	}
 }
--- a/internal/request/hop/egress.go
+++ b/internal/request/hop/egress.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/teaselrack/teaselrack/internal/connection/drain"
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
 	"github.com/teaselrack/teaselrack/internal/request/inflight"
@@ -58,7 +59,9 @@
 
 func (h *egress) run(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) (*response, error) {
 	var err error
-	if c.body, err = readBody(ctx, w, r, h.bodyLimit()); err != nil {
+	reservation := listener.ReservationFor(ctx)
+	defer reservation.Release()
+	if c.body, err = readBody(ctx, w, r, h.bodyLimit(), reservation); err != nil {
 		return nil, err
 	}
 	return h.sender.send(ctx, c)
--- a/internal/request/hop/peer.go
+++ b/internal/request/hop/peer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/teaselrack/teaselrack/internal/connection/drain"
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
@@ -87,7 +88,9 @@
 		return nil, err
 	}
 	var err error
-	if attempt.body, err = readBody(ctx, w, attempt.request, h.bodyLimit()); err != nil {
+	reservation := listener.ReservationFor(ctx)
+	defer reservation.Release()
+	if attempt.body, err = readBody(ctx, w, attempt.request, h.bodyLimit(), reservation); err != nil {
 		return nil, err
 	}
 	slot, err := h.Admission.Admit(ctx, attempt.envelope)
--- a/internal/request/hop/readresponse.go
+++ b/internal/request/hop/readresponse.go
@@ -43,7 +43,7 @@
 	if length > responseBufferLimit {
 		return nil, false, nil
 	}
-	body, err := readUpTo(r, length, responseBufferLimit)
+	body, err := readUpTo(r, length, responseBufferLimit, nil)
 	if errors.Is(err, errTooLong) {
 		return body, false, nil
 	}
--- a/internal/request/hop/root.go
+++ b/internal/request/hop/root.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/teaselrack/teaselrack/internal/connection/drain"
+	"github.com/teaselrack/teaselrack/internal/connection/listener"
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
 	"github.com/teaselrack/teaselrack/internal/version"
@@ -51,7 +52,9 @@
 	}
 	h.recordEvent("request.accepted", c, c.route.Name)
 	var err error
-	if c.body, err = readBody(ctx, w, r, h.bodyLimit()); err != nil {
+	reservation := listener.ReservationFor(ctx)
+	defer reservation.Release()
+	if c.body, err = readBody(ctx, w, r, h.bodyLimit(), reservation); err != nil {
 		return nil, err
 	}
 	return h.sender.send(ctx, c)
