Clients that do not behave: links keep their own write timeout

Seen while reading the change, before a landing: a write to a link fails after 1 s, so that a peer that does not read holds up no call. The limit of 10 s for the clients of a guarded listener replaced it, as each write sets the deadline anew. Connections of ListenLinks have none now. TestLinkKeepsItsWriteTimeout failed before: 10 s.

--- a/internal/connection/listener/conn.go
+++ b/internal/connection/listener/conn.go
@@ -77,8 +77,12 @@
 	return n, err
 }
 
-// Write implements net.Conn. It fails if the client does not read for writeTimeout.
+// Write implements net.Conn. It fails if the client does not read for writeTimeout. Links have
+// their own time limits.
 func (c *conn) Write(b []byte) (int, error) {
+	if !c.listener.countsHeads {
+		return c.Conn.Write(b)
+	}
 	written := 0
 	for {
 		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
--- a/internal/connection/listener/guard_test.go
+++ b/internal/connection/listener/guard_test.go
@@ -174,7 +174,7 @@
 		client, server := net.Pipe()
 		defer func() { _ = client.Close() }()
 		guard := NewGuard(Capacity{Connections: 1})
-		c := &conn{Conn: server, listener: &guardedListener{guard: guard}}
+		c := &conn{Conn: server, listener: &guardedListener{guard: guard, countsHeads: true}}
 		began := time.Now()
 		_, err := c.Write(make([]byte, 10*writeBytes))
 		must.ErrorIs(t, err, os.ErrDeadlineExceeded)
@@ -182,6 +182,21 @@
 	})
 }
 
+// TestLinkKeepsItsWriteTimeout guards against a time limit for the clients that replaces the
+// shorter one of a link.
+func TestLinkKeepsItsWriteTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := net.Pipe()
+		defer func() { _ = client.Close() }()
+		link := &conn{Conn: server, listener: &guardedListener{guard: NewGuard(Capacity{Connections: 1})}}
+		began := time.Now()
+		must.NoError(t, link.SetWriteDeadline(began.Add(time.Second)))
+		_, err := link.Write(make([]byte, writeBytes))
+		must.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		must.Eq(t, time.Second, time.Since(began))
+	})
+}
+
 // TestHTTP2ConnectionsCount guards against HTTP/2 connections whose header blocks, small on the
 // wire, take memory without end, and against the preface arriving byte by byte.
 func TestHTTP2ConnectionsCount(t *testing.T) {
