Clients that do not behave: a long body keeps its receive buffer

The larger receive buffer was taken back with the request, while the client had been offered its window: what it sent next on the kept connection was dropped and came again after 200 ms.

The connection keeps the buffer until it is closed. 1/16 of the memory is for that, apart from the memory for bodies, so that kept connections refuse no request; without room, a connection stays at 32 KiB, which delays and loses nothing.

TestLongBodiesKeepTheirBuffer guards it; the buffer of the first connection shrank before.

--- a/internal/connection/listener/capacity.go
+++ b/internal/connection/listener/capacity.go
@@ -8,14 +8,16 @@
 	// receiveQueueBytes is the size of the receive buffer that is requested for a connection.
 	// The kernel allocates twice as much.
 	receiveQueueBytes = 16 << 10
-	// bodyQueueBytes replaces receiveQueueBytes while a long body is read.
+	// bodyQueueBytes replaces receiveQueueBytes once a long body is read.
 	bodyQueueBytes = 128 << 10
 
-	// connectionShare, headShare and bodyShare are the shares of the memory of a process for
-	// open connections, for request heads and for request bodies.
+	// connectionShare, headShare, bodyShare and longBodyShare are the shares of the memory of
+	// a process for open connections, for request heads, for request bodies and for the
+	// larger receive buffers.
 	connectionShare = 0.4
 	headShare       = 1.0 / 16
 	bodyShare       = 1.0 / 8
+	longBodyShare   = 1.0 / 16
 	// descriptorShare is the share of the descriptors of a process for the connections that
 	// its listeners accept. The others are for files and for the connections that it opens.
 	descriptorShare = 0.6
@@ -38,6 +40,8 @@
 	HeadBytes int64
 	// BodyBytes bounds the request bodies that are buffered.
 	BodyBytes int64
+	// LongBodies is the number of connections with the receive buffer for long bodies.
+	LongBodies int
 }
 
 // CapacityFor returns the capacity of a process that may use so many bytes of memory and
@@ -50,6 +54,7 @@
 		Connections: int(connectionShare * float64(memory) / bytesPerConnection),
 		HeadBytes:   int64(headShare * float64(memory)),
 		BodyBytes:   int64(bodyShare * float64(memory)),
+		LongBodies:  int(longBodyShare * float64(memory) / (2 * bodyQueueBytes)),
 	}
 	if descriptors > 0 {
 		c.Connections = min(c.Connections, int(descriptorShare*float64(descriptors)))
--- a/internal/connection/listener/conn.go
+++ b/internal/connection/listener/conn.go
@@ -65,6 +65,8 @@
 	// received is the memory for what has arrived of the next request head, head the part
 	// of it that counts toward the capacity.
 	received, head int64
+	// longBody is true if the connection has the receive buffer for long bodies.
+	longBody bool
 }
 
 // Read implements net.Conn. It counts what it reads of a request head.
--- a/internal/connection/listener/guard.go
+++ b/internal/connection/listener/guard.go
@@ -32,6 +32,8 @@
 	conns map[*conn]struct{}
 	// heads and bodies are the memory that is held for request heads and bodies.
 	heads, bodies int64
+	// longBodies is the number of connections with the receive buffer for long bodies.
+	longBodies int
 	// refused and replaced count the connections that were not accepted and those that were
 	// closed to make room.
 	refused, replaced uint64
@@ -154,6 +156,23 @@
 	c.listener.open--
 	g.heads -= c.head
 	c.head = 0
+	if c.longBody {
+		g.longBodies--
+		c.longBody = false
+	}
+}
+
+// admitLongBody reports whether c gets the receive buffer for long bodies now. It has it until
+// it is closed.
+func (g *Guard) admitLongBody(c *conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, open := g.conns[c]; !open || c.longBody || g.longBodies >= g.capacity.LongBodies {
+		return false
+	}
+	c.longBody = true
+	g.longBodies++
+	return true
 }
 
 // Protect makes the server report to the guard which connections have a request that is being
--- a/internal/connection/listener/guard_test.go
+++ b/internal/connection/listener/guard_test.go
@@ -214,3 +214,39 @@
 	open(t, address, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
 	awaitGuard(t, guard, func() bool { return guard.replaced == 1 && counted() == 2 })
 }
+
+// TestLongBodiesKeepTheirBuffer guards against a receive buffer that shrinks below the window that
+// the client has been offered: what it sends next is dropped and arrives 0.2 s later. Other
+// connections get none once there is no room, and one does after the first has ended.
+func TestLongBodiesKeepTheirBuffer(t *testing.T) {
+	guard := NewGuard(Capacity{Connections: 3, LongBodies: 1})
+	ln, err := Listen(t.Context(), "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	guarded, err := guard.Listen(ln, 1)
+	must.NoError(t, err)
+	accept := func() *conn {
+		open(t, ln.Addr().String(), "")
+		c, err := guarded.Accept()
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c.(*conn)
+	}
+	buffer := func(c *conn) (size int) {
+		raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+		must.NoError(t, err)
+		must.NoError(t, raw.Control(func(fd uintptr) { size, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF) }))
+		must.NoError(t, err)
+		return size
+	}
+	first, second := accept(), accept()
+	reservation := reservationOf(first)
+	reservation.ReadLongBody()
+	reservation.Release()
+	reservationOf(second).ReadLongBody()
+	must.Eq(t, 2*bodyQueueBytes, buffer(first))
+	must.Eq(t, 2*receiveQueueBytes, buffer(second))
+	must.NoError(t, first.Close())
+	reservationOf(second).ReadLongBody()
+	must.Eq(t, 2*bodyQueueBytes, buffer(second))
+}
--- a/internal/connection/listener/reservation.go
+++ b/internal/connection/listener/reservation.go
@@ -13,8 +13,6 @@
 type Reservation struct {
 	conn *conn
 	held int64
-	// longBody is true if the connection has the receive buffer for a long body.
-	longBody bool
 }
 
 // ReservationFor returns an empty reservation for a request with this context.
@@ -47,24 +45,20 @@
 	return nil
 }
 
-// ReadLongBody gives the connection the receive buffer for a long body, if there is room.
+// ReadLongBody gives the connection the receive buffer for a long body, if there is room. The
+// connection keeps it: the client has been offered the window, and what it sends would be
+// dropped above a smaller buffer.
 func (r *Reservation) ReadLongBody() {
-	if r == nil || r.Grow(2*bodyQueueBytes) != nil {
-		return
+	if r != nil && r.conn.listener.guard.admitLongBody(r.conn) {
+		limitReceiveQueue(r.conn.Conn, bodyQueueBytes)
 	}
-	limitReceiveQueue(r.conn.Conn, bodyQueueBytes)
-	r.longBody = true
 }
 
-// Release gives back what is held. The body of the request has been read, or will not be.
+// Release gives back what is held.
 func (r *Reservation) Release() {
 	if r == nil {
 		return
 	}
-	if r.longBody {
-		limitReceiveQueue(r.conn.Conn, receiveQueueBytes)
-		r.longBody = false
-	}
 	g := r.conn.listener.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
