--- a/internal/connection/listener/capacity.go
+++ b/internal/connection/listener/capacity.go
@@ -23,10 +23,11 @@
 	descriptorShare = 0.6
 
 	// TrafficShare is the part of the connections of a process that one listener for requests
-	// or links may have open, CallShare that of a listener for other calls. A listener with
-	// less open than CallShare makes room for its connections on the one with the most.
+	// or links may have open.
 	TrafficShare = 0.75
-	CallShare    = 0.125
+	// CallShare is that part for a listener for other calls. A listener with less open makes
+	// room for its connections on the one with the most.
+	CallShare = 0.125
 
 	// DefaultMemory is the memory limit, in bytes, of a process whose settings name none.
 	DefaultMemory = 256 << 20
--- a/internal/connection/listener/guard_test.go
+++ b/internal/connection/listener/guard_test.go
@@ -15,7 +15,7 @@
 )
 
 // guardedServer serves requests on a guarded listener: those for /wait until proceed is closed.
-func guardedServer(t *testing.T, c Capacity, part float64) (address string, guard *Guard, proceed chan struct{}) {
+func guardedServer(t *testing.T, c Capacity) (address string, guard *Guard, proceed chan struct{}) {
 	ln, err := Listen(t.Context(), "127.0.0.1:0")
 	must.NoError(t, err)
 	proceed = make(chan struct{})
@@ -27,7 +27,7 @@
 	}), Options{})
 	guard = NewGuard(c)
 	guard.Protect(server)
-	guarded, err := guard.Listen(ln, part)
+	guarded, err := guard.Listen(ln, 1)
 	must.NoError(t, err)
 	go func() { _ = server.Serve(guarded) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -76,7 +76,7 @@
 // TestSilentConnectionsMakeRoom guards against connections without requests that keep others
 // out. The oldest of them is closed, and one with a request that is being served is not.
 func TestSilentConnectionsMakeRoom(t *testing.T) {
-	address, guard, proceed := guardedServer(t, Capacity{Connections: 3, HeadBytes: 1 << 20}, 1)
+	address, guard, proceed := guardedServer(t, Capacity{Connections: 3, HeadBytes: 1 << 20})
 	served := open(t, address, getWait)
 	awaitGuard(t, guard, func() bool {
 		for c := range guard.conns {
@@ -101,7 +101,7 @@
 // TestServedConnectionsAreNotReplaced guards against new connections that end requests. There is
 // no room for them.
 func TestServedConnectionsAreNotReplaced(t *testing.T) {
-	address, guard, proceed := guardedServer(t, Capacity{Connections: 2, HeadBytes: 1 << 20}, 1)
+	address, guard, proceed := guardedServer(t, Capacity{Connections: 2, HeadBytes: 1 << 20})
 	first, second := open(t, address, getWait), open(t, address, getWait)
 	awaitGuard(t, guard, func() bool {
 		served := 0
@@ -124,7 +124,7 @@
 // out. One that is within the limits is served.
 func TestLongestIncompleteHeadIsClosed(t *testing.T) {
 	const headBytes = 32 << 10
-	address, guard, _ := guardedServer(t, Capacity{Connections: 10, HeadBytes: headBytes}, 1)
+	address, guard, _ := guardedServer(t, Capacity{Connections: 10, HeadBytes: headBytes})
 	line := "A: " + strings.Repeat("b", 1000) + "\r\n"
 	const begin = "GET / HTTP/1.1\r\nHost: h\r\n"
 	longest := open(t, address, begin+strings.Repeat(line, 20))
@@ -200,7 +200,7 @@
 // TestHTTP2ConnectionsCount guards against HTTP/2 connections whose header blocks, small on the
 // wire, take memory without end, and against the preface arriving byte by byte.
 func TestHTTP2ConnectionsCount(t *testing.T) {
-	address, guard, _ := guardedServer(t, Capacity{Connections: 10, HeadBytes: 2 * http2Bytes}, 1)
+	address, guard, _ := guardedServer(t, Capacity{Connections: 10, HeadBytes: 2 * http2Bytes})
 	first := open(t, address, "P")
 	for _, part := range []string{"R", "I * HTTP/2.0\r\n\r\nSM\r\n\r\n"} {
 		time.Sleep(10 * time.Millisecond)
