A connection that broke does not end a response

What callers saw: a target answered a long upload at once with a 200 without a length, sent part of its body, and reset the connection (or closed it with the upload unread) while the upload was still being written. The caller got that part as a complete response.

Cause: a socket reports the error that broke it once, to whichever call comes first. While a request is being written, that is often the write, whose errors http1 ignores because the read that follows shows what happened. It does not here: the read returns io.EOF, which is also the proper end of a response without a length.

Fix: at io.EOF, a read waits for the write in progress and returns the error of the failed write in its place. EPIPE is excluded: Linux reports it, and not ECONNRESET, where the server had ended its side before the connection broke, so that the response is complete. The end of the stream ends the request in any case, therefore the wait is cut short with a write deadline.

The goroutine that writes a long body also closed the connection after a failed write, which discarded what the reader had not read yet. So a response that was properly ended before a reset was lost. It closes the connection now only where the request body cannot be read.

Ruled out: the state of the connection after the end (TCP_INFO), which does not tell a reset from a reset after a close; refusing all responses without a length, which are proper.

The product's own interface refuses responses without a length, and reads the whole request before it sends it. Links carry a length or chunks; but they are read by the same client.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -8,10 +8,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/teaselrack/teaselrack/internal/fault"
@@ -56,15 +58,31 @@
 	// written is the number of bytes written. A body that is still being sent is
 	// written by another goroutine than the one that reads the counter.
 	written atomic.Int64
+	// writing is held during a write.
+	writing sync.Mutex
+	// writeErr is the error of the first write that failed. writing guards it.
+	writeErr error
 }
 
 func (c *countingConn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
 	c.written.Add(int64(n))
 	c.sent(c.address, n)
 	return n, err
 }
 
+// writeFailed reports whether the connection has failed a write.
+func (c *countingConn) writeFailed() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr != nil
+}
+
 func (c *countingConn) Read(b []byte) (int, error) {
 	if c.headBudget == 0 {
 		return 0, errHeadTooLong
@@ -77,9 +95,29 @@
 	if c.headBudget > 0 {
 		c.headBudget -= n
 	}
+	if err == io.EOF {
+		err = c.endOfStream()
+	}
 	return n, err
 }
 
+// endOfStream returns io.EOF if the server has ended its side of the connection, and otherwise
+// the error that broke the connection. A socket reports that error once: if a write has
+// returned it, later reads return io.EOF. EPIPE is the error of a connection that breaks after
+// the server has ended its side.
+func (c *countingConn) endOfStream() error {
+	// A write in progress must return for its error to be known.
+	if err := c.SetWriteDeadline(time.Now()); err != nil {
+		return err
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, os.ErrDeadlineExceeded) || errors.Is(c.writeErr, syscall.EPIPE) {
+		return io.EOF
+	}
+	return c.writeErr
+}
+
 func newConn(raw net.Conn, p *pool, counter *countingConn) *conn {
 	return &conn{
 		raw:             raw,
@@ -126,9 +164,9 @@
 // send writes r and returns a function that reports whether all of it was
 // written. A body that is still arriving is written in another goroutine,
 // because the server may respond before it has the complete body. Write errors
-// are not returned: the read that follows fails or finds an early response. If
-// the body cannot be read to its end, the connection is closed, because the
-// server would wait for the rest.
+// are not returned: the read that follows fails or finds an early response, which
+// closing the connection would discard. If the body cannot be read to its end, the
+// connection is closed, because the server would wait for the rest.
 func (c *conn) send(r *Request) (requestWritten func() bool) {
 	c.writer.Reset(c.counter)
 	if r.Rest == nil {
@@ -139,7 +177,7 @@
 	fullyWritten := false
 	go func() {
 		err := r.writeTo(c.writer)
-		if err != nil {
+		if err != nil && !c.counter.writeFailed() {
 			c.close()
 		}
 		mu.Lock()
--- a/internal/connection/http1/faulty_test.go
+++ b/internal/connection/http1/faulty_test.go
@@ -1,10 +1,14 @@
 package http1
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -100,3 +104,67 @@
 		}
 	}
 }
+
+// failingConn is a connection whose writes fail and whose reads then return a response and
+// io.EOF, as those of a socket do once a write has taken the error of the connection.
+type failingConn struct {
+	net.Conn
+	writeErr error
+	response io.Reader
+	once     sync.Once
+	// failing is closed when the first write begins to fail.
+	failing chan struct{}
+}
+
+func (c *failingConn) Write([]byte) (int, error) {
+	c.once.Do(func() { close(c.failing) })
+	return 0, c.writeErr
+}
+
+func (c *failingConn) Read(b []byte) (int, error) {
+	<-c.failing
+	return c.response.Read(b)
+}
+
+func (c *failingConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *failingConn) Close() error                     { return nil }
+
+// TestWriteTakesTheErrorOfTheConnection checks that a response without a length is incomplete
+// if the connection broke, also where a write and not a read has returned the error. One that
+// the server ended before the connection broke is complete.
+func TestWriteTakesTheErrorOfTheConnection(t *testing.T) {
+	for _, c := range []struct {
+		writeErr syscall.Errno
+		complete bool
+	}{
+		{syscall.ECONNRESET, false},
+		{syscall.ETIMEDOUT, false},
+		{syscall.EPIPE, true},
+	} {
+		for name, request := range map[string]Request{
+			"body":        {Body: []byte("body"), Length: 4},
+			"long body":   {Body: []byte("begin"), Rest: strings.NewReader("end"), Length: 8},
+			"endless one": {Rest: endlessReader{}, Length: -1},
+		} {
+			t.Run(fmt.Sprintf("%s, %s", c.writeErr, name), func(t *testing.T) {
+				client := NewClient(Options{Dial: func(context.Context, string, string) (net.Conn, error) {
+					return &failingConn{
+						writeErr: &net.OpError{Op: "write", Err: c.writeErr}, failing: make(chan struct{}),
+						response: strings.NewReader("HTTP/1.1 200 OK\r\n\r\ntext"),
+					}, nil
+				}})
+				request.Method, request.URI, request.Host = http.MethodPost, "/", "h"
+				resp, err := client.Do(t.Context(), "10.0.0.1:80", &request)
+				must.NoError(t, err)
+				text, err := io.ReadAll(resp.Body)
+				must.Eq(t, "text", string(text))
+				must.Eq(t, c.complete, err == nil, must.Sprint(err))
+				must.NoError(t, resp.Body.Close())
+			})
+		}
+	}
+}
+
+type endlessReader struct{}
+
+func (endlessReader) Read(b []byte) (int, error) { return len(b), nil }
