A response without a valid status is none

What callers saw: a server in trouble sent the status 000 or 099 (or +99, -00). At the platform's interface, the head was skipped as that of an interim response: a 200 behind it reached the caller as the answer, and otherwise the caller got 502 with a message that quoted the server's bytes, which were read as the next head. At the product's own interface the caller got 502, because the handler of the daemon beside the target panicked when it passed such a status on; with a body too long to buffer, the target's slot was never released.

Cause: net/http accepts any three characters that are a number as a status. http1 took all below 200 for interim responses, and the client of package target took all outside of 100 to 199 for final ones.

Fix: package responsehead scans the bytes of a head as they arrive, before net/http parses them, and fails the read at a status that is not from 100 to 999. Both clients use it; that of links between the platform's daemons is one of them. Interim responses and what has been read ahead behind a stale response are scanned too. In http1 the heads are scanned while headBudget applies.

Evidence: TestBrokenResponseReachesNoCaller of relay, eleven kinds of status, beside the target, over a link and sent by a daemon: on the code before, 27 of 33 cases failed, 6 with a 200 and 21 with the server's bytes in the 502 (a status of four digits held, and 000 with nothing behind it). TestBrokenHeadAfterAStaleResponse failed before. TestStatusIsFrom100To999 tries each number.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/teaselrack/teaselrack/internal/connection/responsehead"
 	"github.com/teaselrack/teaselrack/internal/fault"
 )
 
@@ -55,6 +56,8 @@
 	// headBudget is how many more bytes may be read while a head is expected. It is
 	// negative while there is no limit. Only the goroutine that reads uses it.
 	headBudget int
+	// head checks what is read while a head is expected.
+	head responsehead.Scanner
 	// written is the number of bytes written. A body that is still being sent is
 	// written by another goroutine than the one that reads the counter.
 	written atomic.Int64
@@ -94,6 +97,9 @@
 	c.received(c.address, n)
 	if c.headBudget > 0 {
 		c.headBudget -= n
+		if headErr := c.head.Scan(b[:n]); headErr != nil {
+			return 0, headErr
+		}
 	}
 	if err == io.EOF {
 		err = c.endOfStream()
@@ -197,6 +203,9 @@
 	c.counter.headBudget = maxHeadBytes
 	defer func() { c.counter.headBudget = -1 }()
 	for range maxStaleResponses {
+		if err := c.expectHead(); err != nil {
+			return nil, err
+		}
 		resp, err := c.readFinal(r)
 		if err != nil {
 			return nil, err
@@ -218,6 +227,16 @@
 	return nil, errors.New("received only responses to other requests")
 }
 
+// expectHead begins to check the heads of a response, with what has been read ahead of them.
+func (c *conn) expectHead() error {
+	readAhead, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	c.counter.head = responsehead.Scanner{}
+	return c.counter.head.Scan(readAhead)
+}
+
 // belongsTo reports whether resp is the response to r, and not a copy of an earlier one.
 // The first response of a connection needs no ID for that.
 func (c *conn) belongsTo(resp *http.Response, r *Request, idHeader string) (bool, error) {
--- a/internal/connection/http1/faulty_test.go
+++ b/internal/connection/http1/faulty_test.go
@@ -168,3 +168,18 @@
 type endlessReader struct{}
 
 func (endlessReader) Read(b []byte) (int, error) { return len(b), nil }
+
+// TestBrokenHeadAfterAStaleResponse checks the head that follows a stale response, of which a
+// part has been read ahead.
+func TestBrokenHeadAfterAStaleResponse(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 5\r\n\r\nstale" +
+		"HTTP/1.1 000 No Status\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+	for at := range text {
+		if at%8 != 0 {
+			continue
+		}
+		address := serve(t, func(conn net.Conn, _ *http.Request, _ int) { writeSplit(conn, text, at) })
+		_, err := get(t, NewClient(Options{IDHeader: "Id"}), address, "1")
+		must.Eq(t, fault.ConnectionLost, fault.KindOf(err), must.Sprintf("split at %d", at))
+	}
+}
--- /dev/null
+++ b/internal/connection/responsehead/scanner_test.go
@@ -0,0 +1,62 @@
+package responsehead
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// scanSplit scans text in two parts, and again byte by byte.
+func scanSplit(t *testing.T, text string, want error) {
+	t.Helper()
+	for at := range len(text) + 1 {
+		var s Scanner
+		err := s.Scan([]byte(text[:at]))
+		if err == nil {
+			err = s.Scan([]byte(text[at:]))
+		}
+		must.ErrorIs(t, err, want, must.Sprintf("%q, split at %d", text, at))
+	}
+	var s Scanner
+	var err error
+	for i := 0; i < len(text) && err == nil; i++ {
+		err = s.Scan([]byte(text[i : i+1]))
+	}
+	must.ErrorIs(t, err, want, must.Sprintf("%q, byte by byte", text))
+}
+
+func TestStatusIsFrom100To999(t *testing.T) {
+	for status := range 1000 {
+		var want error
+		if status < 100 {
+			want = ErrStatus
+		}
+		var s Scanner
+		must.ErrorIs(t, s.Scan(fmt.Appendf(nil, "HTTP/1.1 %03d Reason\r\n", status)), want, must.Sprint(status))
+	}
+	for _, status := range []string{"", " ", "20", "2000", "20 0", "+99", "-00", "-20", "0x2", "20x", "2O0", "200\t", "\x00200", "\xb2\xb2\xb2"} {
+		scanSplit(t, "HTTP/1.1 "+status+"\r\n\r\n", ErrStatus)
+	}
+	scanSplit(t, "HTTP/1.1\r\n\r\n", ErrStatus)
+	scanSplit(t, "\r\n", ErrStatus)
+}
+
+func TestHeadsOfResponses(t *testing.T) {
+	const fields = "A: b\r\nEmpty:\r\nSpaces:  a  b \r\n"
+	final := "HTTP/1.1 200 OK\r\n" + fields + "\r\n"
+	for _, text := range []string{
+		final,
+		strings.ReplaceAll(final, "\r\n", "\n"),
+		"HTTP/1.1 200\r\n\r\n",
+		"HTTP/1.0 200 \r\n\r\n",
+		"HTTP/1.1  200 OK\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n" + fields + "\r\n" + final,
+	} {
+		scanSplit(t, text, nil)
+		scanSplit(t, text+"\r\n\r\nHTTP/1.1 000 body\r\n :\r\n", nil)
+	}
+	scanSplit(t, "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 000", nil)
+	scanSplit(t, "HTTP/1.1 199 Last\r\n\r\nHTTP/1.1 099 No\r\n\r\n"+final, ErrStatus)
+}
--- a/internal/connection/target/client.go
+++ b/internal/connection/target/client.go
@@ -30,7 +30,7 @@
 	protocols.SetHTTP1(true)
 	return &Client{
 		transport: &http.Transport{
-			DialContext:            meter.Dialer(o.dial()),
+			DialContext:            meter.Dialer(checkHeads(o.dial())),
 			Protocols:              protocols,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
--- a/internal/connection/target/conn.go
+++ b/internal/connection/target/conn.go
@@ -14,10 +14,12 @@
 
 // conn is one HTTP/1.1 connection; it carries one request at a time.
 type conn struct {
-	cc     *http.ClientConn
-	meter  *meter.Conn
-	pool   *pool
-	opened time.Time
+	cc    *http.ClientConn
+	meter *meter.Conn
+	// checked is the connection that meter measures.
+	checked *checkedConn
+	pool    *pool
+	opened  time.Time
 	// used is true if the connection has carried a request before the current
 	// one. It changes only while no request holds the connection.
 	used bool
@@ -39,6 +41,7 @@
 	start := time.Now()
 	stop := c.watchForStall(start, cancel, idempotent)
 	writtenBefore := c.meter.Written()
+	c.checked.expectHead()
 	resp, err = c.cc.RoundTrip(r.WithContext(ctx))
 	stop()
 	if err != nil {
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -152,7 +152,7 @@
 		}
 		return nil, fault.Wrap(fault.ConnectFailed, err, "cannot connect to the target")
 	}
-	c := &conn{cc: cc, meter: metered, pool: p, opened: opened}
+	c := &conn{cc: cc, meter: metered, checked: metered.Conn.(*checkedConn), pool: p, opened: opened}
 	cc.SetStateHook(func(*http.ClientConn) { p.wakeWaiter() })
 	if err := cc.Reserve(); err != nil {
 		_ = cc.Close()
--- a/internal/request/relay/broken_response_test.go
+++ b/internal/request/relay/broken_response_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/teaselrack/teaselrack/internal/connection/connectiontest"
 	"github.com/teaselrack/teaselrack/internal/version"
 )
 
@@ -167,3 +168,28 @@
 		}
 	}
 }
+
+// TestBrokenResponseReachesNoCaller guards against bytes that are passed on although they are no
+// response. The caller gets 502, with nothing of what the target or the other daemon sent.
+func TestBrokenResponseReachesNoCaller(t *testing.T) {
+	for name, text := range connectiontest.BrokenResponses {
+		respond := func(conn *net.TCPConn, _ io.Reader) {
+			_, _ = io.WriteString(conn, text)
+			_ = conn.CloseWrite()
+		}
+		m, entries := newMeshOfRawTarget(t, respond)
+		for path, from := range entries {
+			t.Run(name+", "+path, func(t *testing.T) { m.expectBadGateway(t, from) })
+		}
+		t.Run(name+", from a daemon", func(t *testing.T) {
+			m.instances[0].record.PeerAddress = rawTarget(t, respond)
+			m.expectBadGateway(t, m.addRemote())
+		})
+	}
+}
+
+func (m *mesh) expectBadGateway(t *testing.T, from *instance) {
+	resp, text := m.send(from, http.MethodGet, "/p/x", nil, "")
+	must.Eq(t, http.StatusBadGateway, resp.StatusCode)
+	must.StrNotContains(t, fmt.Sprint(resp.Header, text), connectiontest.BrokenMarker)
+}
