A response with an invalid field name is none

What callers saw: a server in trouble sent a head in which a field name held a space. The caller got it as the answer, without that line; where the name was that of the length or of the coding, the body was another: what came until the connection was closed, chunk sizes included. A line that began with a space or a tab was passed on as a part of the value before it. The same in interim responses. Both interfaces; at the product's own, a name like "Content-Length " left no length, so that the response was refused for that.

Cause: net/http keeps fields whose names hold a space, under that name, where nobody looks for them, and drops them when the response is written again. It joins continuation lines.

Fix: the scanner of response heads fails the read at a field name that is not a token, at an empty one, at a line without a colon and at a continuation line. For the latter, RFC 9112 (5.2) lets a proxy answer with 502; replacing the line break would keep a line that may be a broken name.

Evidence: TestBrokenResponseReachesNoCaller with 17 more kinds. On the code before, in relay, 48 of 51 cases failed: 27 with a 200, and 21 with the server's line in the 502 (control bytes, empty names and lines without a colon; net/http refuses those). In hop 21 of 51 failed, all with a 200. All pass now. TestFieldNamesAreTokens tries each byte at the begin and at the end of a name, split at each place.

What held: control bytes in a name were refused at both interfaces.

--- a/internal/connection/connectiontest/broken_responses.go
+++ b/internal/connection/connectiontest/broken_responses.go
@@ -5,7 +5,7 @@
 // BrokenMarker stands in BrokenResponses.
 const BrokenMarker = "Garbled"
 
-// BrokenResponses are bytes that are no response, because of a status in a head.
+// BrokenResponses are bytes that are no response, because of a status or a field name in a head.
 // Each holds BrokenMarker where a part of it could be passed on.
 var BrokenResponses = map[string]string{
 	"status 000":                   "HTTP/1.1 000 Garbled\r\nContent-Length: 7\r\n\r\nGarbled",
@@ -19,4 +19,21 @@
 	"status 099 before a response": "HTTP/1.1 099 Garbled\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nGarbled",
 	"status 000 after a 1xx":       "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Garbled\r\nContent-Length: 7\r\n\r\nGarbled",
 	"status 000 and nothing":       "HTTP/1.1 000 Garbled\r\n\r\n",
+	"space in a name":              "HTTP/1.1 200 OK\r\nGarbled Name: 1\r\nContent-Length: 7\r\n\r\nGarbled",
+	"space after a name":           "HTTP/1.1 200 OK\r\nGarbled : 1\r\nContent-Length: 7\r\n\r\nGarbled",
+	"space after the length":       "HTTP/1.1 200 OK\r\nContent-Length : 7\r\n\r\nGarbled, and more",
+	"space after the coding":       "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n7\r\nGarbled\r\n0\r\n\r\n",
+	"space before a name":          "HTTP/1.1 200 OK\r\nFirst: 1\r\n Garbled: 1\r\nContent-Length: 7\r\n\r\nGarbled",
+	"space before the first name":  "HTTP/1.1 200 OK\r\n Garbled: 1\r\nContent-Length: 7\r\n\r\nGarbled",
+	"line of a space":              "HTTP/1.1 200 OK\r\nFirst: 1\r\n \r\nGarbled: 1\r\nContent-Length: 7\r\n\r\nGarbled",
+	"tab in a name":                "HTTP/1.1 200 OK\r\nGarbled\tName: 1\r\nContent-Length: 7\r\n\r\nGarbled",
+	"tab before a name":            "HTTP/1.1 200 OK\r\nFirst: 1\r\n\tGarbled: 1\r\nContent-Length: 7\r\n\r\nGarbled",
+	"control byte in a name":       "HTTP/1.1 200 OK\r\nGarbled\x01Name: 1\r\nContent-Length: 7\r\n\r\nGarbled",
+	"zero byte after the length":   "HTTP/1.1 200 OK\r\nContent-Length\x00: 7\r\n\r\nGarbled, and more",
+	"carriage return in a name":    "HTTP/1.1 200 OK\r\nGarbled\rName: 1\r\nContent-Length: 7\r\n\r\nGarbled",
+	"DEL in a name":                "HTTP/1.1 200 OK\r\nGarbled\x7fName: 1\r\nContent-Length: 7\r\n\r\nGarbled",
+	"empty name":                   "HTTP/1.1 200 OK\r\n: Garbled\r\nContent-Length: 7\r\n\r\nGarbled",
+	"no colon":                     "HTTP/1.1 200 OK\r\nGarbled\r\nContent-Length: 7\r\n\r\nGarbled",
+	"space in a name of a 1xx":     "HTTP/1.1 103 Early Hints\r\nGarbled Name: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nGarbled",
+	"space before the coding":      "HTTP/1.1 200 OK\r\nContent-Type: a\r\n Transfer-Encoding: chunked\r\nContent-Length: 7\r\n\r\nGarbled",
 }
--- a/internal/connection/responsehead/scanner.go
+++ b/internal/connection/responsehead/scanner.go
@@ -1,12 +1,22 @@
 // Package responsehead checks the heads of HTTP/1.1 responses while they are read, for what
 // net/http accepts although it is no response. It reads a status below 100 as that of an
-// interim or of a final response.
+// interim or of a final response. It ignores the framing in a field whose name holds a space, and
+// joins a line that begins with a space to the one before.
 package responsehead
 
-import "errors"
+import (
+	"errors"
 
-// ErrStatus is the error of a head whose status is not a number from 100 to 999.
-var ErrStatus = errors.New("the response has no valid status")
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrStatus is the error of a head whose status is not a number from 100 to 999. ErrFieldName is
+// that of a head with a line whose field name is empty or holds a byte that no name may hold (RFC
+// 9110, section 5.1), or that continues the line before (RFC 9112, section 5.2).
+var (
+	ErrStatus    = errors.New("the response has no valid status")
+	ErrFieldName = errors.New("the response has an invalid field name")
+)
 
 const (
 	// statusDigits is the number of digits of a status.
@@ -25,7 +35,8 @@
 	inStatusLine              // the rest of the status line
 	atLineStart               // a field line, or the empty line that ends the head
 	atLineEnd                 // the end of the empty line
-	inFieldLine               // the rest of a field line
+	inName                    // the rest of a field name, up to a colon
+	inValue                   // the rest of a field line
 	afterFinal                // nothing: the final head has ended
 )
 
@@ -38,7 +49,7 @@
 }
 
 // Scan checks the next bytes. What follows the final head is not checked. After an error, the
-// Scanner must not be used again. Errors: ErrStatus.
+// Scanner must not be used again. Errors: ErrStatus, ErrFieldName.
 func (s *Scanner) Scan(b []byte) error {
 	for _, c := range b {
 		if s.state == afterFinal {
@@ -62,24 +73,12 @@
 		}
 	case beforeStatus, inStatus:
 		return s.nextOfStatus(c)
-	case inStatusLine, inFieldLine:
+	case inStatusLine, inValue:
 		if c == '\n' {
 			s.state = atLineStart
 		}
-	case atLineStart:
-		switch c {
-		case '\n':
-			s.endHead()
-		case '\r':
-			s.state = atLineEnd
-		default:
-			s.state = inFieldLine
-		}
-	case atLineEnd:
-		s.state = inFieldLine
-		if c == '\n' {
-			s.endHead()
-		}
+	case atLineStart, atLineEnd, inName:
+		return s.nextOfName(c)
 	}
 	return nil
 }
@@ -104,6 +103,22 @@
 	return nil
 }
 
+func (s *Scanner) nextOfName(c byte) error {
+	switch {
+	case s.state != inName && c == '\n':
+		s.endHead()
+	case s.state == atLineStart && c == '\r':
+		s.state = atLineEnd
+	case s.state == inName && c == ':':
+		s.state = inValue
+	case s.state != atLineEnd && httpguts.IsTokenRune(rune(c)):
+		s.state = inName
+	default:
+		return ErrFieldName
+	}
+	return nil
+}
+
 // endHead expects the next head after that of an interim response.
 func (s *Scanner) endHead() {
 	if s.status[0] == '1' && string(s.status[:]) != switchingProtocols {
--- a/internal/connection/responsehead/scanner_test.go
+++ b/internal/connection/responsehead/scanner_test.go
@@ -60,3 +60,24 @@
 	scanSplit(t, "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 000", nil)
 	scanSplit(t, "HTTP/1.1 199 Last\r\n\r\nHTTP/1.1 099 No\r\n\r\n"+final, ErrStatus)
 }
+
+func TestFieldNamesAreTokens(t *testing.T) {
+	const tokens = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	for c := range 256 {
+		var want error
+		if !strings.ContainsRune(tokens, rune(c)) {
+			want = ErrFieldName
+		}
+		b := string([]byte{byte(c)})
+		if b != "\n" { // it would end the head
+			scanSplit(t, "HTTP/1.1 200 OK\r\n"+b+"A: 1\r\n\r\n", want)
+		}
+		if b != ":" { // it would end the name
+			scanSplit(t, "HTTP/1.1 200 OK\r\nFirst: 1\r\nA"+b+": 1\r\n\r\n", want)
+		}
+	}
+	for _, line := range []string{": 1\r\n", "No-Colon\r\n", "A: b\r\n c: d\r\n", "A: b\r\n\tc\r\n", "A: b\r\n \r\n", "\r\r\n", "\rA: b\r\n"} {
+		scanSplit(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n", ErrFieldName)
+		scanSplit(t, "HTTP/1.1 100 Continue\r\n"+line+"\r\nHTTP/1.1 200 OK\r\n\r\n", ErrFieldName)
+	}
+}
