A 502 does not quote the bytes of a broken response

What callers saw: 502 with a message that held what the server had sent in place of a response, for example `the connection was lost: malformed MIME header line: "..."`.

Cause: the errors with which net/http refuses a head or a trailer quote it, and http1 put their text into the message for the caller.

Fix: http1 keeps the errors of the connection, of its own bounds and of the scanner, and replaces all others by "the response is malformed", for heads and for bodies. An error is that of the connection if it is the one that the last read returned. The kinds of errors are the same as before.

Evidence: nine more kinds in TestBrokenResponseReachesNoCaller, with an invalid version, length, coding, value, trailer or chunk.

--- a/internal/connection/connectiontest/broken_responses.go
+++ b/internal/connection/connectiontest/broken_responses.go
@@ -5,8 +5,8 @@
 // BrokenMarker stands in BrokenResponses.
 const BrokenMarker = "Garbled"
 
-// BrokenResponses are bytes that are no response, because of a status or a field name in a head.
-// Each holds BrokenMarker where a part of it could be passed on.
+// BrokenResponses are bytes that are no complete response. Each holds BrokenMarker where a part
+// of it could be passed on.
 var BrokenResponses = map[string]string{
 	"status 000":                   "HTTP/1.1 000 Garbled\r\nContent-Length: 7\r\n\r\nGarbled",
 	"status 000, long body":        "HTTP/1.1 000 Garbled\r\nContent-Length: 700000\r\n\r\n" + strings.Repeat("Garbled", 100000),
@@ -35,5 +35,17 @@
 	"empty name":                   "HTTP/1.1 200 OK\r\n: Garbled\r\nContent-Length: 7\r\n\r\nGarbled",
 	"no colon":                     "HTTP/1.1 200 OK\r\nGarbled\r\nContent-Length: 7\r\n\r\nGarbled",
 	"space in a name of a 1xx":     "HTTP/1.1 103 Early Hints\r\nGarbled Name: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nGarbled",
+	"closed before the length":     "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nGarbled",
+	"closed between chunks":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nGarbled\r\n",
+	"closed before the last line":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nGarbled\r\n0\r\n",
+	"no protocol version":          "Garbled 200 OK\r\nContent-Length: 7\r\n\r\nGarbled",
+	"length of letters":            "HTTP/1.1 200 OK\r\nContent-Length: Garbled\r\n\r\nGarbled",
+	"two lengths":                  "HTTP/1.1 200 OK\r\nContent-Length: 7\r\nContent-Length: 8, Garbled\r\n\r\nGarbled",
+	"unknown coding":               "HTTP/1.1 200 OK\r\nTransfer-Encoding: Garbled\r\n\r\nGarbled",
+	"control byte in a value":      "HTTP/1.1 200 OK\r\nA: Garbled\x01\r\nContent-Length: 7\r\n\r\nGarbled",
+	"half a line":                  "HTTP/1.1 200 OK\r\nGarbled",
+	"chunk size of letters":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nGarbled\r\nGarbled\r\n0\r\n\r\n",
+	"chunk longer than its size":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nGarbled\r\n0\r\n\r\n",
+	"trailer without a colon":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nGarbled\r\n0\r\nGarbled\r\n\r\n",
 	"space before the coding":      "HTTP/1.1 200 OK\r\nContent-Type: a\r\n Transfer-Encoding: chunked\r\nContent-Length: 7\r\n\r\nGarbled",
 }
--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -48,6 +48,9 @@
 // no ID. It may be the response to an earlier request, even one that was not run.
 var errNoID = errors.New("the response on a used connection has no request ID")
 
+// errMalformed replaces the errors with which net/http refuses a response: they quote it.
+var errMalformed = errors.New("the response is malformed")
+
 // countingConn counts the bytes of a connection and limits those of response heads.
 type countingConn struct {
 	net.Conn
@@ -58,6 +61,8 @@
 	headBudget int
 	// head checks what is read while a head is expected.
 	head responsehead.Scanner
+	// readErr is the error of the last read. Only the goroutine that reads uses it.
+	readErr error
 	// written is the number of bytes written. A body that is still being sent is
 	// written by another goroutine than the one that reads the counter.
 	written atomic.Int64
@@ -87,6 +92,12 @@
 }
 
 func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.read(b)
+	c.readErr = err
+	return n, err
+}
+
+func (c *countingConn) read(b []byte) (int, error) {
 	if c.headBudget == 0 {
 		return 0, errHeadTooLong
 	}
@@ -268,7 +279,7 @@
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, err
+			return nil, c.withoutContent(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
@@ -279,6 +290,15 @@
 	}
 }
 
+// withoutContent returns err, the error of reading a response, if it is that of the connection,
+// and errMalformed otherwise.
+func (c *conn) withoutContent(err error) error {
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, c.counter.readErr) {
+		return err
+	}
+	return errMalformed
+}
+
 // release returns the connection to the pool if it is reusable and closes it
 // otherwise.
 func (c *conn) release(reusable bool) {
@@ -322,6 +342,10 @@
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
 		b.complete = true
+		return n, err
+	}
+	if err != nil {
+		err = b.conn.withoutContent(err)
 	}
 	return n, err
 }
