Test of a reset during an upload, own interface

The client of package target refuses each response without a length, so that the part of one that a reset ends does not reach a caller.

--- a/internal/connection/target/target_test.go
+++ b/internal/connection/target/target_test.go
@@ -349,3 +349,42 @@
 		})
 	}
 }
+
+// TestResponseBreaksOffDuringAnUpload checks that a response without a length is refused where
+// the target resets the connection while the request is being written, over real sockets.
+func TestResponseBreaksOffDuringAnUpload(t *testing.T) {
+	const uploadBytes = 4 << 20
+	for name, reset := range map[string]bool{"reset": true, "closed": false} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer func() { _ = l.Close() }()
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = http.ReadRequest(bufio.NewReader(conn))
+					writeResponse(conn, "HTTP/1.1 200 OK\r\n\r\npart of the response")
+					if reset {
+						_ = conn.(*net.TCPConn).SetLinger(0)
+					}
+					_ = conn.Close()
+				}
+			}()
+			c := NewClient(Options{})
+			defer c.Close()
+			for range 20 {
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String()+"/", strings.NewReader(strings.Repeat("u", uploadBytes)))
+				must.NoError(t, err)
+				resp, err := c.RoundTrip(l.Addr().String(), r, true)
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+				must.Error(t, err)
+				must.Eq(t, http.StatusBadGateway, fault.ResponseFor(fault.KindOf(err)).Status)
+			}
+		})
+	}
+}
