A status on a link is from 100 to 999

What callers could see: a connection that ends without an answer. The daemon at which a request began took any number as the status of another daemon's response, and its handler panicked when it wrote it.

Cause: that of a status below 100 in HTTP/1.1: net/http parses the status on an HTTP/2 connection as any number.

Fix: the client of links checks the range, which package responsehead holds.

Evidence: TestBrokenHeadOnALink, a daemon that sends frames of its own: before, 000, 099, +99 and 1000 were responses (4 of 8 cases). Letters, and names that are empty or hold a space or a control byte, held. No daemon of ours sends such a status: found by looking for the cause, not seen on a system.

--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/teaselrack/teaselrack/internal/connection/meter"
+	"github.com/teaselrack/teaselrack/internal/connection/responsehead"
 )
 
 // link is one HTTP/2 connection to another daemon.
@@ -23,7 +24,15 @@
 func (l *link) reserve() bool { return l.cc.Reserve() == nil }
 
 func (l *link) roundTrip(r *http.Request) (*http.Response, error) {
-	return l.cc.RoundTrip(r)
+	resp, err := l.cc.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := responsehead.CheckStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 func (l *link) close() { _ = l.cc.Close() }
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"io"
@@ -14,6 +15,7 @@
 
 	"github.com/shoenig/test/must"
 	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 
 	"github.com/teaselrack/teaselrack/internal/connection/memnet"
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
@@ -164,6 +166,48 @@
 	}
 }
 
+// TestBrokenHeadOnALink checks that a head with an invalid status or field name is no response.
+func TestBrokenHeadOnALink(t *testing.T) {
+	const fieldName = "x-field"
+	for name, fields := range map[string][2]hpack.HeaderField{
+		"status 000":             {{Name: ":status", Value: "000"}},
+		"status 099":             {{Name: ":status", Value: "099"}},
+		"status +99":             {{Name: ":status", Value: "+99"}},
+		"status of letters":      {{Name: ":status", Value: "abc"}},
+		"status of four digits":  {{Name: ":status", Value: "1000"}},
+		"space in a name":        {{Name: ":status", Value: "200"}, {Name: fieldName + " ", Value: "1"}},
+		"control byte in a name": {{Name: ":status", Value: "200"}, {Name: fieldName + "\x01", Value: "1"}},
+		"empty name":             {{Name: ":status", Value: "200"}, {Name: "", Value: "1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				server, client := identities(t)
+				network := memnet.New(time.Millisecond)
+				var block bytes.Buffer
+				encoder := hpack.NewEncoder(&block)
+				for _, field := range fields {
+					if field != (hpack.HeaderField{}) {
+						must.NoError(t, encoder.WriteField(field))
+					}
+				}
+				serveFrames(t, network, server, func(f *http2.Framer, _ net.Conn, id uint32) {
+					_ = f.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: block.Bytes(), EndStream: true, EndHeaders: true})
+				})
+				c := NewClient(client, Options{Dial: network.Dial})
+				defer closeClient(c)
+				resp, err := c.RoundTrip(address, request(t.Context(), t, "body"))
+				must.NoError(t, err)
+				must.NoError(t, resp.Body.Close())
+				resp, err = c.RoundTrip(address, request(t.Context(), t, "body"))
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+				must.Eq(t, fault.ConnectionLost, fault.KindOf(err))
+			})
+		})
+	}
+}
+
 func serve(t *testing.T, network *memnet.Network, id *mesh.Identity, handler http.HandlerFunc) {
 	t.Helper()
 	s := NewServer(id, handler, ServerOptions{})
--- a/internal/connection/responsehead/scanner_test.go
+++ b/internal/connection/responsehead/scanner_test.go
@@ -35,10 +35,12 @@
 		}
 		var s Scanner
 		must.ErrorIs(t, s.Scan(fmt.Appendf(nil, "HTTP/1.1 %03d Reason\r\n", status)), want, must.Sprint(status))
+		must.ErrorIs(t, CheckStatus(status), want, must.Sprint(status))
 	}
 	for _, status := range []string{"", " ", "20", "2000", "20 0", "+99", "-00", "-20", "0x2", "20x", "2O0", "200\t", "\x00200", "\xb2\xb2\xb2"} {
 		scanSplit(t, "HTTP/1.1 "+status+"\r\n\r\n", ErrStatus)
 	}
+	must.ErrorIs(t, CheckStatus(1000), ErrStatus)
 	scanSplit(t, "HTTP/1.1\r\n\r\n", ErrStatus)
 	scanSplit(t, "\r\n", ErrStatus)
 }
