--- a/internal/connection/rpc/rpc_test.go
+++ b/internal/connection/rpc/rpc_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -80,6 +81,25 @@
 	must.True(t, c.Closed())
 }
 
+// TestReplyThatBreaksOff checks that no part of a reply is one.
+func TestReplyThatBreaksOff(t *testing.T) {
+	const reply = `{"id":0,"result":{"n":6},"jsonrpc":"2.0"}`
+	frame := append(binary.BigEndian.AppendUint32(nil, uint32(len(reply))), reply...)
+	for cut := range frame {
+		client, server := net.Pipe()
+		go func() {
+			defer func() { _ = server.Close() }()
+			if new(frameCodec).ReadObject(bufio.NewReader(server), new(jsonrpc2.Request)) == nil {
+				_, _ = server.Write(frame[:cut])
+			}
+		}()
+		c := newClient(client, "pipe", nil)
+		err := c.Call(t.Context(), "double", number{3}, new(number))
+		must.Eq(t, fault.ConnectionLost, fault.KindOf(err), must.Sprintf("%q", frame[:cut]))
+		_ = c.Close()
+	}
+}
+
 func FuzzFrame(f *testing.F) {
 	var valid bytes.Buffer
 	must.NoError(f, new(frameCodec).WriteObject(&valid, number{7}))
