http1: compare with io.EOF as the linter asks

errorlint wants errors.Is where an error has passed through a function of our own. No change of what callers see: the reads return io.EOF itself.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -112,7 +112,7 @@
 			return 0, headErr
 		}
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		err = c.endOfStream()
 	}
 	return n, err
@@ -340,14 +340,14 @@
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		b.complete = true
 		return n, err
 	}
 	if err != nil {
-		err = b.conn.withoutContent(err)
+		return n, b.conn.withoutContent(err)
 	}
-	return n, err
+	return n, nil
 }
 
 // Close returns the connection to the pool if the request was written and the
