A response that breaks off resets the connection of an HTTP/1.0 client

What callers saw: a client of HTTP/1.0 got a part of a response as a complete one, the same as in the incident, where the target sent chunks and broke off after more than the daemon buffers.

Cause: the entry ends an incomplete response by closing the connection. A client of HTTP/1.1 misses the last chunk; one of HTTP/1.0 gets no chunks, and the end of the connection is that of the response.

Fix: listener.Abort resets the connection of a request older than HTTP/1.1. The product's own interface refuses these (bad_request), and daemons send HTTP/1.1 to each other, so that only the entry handler uses it.

Found by a trial while looking for the cause of the incident elsewhere, not seen on a system.

--- a/internal/request/relay/broken_response_test.go
+++ b/internal/request/relay/broken_response_test.go
@@ -193,3 +193,26 @@
 	must.Eq(t, http.StatusBadGateway, resp.StatusCode)
 	must.StrNotContains(t, fmt.Sprint(resp.Header, text), connectiontest.BrokenMarker)
 }
+
+// TestBrokenResponseToAnOldClient guards against a part of a response that a client of HTTP/1.0
+// takes for the complete one: without a length, it ends where the connection ends.
+func TestBrokenResponseToAnOldClient(t *testing.T) {
+	part := strings.Repeat("x", 2*maxBufferedBytes)
+	_, entries := newMeshOfRawTarget(t, func(conn *net.TCPConn, _ io.Reader) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", 2*len(part), part)
+		_ = conn.CloseWrite()
+	})
+	for path, from := range entries {
+		t.Run(path, func(t *testing.T) {
+			for range uploads {
+				conn, err := net.Dial("tcp", from.entryAddress)
+				must.NoError(t, err)
+				_, err = fmt.Fprintf(conn, "GET /p/x HTTP/1.0\r\nHost: %s\r\nTeaselrack-Request: id-1\r\nTeaselrack-Key: %s\r\n\r\n", host, key)
+				must.NoError(t, err)
+				_, err = io.Copy(io.Discard, conn)
+				must.ErrorIs(t, err, syscall.ECONNRESET)
+				must.NoError(t, conn.Close())
+			}
+		})
+	}
+}
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -108,7 +108,7 @@
 	e.Stats.CountResponse(response.Status, time.Since(req.receivedAt))
 	if err := writeResponse(w, response); err != nil {
 		e.Log.Info("response interrupted", zap.String("request", req.id), zap.String("route", req.route.Name), zap.String("reason", err.Error()))
-		panic(http.ErrAbortHandler)
+		listener.Abort(w, r)
 	}
 }
 
