--- a/internal/connection/responsehead/scanner.go
+++ b/internal/connection/responsehead/scanner.go
@@ -1,7 +1,7 @@
 // Package responsehead checks the heads of HTTP/1.1 responses while they are read, for what
-// net/http accepts although it is no response. It reads a status below 100 as that of an
-// interim or of a final response. It ignores the framing in a field whose name holds a space, and
-// joins a line that begins with a space to the one before.
+// net/http accepts although it is no response: a status below 100, a field whose name holds a
+// space, of which it ignores the framing, and a line that begins with a space, which it joins to
+// the one before.
 package responsehead
 
 import "golang.org/x/net/http/httpguts"
@@ -28,8 +28,8 @@
 	afterFinal                // nothing: the final head has ended
 )
 
-// Scanner checks the heads of the responses to one request: those of any number of interim
-// responses and that of the final one. The zero value expects the first of them.
+// Scanner checks the heads of the responses to one request: those of any number of
+// informational responses and that of the final one. The zero value expects the first of them.
 type Scanner struct {
 	state  state
 	status [statusDigits]byte
@@ -107,7 +107,7 @@
 	return nil
 }
 
-// endHead expects the next head after that of an interim response.
+// endHead expects the next head after that of an informational response.
 func (s *Scanner) endHead() {
 	if s.status[0] == '1' && string(s.status[:]) != switchingProtocols {
 		*s = Scanner{}
