Tests of broken responses: clients that only read

The clients of the tests with uploads were net/http's, which return a failed write in place of a response that has arrived: whether one did depended on the half second for which a server waits before it closes the connection, and on load. They write and read on their own now, and only what they read counts. A target that closes with the upload unread waits until it has some to leave unread, also after its pause.

--- a/e2e/broken_responses_test.go
+++ b/e2e/broken_responses_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -20,8 +21,6 @@
 	// uploads is the number of requests with one of each case.
 	uploadBytes = 4 << 20
 	uploads     = 10
-	// uploadTimeout is how long a client waits for the response to an upload.
-	uploadTimeout = 10 * time.Second
 	// fullSockets is a time in which an upload fills the sockets on its way.
 	fullSockets = 20 * time.Millisecond
 	// marker stands in broken responses where a part of them could be passed on.
@@ -70,7 +69,7 @@
 var targetResponses = map[string]targetResponse{
 	"reset-upload":      {true, unframed, resetConn, http.StatusBadGateway},
 	"late-reset-upload": {true, unframed, func(conn *net.TCPConn) { time.Sleep(fullSockets); resetConn(conn) }, http.StatusBadGateway},
-	"late-close-upload": {true, unframed, func(conn *net.TCPConn) { time.Sleep(fullSockets); closeConn(conn) }, http.StatusBadGateway},
+	"late-close-upload": {true, unframed, func(conn *net.TCPConn) { time.Sleep(fullSockets); closeWithUnread(conn) }, http.StatusBadGateway},
 	"close-upload":      {true, unframed, closeWithUnread, http.StatusBadGateway},
 	"finished-upload":   {true, unframed, finish, http.StatusOK},
 	"finished-request":  {false, unframed, closeConn, http.StatusOK},
@@ -108,7 +107,6 @@
 	for _, p := range m.daemons {
 		must.NoError(t, system.Await(formTimeout, p.checkServes))
 	}
-	client := &http.Client{Timeout: uploadTimeout}
 	for name, want := range targetResponses {
 		for path, p := range map[string]*meshProcess{"beside the target": m.daemons[0], "forwarded": m.daemons[1]} {
 			t.Run(name+", "+path, func(t *testing.T) {
@@ -118,7 +116,7 @@
 				}
 				others := 0
 				for range requests {
-					status, text, err := p.send(client, name, want.upload)
+					status, text, err := p.send(name, want.upload)
 					failed := err != nil || status == http.StatusBadGateway && !strings.Contains(text, marker)
 					if failed != (want.status == http.StatusBadGateway) {
 						t.Logf("status %d, %q, error %v", status, text, err)
@@ -131,19 +129,21 @@
 	}
 }
 
-// send sends a request for an entry of targetResponses, and returns the status with the headers
-// and the body of the response.
-func (p *meshProcess) send(client *http.Client, name string, upload bool) (status int, text string, err error) {
+// send sends a request for an entry of targetResponses on a connection of its own, and returns the
+// status with the headers and the body of the response, which it reads while it sends. That the
+// rest of an upload cannot be sent does not matter.
+func (p *meshProcess) send(name string, upload bool) (status int, text string, err error) {
+	conn := dial(p.mesh.t, p.address(entryPort))
+	defer func() { _ = conn.Close() }()
 	body := ""
 	if upload {
 		body = strings.Repeat("u", uploadBytes)
 	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+p.address(entryPort)+routePath(1)+name, strings.NewReader(body))
-	must.NoError(p.mesh.t, err)
-	request.Host = "h.example"
-	request.Header.Set("Request-Id", name)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(uploadTimeout.Milliseconds()))
-	response, err := client.Do(request)
+	go func() {
+		_, _ = fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+			routePath(1), name, name, rawTimeout.Milliseconds(), len(body), body)
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0, "", err
 	}
--- a/internal/request/relay/broken_response_test.go
+++ b/internal/request/relay/broken_response_test.go
@@ -71,14 +71,17 @@
 	err    error
 }
 
-// upload sends a body of uploadBytes. The caller reads the response while it sends.
+// upload sends a body of uploadBytes on a connection of its own, and reads the response while it
+// sends. That the rest cannot be sent does not matter.
 func (m *mesh) upload(from *instance) received {
-	r, err := http.NewRequest(http.MethodPost, "http://"+from.entryAddress+"/p/x", strings.NewReader(strings.Repeat("u", uploadBytes)))
+	conn, err := net.Dial("tcp", from.entryAddress)
 	must.NoError(m.t, err)
-	r.Host = host
-	r.Header.Set("Teaselrack-Request", "id-1")
-	r.Header.Set("Teaselrack-Key", key)
-	resp, err := m.client.Do(r)
+	defer func() { _ = conn.Close() }()
+	go func() {
+		_, _ = fmt.Fprintf(conn, "POST /p/x HTTP/1.1\r\nHost: %s\r\nTeaselrack-Request: id-1\r\nTeaselrack-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
+			host, key, uploadBytes, strings.Repeat("u", uploadBytes))
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return received{err: err}
 	}
