A late order about a failure domain undoes no newer one

Callers saw: requests reached a failure domain whose evacuation was acknowledged, and nobody was told. An operator had got no response from a replica that stood still, had its order acknowledged by another one, and had a newer, opposite order acknowledged. When the first replica went on it read the old order and handed it on, and the group applied it again.

Cause: an order about a failure domain names only what it wants, so an old one and a new one are the same, and only one that changes nothing was a repeat. The replica cannot tell how long a call has waited: in the socket of a process that stood still, in a queue, at a forwarding replica or at a leader. That the sender has gone shows only later, and only where its close has arrived.

Change: such an order builds on the generation of its failure domain, which each accepted order raises, also one that changes nothing, and notes that change the domain. The state machine rejects an order on another generation (order_outdated, 503), unless it changes nothing. Callers of control.order get it with control.domain; an order without one is invalid there.

TestDomainOrders and TestWholePath sent orders without a generation; they name one now and check the same.

Ruled out: noticing the pause (short ones are not noticed, and the late order may come from a replica that never paused); noticing that the sender has closed its connection (it races with the order, and says nothing about forwarded orders).

--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -22,6 +22,7 @@
 	MethodAdmit   = "control.admit"
 	MethodRemove  = "control.remove"
 	MethodOrder   = "control.order"
+	MethodDomain  = "control.domain"
 	MethodJoin    = "control.join"
 	MethodOnce    = "once.command"
 	MethodReplica = "replica.message"
@@ -332,6 +333,19 @@
 	InEffect bool `json:"in_force"`
 }
 
+// DomainRequest asks for the state of one failure domain.
+type DomainRequest struct {
+	Name string `json:"name"`
+}
+
+// DomainReply is the state of a failure domain, which a quorum confirmed.
+type DomainReply struct {
+	InService bool `json:"in_service"`
+	// Generation is what an order about the failure domain has to name; see
+	// version.Order.
+	Generation uint64 `json:"generation"`
+}
+
 // FoundRequest founds the replica groups, with the receiving replica as the only
 // member.
 type FoundRequest struct{}
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -96,6 +96,9 @@
 	// RevisionConflict is a full configuration that builds on another revision
 	// than the one in effect.
 	RevisionConflict Kind = "revision_conflict"
+	// OrderOutdated is an order about a failure domain that does not build on its current
+	// generation. This sending of the order has not been accepted and never will be.
+	OrderOutdated Kind = "order_outdated"
 	// NoLeader is a command to a replica group without a reachable leader; it may
 	// or may not have been accepted, and may be sent again.
 	NoLeader Kind = "no_leader"
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -80,6 +80,7 @@
 	NoteGap:          {http.StatusConflict, NotRun, false, 0},
 	NoteConflict:     {http.StatusConflict, NotRun, false, 0},
 	RevisionConflict: {http.StatusPreconditionFailed, NotRun, false, 0},
+	OrderOutdated:    {http.StatusServiceUnavailable, NotRun, true, retrySoon},
 	NoLeader:         {http.StatusServiceUnavailable, Unknown, true, retrySoon},
 	NotLeader:        {http.StatusServiceUnavailable, NotRun, true, retrySoon},
 	NotInEffect:      {http.StatusServiceUnavailable, Unknown, true, retrySoon},
--- a/internal/process/configuration/machine.go
+++ b/internal/process/configuration/machine.go
@@ -32,6 +32,11 @@
 	// updates holds the updates of the last accepted notes in order, since the
 	// start of the process or the last Restore.
 	updates []stateUpdate
+	// generations counts, by failure domain, the accepted orders that named a
+	// generation, and the changes by notes since the first of them. A failure domain
+	// without an entry has generation 0. Earlier builds count nothing, so a log that is
+	// replayed and a snapshot of theirs lead to the same generations.
+	generations map[string]uint64
 	// content is the encoded content of contentOf.
 	contentOf *version.State
 	content   []byte
@@ -53,6 +58,8 @@
 	State      []byte         `cbor:"1,keyasint"`
 	BaseDigest string         `cbor:"2,keyasint"`
 	Notes      []acceptedNote `cbor:"3,keyasint"`
+	// Generations are those of Machine. They are not set in snapshots of earlier builds.
+	Generations map[string]uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // NewMachine returns a state machine with the initial state that keeps the last
@@ -60,7 +67,7 @@
 // historySize.
 func NewMachine(historySize int) *Machine {
 	s := version.Initial()
-	return &Machine{historySize: max(historySize, 1), state: s, baseDigest: s.Digest()}
+	return &Machine{historySize: max(historySize, 1), state: s, baseDigest: s.Digest(), generations: make(map[string]uint64)}
 }
 
 // Apply applies one committed note and returns its encoded Result.
@@ -89,14 +96,35 @@
 	if err != nil {
 		return Result{Number: n.Number, Kind: fault.KindOf(err), Message: fault.Message(err)}
 	}
+	for _, name := range version.ChangedDomains(m.state, next) {
+		if _, counted := m.generations[name]; counted {
+			m.generations[name]++
+		}
+	}
 	m.accept(next, command)
 	return Result{Number: n.Number, Digest: next.NoteDigest()}
 }
 
 // applyOrder applies an order, a note to which the state machine assigns the next number.
-// An order that was applied before is accepted again and changes nothing.
+// An order that was applied before is accepted again and changes nothing. One about a
+// failure domain is rejected if it would change something and does not build on the
+// current generation.
+//
+// Invariant: once an order about a failure domain is accepted, the generation is higher
+// than the one that it builds on, also where it changes nothing. So what was ordered
+// before, on that generation or an earlier one, can no longer take effect.
 func (m *Machine) applyOrder(n *version.Note) Result {
-	if m.state.AlreadyApplied(n.Order) {
+	o := n.Order
+	repeated := m.state.AlreadyApplied(o)
+	if o.Domain != nil && o.IfGeneration != nil {
+		switch current := m.generations[o.Domain.Name]; {
+		case *o.IfGeneration == current:
+			m.generations[o.Domain.Name] = current + 1
+		case !repeated:
+			return Result{Kind: fault.OrderOutdated, Message: outdatedMessage(o, current)}
+		}
+	}
+	if repeated {
 		return Result{Number: m.state.Number(), Digest: m.state.NoteDigest(), Repeated: true}
 	}
 	numbered := *n
@@ -159,6 +187,13 @@
 	return m.state
 }
 
+// Domain returns whether the failure domain is in service, and its generation.
+func (m *Machine) Domain(name string) (inService bool, generation uint64) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.DomainInService(name), m.generations[name]
+}
+
 // NotesSince returns the encoded notes that lead from the state with this number and
 // state digest to the current state, in order. ok is false if no such state is
 // known, so that the complete state has to be sent instead.
@@ -211,7 +246,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b, err := canonical.Marshal(machineSnapshot{State: state, BaseDigest: m.baseDigest, Notes: m.notes})
+	b, err := canonical.Marshal(machineSnapshot{State: state, BaseDigest: m.baseDigest, Notes: m.notes, Generations: m.generations})
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "encode the configuration snapshot")
 	}
@@ -237,6 +272,10 @@
 	m.state = state
 	m.baseDigest = snapshot.BaseDigest
 	m.notes = snapshot.Notes
+	m.generations = snapshot.Generations
+	if m.generations == nil {
+		m.generations = make(map[string]uint64)
+	}
 	m.updates = nil
 	return nil
 }
--- a/internal/process/configuration/message.go
+++ b/internal/process/configuration/message.go
@@ -1,6 +1,16 @@
 package configuration
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/teaselrack/teaselrack/internal/version"
+)
+
+// outdatedMessage explains why an order about a failure domain is rejected whose current
+// generation is another than the one that the order builds on.
+func outdatedMessage(o *version.Order, current uint64) string {
+	return fmt.Sprintf("the order builds on generation %d of failure domain %q, which now has generation %d", *o.IfGeneration, o.Domain.Name, current)
+}
 
 // gapMessage explains why a note whose number is not above current cannot be compared
 // with the accepted one.
--- a/internal/process/configuration/result.go
+++ b/internal/process/configuration/result.go
@@ -21,7 +21,7 @@
 	// Repeated is true if the same note had been accepted before.
 	Repeated bool `cbor:"3,keyasint,omitempty"`
 	// Kind is empty if the note was accepted. Otherwise it is NoteInvalid, NoteGap,
-	// NoteConflict or, for an order, RevisionConflict.
+	// NoteConflict or, for an order, RevisionConflict or OrderOutdated.
 	Kind fault.Kind `cbor:"4,keyasint,omitempty"`
 	// Message explains Kind.
 	Message string `cbor:"5,keyasint,omitempty"`
--- a/internal/process/control/membership_manager_test.go
+++ b/internal/process/control/membership_manager_test.go
@@ -217,11 +217,7 @@
 		c := newManagedCluster(t, 1)
 		must.NoError(t, c.order(configurationOrder(t, 1, 0), 8*time.Second))
 		setInService := func(inService bool) {
-			note := version.Note{Order: &version.Order{Domain: &version.FailureDomain{Name: "z", InService: inService}}}
-			encoded, err := note.Encode()
-			must.NoError(t, err)
-			must.NoError(t, c.order(encoded, 4*time.Second))
-			must.NoError(t, c.order(encoded, 4*time.Second))
+			must.NoError(t, c.order(c.setInService(inService), 4*time.Second))
 		}
 		inService := func() bool {
 			state, err := c.replicas[0].role.Service().Confirmed(t.Context())
--- a/internal/process/control/orders.go
+++ b/internal/process/control/orders.go
@@ -15,10 +15,12 @@
 const leaderRetryDelay = 50 * time.Millisecond
 
 // Order commits an order: a note whose number the group assigns. It is idempotent. It
-// returns once the daemons in contact act on the order; see awaitEffect. Errors:
-// NoteInvalid, RevisionConflict; NotFounded and NotLeader if the order was not accepted;
-// NoLeader if it may or may not have been accepted; NotInEffect if it was, but may not be
-// in effect everywhere.
+// returns once the daemons in contact act on the order; see awaitEffect. An order about a
+// failure domain has to name the generation that its sender got from Domain: this replica
+// cannot tell how long ago an order was sent. Errors: NoteInvalid, RevisionConflict;
+// NotFounded, NotLeader and OrderOutdated if the order was not accepted; NoLeader if it may
+// or may not have been accepted; NotInEffect if it was, but may not be in effect
+// everywhere.
 func (s *Service) Order(ctx context.Context, peer mesh.Peer, req protocol.OrderRequest) (protocol.ApplyReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
@@ -43,7 +45,8 @@
 }
 
 // checkOrder returns a NoteInvalid error if note is not an order, already has a
-// number, or contains a full configuration that is invalid in itself.
+// number, contains a full configuration that is invalid in itself, or is about a failure
+// domain and names no generation.
 func checkOrder(note *version.Note) error {
 	if note.Order == nil || note.Number != 0 {
 		return fault.New(fault.NoteInvalid, "an order must contain an operation and no note number")
@@ -51,6 +54,9 @@
 	if note.Order.Configuration != nil {
 		return note.Order.Configuration.Validate()
 	}
+	if note.Order.Domain != nil && note.Order.IfGeneration == nil {
+		return fault.New(fault.NoteInvalid, "an order about failure domain %q must name the generation that it builds on", note.Order.Domain.Name)
+	}
 	return nil
 }
 
@@ -80,6 +86,16 @@
 	return reply, nil
 }
 
+// Domain returns the state of a failure domain, including everything that was committed
+// before the call. Errors: NoLeader, NotFounded.
+func (s *Service) Domain(ctx context.Context, _ mesh.Peer, req protocol.DomainRequest) (protocol.DomainReply, error) {
+	if _, err := s.confirmedState(ctx); err != nil {
+		return protocol.DomainReply{}, err
+	}
+	inService, generation := s.options.Machine.Domain(req.Name)
+	return protocol.DomainReply{InService: inService, Generation: generation}, nil
+}
+
 // Confirmed returns the state in effect. The state includes everything that was
 // committed before the call. Errors: NoLeader, NotFounded.
 func (s *Service) Confirmed(ctx context.Context) (*version.State, error) {
--- a/internal/process/control/service.go
+++ b/internal/process/control/service.go
@@ -171,6 +171,7 @@
 		protocol.MethodAdmit:   rpc.Method(s.Admit, operators...),
 		protocol.MethodRemove:  rpc.Method(s.Remove, operators...),
 		protocol.MethodOrder:   rpc.Method(s.Order, operators...),
+		protocol.MethodDomain:  rpc.Method(s.Domain, operators...),
 		protocol.MethodJoin:    rpc.Method(s.Join, mesh.Replica),
 		protocol.MethodCrashes: rpc.Method(s.RecordCrashes, mesh.Replica),
 		protocol.MethodReplica: rpc.Method(s.Receive, mesh.Replica),
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -333,6 +333,11 @@
 	return err
 }
 
+// Domain returns the state of a failure domain. See control.Service.Domain.
+func (n *Node) Domain(ctx context.Context, name string) (protocol.DomainReply, error) {
+	return n.controlRole.Service().Domain(ctx, mesh.Peer{Role: mesh.Operator}, protocol.DomainRequest{Name: name})
+}
+
 // Confirmed returns a state that was in effect at some time after the call.
 // Errors: NoLeader, NotFounded.
 func (n *Node) Confirmed(ctx context.Context) (*version.State, error) {
--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -139,7 +139,10 @@
 	state, err := replica.Confirmed(t.Context())
 	must.NoError(t, err)
 	must.Eq(t, uint64(3), state.Revision())
-	must.NoError(t, replica.Order(t.Context(), &version.Order{Domain: &version.FailureDomain{Name: "z"}}))
+	domain, err := replica.Domain(t.Context(), "z")
+	must.NoError(t, err)
+	must.True(t, domain.InService)
+	must.NoError(t, replica.Order(t.Context(), &version.Order{Domain: &version.FailureDomain{Name: "z"}, IfGeneration: &domain.Generation}))
 	eventually(t, func() bool {
 		status, _ := get()
 		return status == http.StatusServiceUnavailable
--- a/internal/version/order.go
+++ b/internal/version/order.go
@@ -3,13 +3,18 @@
 import "github.com/teaselrack/teaselrack/internal/fault"
 
 // Order is a change whose note number the control replicas assign. It does not
-// build on the number of the preceding note; a full configuration names the
-// revision that it builds on. Exactly one field is set.
+// build on the number of the preceding note, but on what it changes: a full
+// configuration names the revision that it builds on, and a change of a failure domain
+// the generation. So an order that arrives late, after another one, has no effect.
+// Exactly one of Configuration and Domain is set.
 type Order struct {
 	// Configuration replaces the teams, keys, routes, services and limits.
 	Configuration *FullConfiguration `cbor:"1,keyasint,omitempty"`
 	// Domain takes one failure domain into or out of service.
 	Domain *FailureDomain `cbor:"2,keyasint,omitempty"`
+	// IfGeneration is the generation of the failure domain that Domain builds on. It is
+	// nil for a configuration, and in the logs of earlier builds.
+	IfGeneration *uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // FullConfiguration is a configuration that is sent complete and builds on a base
@@ -56,8 +61,7 @@
 	case o.Configuration != nil:
 		return s.isAccepted(o.Configuration)
 	case o.Domain != nil:
-		d, ok := s.domains[o.Domain.Name]
-		return ok && d.InService == o.Domain.InService || !ok && o.Domain.InService
+		return s.DomainInService(o.Domain.Name) == o.Domain.InService
 	}
 	return false
 }
--- a/internal/version/update.go
+++ b/internal/version/update.go
@@ -94,6 +94,16 @@
 	return s.limitsEntry()
 }
 
+// ChangedDomains returns the names of the failure domains whose entries differ between
+// two states, in no fixed order.
+func ChangedDomains(before, after *State) []string {
+	set, names := difference(before.domains, after.domains)
+	for _, d := range set {
+		names = append(names, d.Name)
+	}
+	return names
+}
+
 // Encode returns the canonical CBOR encoding of the update, compressed if it has at
 // least compressMinBytes.
 func (u *Update) Encode() ([]byte, error) {
