A late membership change undoes no newer one

Operators saw: a replica that was admitted again is removed once more, or a removed one is back, without anybody asking for it. The earlier request had waited at a replica that stood still, or on its way to the leader, and was handed on late.

A request to admit or remove a member names only the member, so a late one is as good as a new one.

Change: such a request names, for each group, the index of the membership entry that it builds on, which status now tells (membership_index). The leader rejects it if another change was made since (order_outdated), unless it would change nothing. Each request that names one adds a membership entry, also where it changes nothing, so that nothing requested before remains valid. A request that names none is rejected. Changes that the leader makes by itself name none: they follow from its own state at that moment.

Operators that call the replicas directly have to name the memberships, so the tests and the capacity bench do.

Not mended: a late request to found the groups. A replica that belongs to none has nothing to build on; it would found a second system that the first one's members ignore.

--- a/bench/cmd/capacity/links.go
+++ b/bench/cmd/capacity/links.go
@@ -13,6 +13,7 @@
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
 	"github.com/teaselrack/teaselrack/internal/connection/rpc"
+	"github.com/teaselrack/teaselrack/internal/operate"
 	"github.com/teaselrack/teaselrack/internal/process/control"
 )
 
@@ -97,8 +98,9 @@
 	if err := pool.Call(ctx, g.addresses[0], protocol.MethodFound, protocol.FoundRequest{}, &protocol.FoundReply{}); err != nil {
 		return err
 	}
+	client := operate.NewControlClient(g.addresses[:1], pool)
 	for _, address := range g.addresses[1:] {
-		if err := pool.Call(ctx, g.addresses[0], protocol.MethodAdmit, protocol.AdmitRequest{Address: address}, &protocol.Empty{}); err != nil {
+		if err := client.Admit(ctx, address); err != nil {
 			return err
 		}
 	}
--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -98,13 +98,26 @@
 	}
 }
 
+// memberships returns the membership of each group that a replica knows.
+func memberships(status protocol.StatusReply) map[string]uint64 {
+	all := make(map[string]uint64)
+	for _, group := range status.Replicas {
+		all[group.Group] = group.MembershipIndex
+	}
+	return all
+}
+
 // admit requests the admission of address at the replicas in turn until one
 // succeeds.
 func (c *cluster) admit(address string) {
 	for range 100 {
 		for _, r := range c.replicas {
-			err := c.operator.Call(c.t.Context(), r.address, protocol.MethodAdmit, protocol.AdmitRequest{Address: address}, &protocol.Empty{})
-			if err == nil {
+			var status protocol.StatusReply
+			if c.operator.Call(c.t.Context(), r.address, protocol.MethodStatus, protocol.Empty{}, &status) != nil {
+				continue
+			}
+			request := protocol.AdmitRequest{Address: address, IfMembership: memberships(status)}
+			if c.operator.Call(c.t.Context(), r.address, protocol.MethodAdmit, request, &protocol.Empty{}) == nil {
 				return
 			}
 		}
--- a/internal/process/control/membership.go
+++ b/internal/process/control/membership.go
@@ -5,6 +5,7 @@
 
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/replica"
 )
 
@@ -33,16 +34,23 @@
 }
 
 // Admit adds the replica at an address to every group, or to the group that the
-// request names. It is idempotent. Errors: NotLeader, MembershipBusy, NoLeader,
-// NotFounded; the groups before the one that failed have admitted the replica.
+// request names. It is idempotent. The request names the memberships that it builds on, as
+// Status tells them: this replica cannot tell how long ago it was sent. Errors: BadRequest,
+// NotLeader, MembershipBusy, OrderOutdated, NoLeader, NotFounded; the groups before the one
+// that failed have admitted the replica.
 func (s *Service) Admit(ctx context.Context, peer mesh.Peer, req protocol.AdmitRequest) (protocol.Empty, error) {
 	ctx, cancel := context.WithTimeout(ctx, membershipTimeout)
 	defer cancel()
 	for _, group := range s.selectGroups(req.Group) {
-		single := protocol.AdmitRequest{Address: req.Address, Group: group.Status().Group}
+		name := group.Status().Group
+		ifMembership, err := membershipOf(req.IfMembership, name)
+		if err != nil {
+			return protocol.Empty{}, err
+		}
+		single := protocol.AdmitRequest{Address: req.Address, Group: name, IfMembership: req.IfMembership}
 		forwarded, err := s.forward(ctx, group, protocol.MethodAdmit, single, &protocol.Empty{})
 		if !forwarded {
-			err = group.Admit(ctx, req.Address)
+			err = group.Admit(ctx, req.Address, ifMembership)
 		}
 		if err != nil {
 			return protocol.Empty{}, err
@@ -53,16 +61,22 @@
 }
 
 // Remove removes a replica from every group, or from the group that the request
-// names. It is idempotent. Errors: NotLeader, MembershipBusy, NoLeader, NotFounded;
-// the groups before the one that failed have removed the replica.
+// names. It is idempotent, and names memberships as a request of Admit does. Errors:
+// BadRequest, NotLeader, MembershipBusy, OrderOutdated, NoLeader, NotFounded; the groups
+// before the one that failed have removed the replica.
 func (s *Service) Remove(ctx context.Context, peer mesh.Peer, req protocol.RemoveRequest) (protocol.Empty, error) {
 	ctx, cancel := context.WithTimeout(ctx, membershipTimeout)
 	defer cancel()
 	for _, group := range s.selectGroups(req.Group) {
-		single := protocol.RemoveRequest{ID: req.ID, Group: group.Status().Group}
+		name := group.Status().Group
+		ifMembership, err := membershipOf(req.IfMembership, name)
+		if err != nil {
+			return protocol.Empty{}, err
+		}
+		single := protocol.RemoveRequest{ID: req.ID, Group: name, IfMembership: req.IfMembership}
 		forwarded, err := s.forward(ctx, group, protocol.MethodRemove, single, &protocol.Empty{})
 		if !forwarded {
-			err = removeMember(ctx, group, req.ID)
+			err = removeMember(ctx, group, req.ID, ifMembership)
 		}
 		if err != nil {
 			return protocol.Empty{}, err
@@ -72,16 +86,34 @@
 	return protocol.Empty{}, nil
 }
 
+// membershipOf returns the membership of one group that a request builds on. Errors:
+// BadRequest if it names none.
+func membershipOf(ifMembership map[string]uint64, group string) (uint64, error) {
+	index := ifMembership[group]
+	if index == 0 {
+		return 0, fault.New(fault.BadRequest, "the request must name the membership of group %q that it builds on", group)
+	}
+	return index, nil
+}
+
 // removeMember removes each member whose ID or address is idOrAddress. It
 // succeeds if there is no such member: the member was removed before.
-func removeMember(ctx context.Context, group replica.Group, idOrAddress string) error {
+func removeMember(ctx context.Context, group replica.Group, idOrAddress string, ifMembership uint64) error {
+	var ids []string
 	for _, member := range group.Status().Members {
-		if member.ID != idOrAddress && member.Address != idOrAddress {
-			continue
+		if member.ID == idOrAddress || member.Address == idOrAddress {
+			ids = append(ids, member.ID)
 		}
-		if err := group.Remove(ctx, member.ID); err != nil {
+	}
+	if len(ids) == 0 {
+		ids = []string{idOrAddress}
+	}
+	for _, id := range ids {
+		if err := group.Remove(ctx, id, ifMembership); err != nil {
 			return err
 		}
+		// The first removal has made the membership that the next one builds on.
+		ifMembership = 0
 	}
 	return nil
 }
--- a/internal/process/control/membership_manager.go
+++ b/internal/process/control/membership_manager.go
@@ -206,9 +206,9 @@
 	defer cancel()
 	var err error
 	if step.Kind == repair.Remove {
-		err = m.service.options.Group.Remove(ctx, step.ID)
+		err = m.service.options.Group.Remove(ctx, step.ID, 0)
 	} else {
-		err = m.service.options.Group.Admit(ctx, step.Address)
+		err = m.service.options.Group.Admit(ctx, step.Address, 0)
 	}
 	m.log.Info("tried to change the membership of the replica group", zap.String("step", string(step.Kind)),
 		zap.String("member", step.ID), zap.String("address", step.Address), zap.Error(err))
--- a/internal/process/replica/change.go
+++ b/internal/process/replica/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/process/storage"
@@ -15,6 +16,9 @@
 	// admission once the replica at address has reported its ID.
 	address, id string
 	remove      bool
+	// ifMembership, unless it is 0, is the index of the membership entry that the
+	// change builds on.
+	ifMembership uint64
 	// token identifies the probes of this change. A late reply to a probe of an
 	// earlier change must not match: its sender may have lost its data since
 	// and have a new ID.
@@ -45,7 +49,7 @@
 }
 
 // beginChange starts a membership change. takeChangeResults returns its result.
-// Errors: NotLeader, MembershipBusy.
+// Errors: NotLeader, MembershipBusy, OrderOutdated.
 func (c *core) beginChange(change membershipChange) error {
 	if c.role != leader {
 		return fault.New(fault.NotLeader, "this replica is not the leader")
@@ -53,16 +57,42 @@
 	if c.change != nil {
 		return fault.New(fault.MembershipBusy, "another membership change is in progress")
 	}
-	if change.remove && !c.hasQuorumWithout(change.id) {
+	latest := c.tail.latestMembership().index
+	outdated := change.ifMembership != 0 && change.ifMembership != latest
+	if outdated && !c.alreadyMade(change) {
+		return fault.New(fault.OrderOutdated, "the change builds on membership %d, the group now has membership %d", change.ifMembership, latest)
+	}
+	if !outdated && change.remove && !c.hasQuorumWithout(change.id) {
 		return fault.New(fault.MembershipBusy, "removing member %s would leave the group without a quorum", change.id)
 	}
 	c.change = &change
 	c.change.token = c.rng.Uint64()
+	if outdated {
+		c.finishChange(nil)
+		return nil
+	}
+	if change.ifMembership != 0 {
+		// Voids what was requested before this change, also if this one changes nothing.
+		c.setMembers(c.members())
+	}
 	c.probeAddress()
 	c.advanceChange()
 	return nil
 }
 
+// alreadyMade reports whether the members are committed and as the change would leave them.
+// That the voter at an address has lost its data since does not count.
+func (c *core) alreadyMade(change membershipChange) bool {
+	if !c.committedInTerm() || c.tail.latestMembership().index > c.commit {
+		return false
+	}
+	if change.remove {
+		_, ok := c.members().find(change.id)
+		return !ok
+	}
+	return slices.ContainsFunc(c.members(), func(m member) bool { return m.Address == change.address && !m.Learner })
+}
+
 // hasQuorumWithout reports whether a majority of the voters other than the
 // member id is alive, see isAlive.
 func (c *core) hasQuorumWithout(id string) bool {
@@ -164,7 +194,7 @@
 }
 
 // setMembers appends the entry with a new membership, which takes effect at
-// once. The new membership must differ from the current one in one member only.
+// once. The new membership must differ from the current one in one member at most.
 func (c *core) setMembers(members membership) {
 	data, err := members.encode()
 	if err != nil {
