Membership changes build on an index of the log

A request named the index of the latest membership entry.

The request now names the commit index up to which its sender knows the members, and is void if the leader has a membership entry after it. A replica that lags names a lower index at most, and catches up. The entry that each accepted request adds has a higher index than any commit index before it, so what was requested earlier stays void. TestLateMembershipChangeHasNoEffect passes as before.

--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -305,8 +305,6 @@
 	Commit  uint64         `json:"commit"`
 	Applied uint64         `json:"applied"`
 	Members []MemberStatus `json:"members"`
-	// MembershipIndex is the index of the entry with Members.
-	MembershipIndex uint64 `json:"membership_index"`
 }
 
 // MemberStatus is one member of a replica group.
@@ -364,9 +362,9 @@
 	Address string `json:"address"`
 	// Group limits the change to one group; empty means all.
 	Group string `json:"group,omitempty"`
-	// IfMembership holds, by group, the MembershipIndex that the change builds on. Another
-	// change in between voids the request, which may arrive late.
-	IfMembership map[string]uint64 `json:"if_membership"`
+	// AsOf holds, by group, the index up to which the sender knows the members: the Commit
+	// of a ReplicaStatus. A later change voids the request, which may arrive late.
+	AsOf map[string]uint64 `json:"as_of"`
 }
 
 // RemoveRequest removes a replica from the groups.
@@ -375,8 +373,8 @@
 	ID string `json:"id"`
 	// Group limits the change to one group; empty means all.
 	Group string `json:"group,omitempty"`
-	// IfMembership is that of AdmitRequest.
-	IfMembership map[string]uint64 `json:"if_membership"`
+	// AsOf is that of AdmitRequest.
+	AsOf map[string]uint64 `json:"as_of"`
 }
 
 // ReplicaMessages contains messages between members of replica groups. Package replica
--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -98,11 +98,11 @@
 	}
 }
 
-// memberships returns the membership of each group that a replica knows.
-func memberships(status protocol.StatusReply) map[string]uint64 {
+// commitIndexes returns the commit index of each group, as a replica reported it.
+func commitIndexes(status protocol.StatusReply) map[string]uint64 {
 	all := make(map[string]uint64)
 	for _, group := range status.Replicas {
-		all[group.Group] = group.MembershipIndex
+		all[group.Group] = group.Commit
 	}
 	return all
 }
@@ -116,7 +116,7 @@
 			if c.operator.Call(c.t.Context(), r.address, protocol.MethodStatus, protocol.Empty{}, &status) != nil {
 				continue
 			}
-			request := protocol.AdmitRequest{Address: address, IfMembership: memberships(status)}
+			request := protocol.AdmitRequest{Address: address, AsOf: commitIndexes(status)}
 			if c.operator.Call(c.t.Context(), r.address, protocol.MethodAdmit, request, &protocol.Empty{}) == nil {
 				return
 			}
--- a/internal/process/control/late_membership_test.go
+++ b/internal/process/control/late_membership_test.go
@@ -19,12 +19,12 @@
 	request any
 }
 
-func removal(id string, ifMembership map[string]uint64) memberCall {
-	return memberCall{protocol.MethodRemove, protocol.RemoveRequest{ID: id, IfMembership: ifMembership}}
+func removal(id string, asOf map[string]uint64) memberCall {
+	return memberCall{protocol.MethodRemove, protocol.RemoveRequest{ID: id, AsOf: asOf}}
 }
 
-func admission(address string, ifMembership map[string]uint64) memberCall {
-	return memberCall{protocol.MethodAdmit, protocol.AdmitRequest{Address: address, IfMembership: ifMembership}}
+func admission(address string, asOf map[string]uint64) memberCall {
+	return memberCall{protocol.MethodAdmit, protocol.AdmitRequest{Address: address, AsOf: asOf}}
 }
 
 // changeMembers sends a membership change to one replica.
@@ -66,7 +66,7 @@
 				follower = r
 			}
 		}
-		current := func() map[string]uint64 { return memberships(c.groupStatus()) }
+		current := func() map[string]uint64 { return commitIndexes(c.groupStatus()) }
 		accept := func(call memberCall) {
 			t.Helper()
 			must.NoError(t, c.changeMembers(c.leader().address, call))
--- a/internal/process/control/membership.go
+++ b/internal/process/control/membership.go
@@ -34,23 +34,23 @@
 }
 
 // Admit adds the replica at an address to every group, or to the group that the
-// request names. It is idempotent. The request names the memberships that it builds on, as
-// Status tells them: this replica cannot tell how long ago it was sent. Errors: BadRequest,
-// NotLeader, MembershipBusy, OrderOutdated, NoLeader, NotFounded; the groups before the one
-// that failed have admitted the replica.
+// request names. It is idempotent. The request says up to which index its sender knows the
+// members: this replica cannot tell how long ago it was sent. Errors: BadRequest, NotLeader,
+// MembershipBusy, OrderOutdated, NoLeader, NotFounded; the groups before the one that
+// failed have admitted the replica.
 func (s *Service) Admit(ctx context.Context, peer mesh.Peer, req protocol.AdmitRequest) (protocol.Empty, error) {
 	ctx, cancel := context.WithTimeout(ctx, membershipTimeout)
 	defer cancel()
 	for _, group := range s.selectGroups(req.Group) {
 		name := group.Status().Group
-		ifMembership, err := membershipOf(req.IfMembership, name)
+		asOf, err := indexOf(req.AsOf, name)
 		if err != nil {
 			return protocol.Empty{}, err
 		}
-		single := protocol.AdmitRequest{Address: req.Address, Group: name, IfMembership: req.IfMembership}
+		single := protocol.AdmitRequest{Address: req.Address, Group: name, AsOf: req.AsOf}
 		forwarded, err := s.forward(ctx, group, protocol.MethodAdmit, single, &protocol.Empty{})
 		if !forwarded {
-			err = group.Admit(ctx, req.Address, ifMembership)
+			err = group.Admit(ctx, req.Address, asOf)
 		}
 		if err != nil {
 			return protocol.Empty{}, err
@@ -61,7 +61,7 @@
 }
 
 // Remove removes a replica from every group, or from the group that the request
-// names. It is idempotent, and names memberships as a request of Admit does. Errors:
+// names. It is idempotent. The request names indexes as one of Admit does. Errors:
 // BadRequest, NotLeader, MembershipBusy, OrderOutdated, NoLeader, NotFounded; the groups
 // before the one that failed have removed the replica.
 func (s *Service) Remove(ctx context.Context, peer mesh.Peer, req protocol.RemoveRequest) (protocol.Empty, error) {
@@ -69,14 +69,14 @@
 	defer cancel()
 	for _, group := range s.selectGroups(req.Group) {
 		name := group.Status().Group
-		ifMembership, err := membershipOf(req.IfMembership, name)
+		asOf, err := indexOf(req.AsOf, name)
 		if err != nil {
 			return protocol.Empty{}, err
 		}
-		single := protocol.RemoveRequest{ID: req.ID, Group: name, IfMembership: req.IfMembership}
+		single := protocol.RemoveRequest{ID: req.ID, Group: name, AsOf: req.AsOf}
 		forwarded, err := s.forward(ctx, group, protocol.MethodRemove, single, &protocol.Empty{})
 		if !forwarded {
-			err = removeMember(ctx, group, req.ID, ifMembership)
+			err = removeMember(ctx, group, req.ID, asOf)
 		}
 		if err != nil {
 			return protocol.Empty{}, err
@@ -86,19 +86,19 @@
 	return protocol.Empty{}, nil
 }
 
-// membershipOf returns the membership of one group that a request builds on. Errors:
-// BadRequest if it names none.
-func membershipOf(ifMembership map[string]uint64, group string) (uint64, error) {
-	index := ifMembership[group]
+// indexOf returns the index up to which the sender of a request knows the members of one
+// group. Errors: BadRequest if the request does not say.
+func indexOf(asOf map[string]uint64, group string) (uint64, error) {
+	index := asOf[group]
 	if index == 0 {
-		return 0, fault.New(fault.BadRequest, "the request must name the membership of group %q that it builds on", group)
+		return 0, fault.New(fault.BadRequest, "the request must name the index up to which its sender knows the members of group %q", group)
 	}
 	return index, nil
 }
 
 // removeMember removes each member whose ID or address is idOrAddress. It
 // succeeds if there is no such member: the member was removed before.
-func removeMember(ctx context.Context, group replica.Group, idOrAddress string, ifMembership uint64) error {
+func removeMember(ctx context.Context, group replica.Group, idOrAddress string, asOf uint64) error {
 	var ids []string
 	for _, member := range group.Status().Members {
 		if member.ID == idOrAddress || member.Address == idOrAddress {
@@ -109,11 +109,11 @@
 		ids = []string{idOrAddress}
 	}
 	for _, id := range ids {
-		if err := group.Remove(ctx, id, ifMembership); err != nil {
+		if err := group.Remove(ctx, id, asOf); err != nil {
 			return err
 		}
-		// The first removal has made the membership that the next one builds on.
-		ifMembership = 0
+		// The next removal builds on this one.
+		asOf = 0
 	}
 	return nil
 }
--- a/internal/process/replica/calls.go
+++ b/internal/process/replica/calls.go
@@ -70,14 +70,14 @@
 
 // Admit implements Group. If another member had the address before, that member
 // is removed once the new one is a voter. Admit is idempotent.
-func (n *Node) Admit(ctx context.Context, address string, ifMembership uint64) error {
-	return n.changeMembership(ctx, membershipChange{address: address, ifMembership: ifMembership})
+func (n *Node) Admit(ctx context.Context, address string, asOf uint64) error {
+	return n.changeMembership(ctx, membershipChange{address: address, asOf: asOf})
 }
 
 // Remove implements Group. It fails with MembershipBusy if the remaining
 // members would have no live quorum.
-func (n *Node) Remove(ctx context.Context, id string, ifMembership uint64) error {
-	return n.changeMembership(ctx, membershipChange{id: id, remove: true, ifMembership: ifMembership})
+func (n *Node) Remove(ctx context.Context, id string, asOf uint64) error {
+	return n.changeMembership(ctx, membershipChange{id: id, remove: true, asOf: asOf})
 }
 
 func (n *Node) changeMembership(ctx context.Context, change membershipChange) error {
--- a/internal/process/replica/change.go
+++ b/internal/process/replica/change.go
@@ -16,9 +16,8 @@
 	// admission once the replica at address has reported its ID.
 	address, id string
 	remove      bool
-	// ifMembership, unless it is 0, is the index of the membership entry that the
-	// change builds on.
-	ifMembership uint64
+	// asOf, unless it is 0, is the index up to which the caller knows the members.
+	asOf uint64
 	// token identifies the probes of this change. A late reply to a probe of an
 	// earlier change must not match: its sender may have lost its data since
 	// and have a new ID.
@@ -58,9 +57,9 @@
 		return fault.New(fault.MembershipBusy, "another membership change is in progress")
 	}
 	latest := c.tail.latestMembership().index
-	outdated := change.ifMembership != 0 && change.ifMembership != latest
+	outdated := change.asOf != 0 && latest > change.asOf
 	if outdated && !c.alreadyMade(change) {
-		return fault.New(fault.OrderOutdated, "the change builds on membership %d, the group now has membership %d", change.ifMembership, latest)
+		return fault.New(fault.OrderOutdated, "the change builds on the members as of index %d, they were changed at index %d", change.asOf, latest)
 	}
 	if !outdated && change.remove && !c.hasQuorumWithout(change.id) {
 		return fault.New(fault.MembershipBusy, "removing member %s would leave the group without a quorum", change.id)
@@ -71,7 +70,7 @@
 		c.finishChange(nil)
 		return nil
 	}
-	if change.ifMembership != 0 {
+	if change.asOf != 0 {
 		// Voids what was requested before this change, also if this one changes nothing.
 		c.setMembers(c.members())
 	}
--- a/internal/process/replica/group.go
+++ b/internal/process/replica/group.go
@@ -57,12 +57,12 @@
 	// AlreadyFounded, NoLeader.
 	Found(ctx context.Context) error
 	// Admit adds the replica at address as a learner and promotes it to a voter
-	// once it holds all committed entries durably. ifMembership, unless it is 0, is
-	// the index of the membership entry that the change builds on; each change that
-	// names one adds an entry, also where it changes nothing. Leader only. Errors:
-	// NotLeader, MembershipBusy, NoLeader, NotFounded; OrderOutdated if another
-	// change was made since ifMembership and this one would change something.
-	Admit(ctx context.Context, address string, ifMembership uint64) error
+	// once it holds all committed entries durably. asOf, unless it is 0, is the
+	// index up to which the caller knows the members; each change that names one
+	// adds a membership entry, also where it changes nothing. Leader only. Errors:
+	// NotLeader, MembershipBusy, NoLeader, NotFounded; OrderOutdated if there is a
+	// membership entry after asOf and the change is not made yet.
+	Admit(ctx context.Context, address string, asOf uint64) error
 	// Remove removes a member from the group. See Admit.
-	Remove(ctx context.Context, id string, ifMembership uint64) error
+	Remove(ctx context.Context, id string, asOf uint64) error
 }
--- a/internal/process/replica/status.go
+++ b/internal/process/replica/status.go
@@ -17,7 +17,6 @@
 	s := protocol.ReplicaStatus{
 		ID: c.state.ID, Address: e.Address, Group: e.Group, Role: c.describeRole(),
 		Leader: c.leaderAddress, Term: c.state.Term, Commit: c.commit, Applied: e.applied,
-		MembershipIndex: c.tail.latestMembership().index,
 	}
 	for _, m := range c.members() {
 		s.Members = append(s.Members, protocol.MemberStatus{
