A late order is not redirected to a sender that turned elsewhere

Callers saw: requests reached a failure domain whose evacuation was acknowledged. An operator had sent its end to a replica that stood still, got no response for a second, had it acknowledged by another replica, and had a newer evacuation acknowledged, but left the first connection open. The replica went on, redirected the old call, the operator's HTTP client followed, and the newer evacuation was undone.

Cause: the redirect gave the generation of the moment at which the call was read, and trusted that whoever follows still waits. A generation vouches for an order only if it was read before the sender may have turned elsewhere, a second after it sent the call. When a call was sent does not show in it, and a close comes late or never.

Change: a call that would change something is redirected only while it is known to be young enough, after the generation was read; otherwise it gets 503 (order_outdated), which refuses nothing. What tells its age is the connection: the call was sent after that was opened, connections wait in order, and the operators' listener checks every 50 ms that none waits. Each call gets a connection of its own. Calls that change nothing are acknowledged as before, however old.

Ruled out: to see the close (it may not come); to trust whoever follows (this fault); the kernel's time of arrival (not told everywhere, and younger than the connection).

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -338,6 +338,12 @@
 	return n.controlRole.Service().Domain(ctx, mesh.Peer{Role: mesh.Operator}, protocol.DomainRequest{Name: name})
 }
 
+// CallAge returns the longest time for which a call to Control.Operators with this context can
+// have waited: the age of its connection, unless that is not known.
+func (n *Node) CallAge(ctx context.Context) time.Duration {
+	return n.clock.Now().Sub(listener.OpenedAfter(ctx))
+}
+
 // Confirmed returns a state that was in effect at some time after the call.
 // Errors: NoLeader, NotFounded.
 func (n *Node) Confirmed(ctx context.Context) (*version.State, error) {
@@ -448,7 +454,7 @@
 }
 
 func (n *Node) addServer(address string, server *http.Server) error {
-	ln, err := listener.Listen(context.Background(), address)
+	ln, err := n.listenForCalls(address)
 	if err != nil {
 		return err
 	}
@@ -457,6 +463,14 @@
 	return n.addActor("server "+address, server, ln, listener.CallShare)
 }
 
+// listenForCalls opens the listener of a handler of Options.Handlers.
+func (n *Node) listenForCalls(address string) (net.Listener, error) {
+	if c := n.options.Control; c != nil && c.Operators == address {
+		return listener.ListenTimed(context.Background(), address, n.clock.Now)
+	}
+	return listener.Listen(context.Background(), address)
+}
+
 // addActor adds a server to the group, whose clients may use a part of the capacity for
 // connections. The component of a server that was shut down
 // returns only when the group ends, because the return of any component ends the group
--- a/internal/process/node/options.go
+++ b/internal/process/node/options.go
@@ -73,6 +73,9 @@
 	// ToleratedLosses is the number of data directories that may be lost at the
 	// same time.
 	ToleratedLosses int
+	// Operators is the address, among Options.Handlers, of the calls whose age CallAge
+	// bounds. It may be empty.
+	Operators string
 }
 
 // Validate returns a SettingsInvalid error if the options are incomplete or
