A late request to found the groups has no effect

Operators saw: nothing yet; found by reading, as the last of the orders that may come late. A request to found the groups that waits at a replica which stands still, while the groups are founded at another one, is carried out when the replica goes on: it founds a second system, whose members the first one ignores.

Cause: the same class as late orders. A replica that belongs to no group has no state that the request could build on.

Change: the request names a ticket that this replica issued in the last second, by the clock that counts suspensions; each ticket replaces the one before and can be used once. The operators' command asks for it first. A request without one, as of earlier builds, is rejected (order_outdated).

The tests and the capacity bench found groups as the operators' command does.

--- a/bench/cmd/capacity/links.go
+++ b/bench/cmd/capacity/links.go
@@ -95,10 +95,10 @@
 	}
 	defer func() { _ = pool.Close() }()
 	ctx := context.Background()
-	if err := pool.Call(ctx, g.addresses[0], protocol.MethodFound, protocol.FoundRequest{}, &protocol.FoundReply{}); err != nil {
+	client := operate.NewControlClient(g.addresses[:1], pool)
+	if _, err := client.Found(ctx, g.addresses[0]); err != nil {
 		return err
 	}
-	client := operate.NewControlClient(g.addresses[:1], pool)
 	for _, address := range g.addresses[1:] {
 		if err := client.Admit(ctx, address); err != nil {
 			return err
--- a/internal/connection/protocol/messages.go
+++ b/internal/connection/protocol/messages.go
@@ -19,6 +19,7 @@
 	MethodExport  = "control.export"
 	MethodStatus  = "control.status"
 	MethodFound   = "control.found"
+	MethodTicket  = "control.found_ticket"
 	MethodAdmit   = "control.admit"
 	MethodRemove  = "control.remove"
 	MethodOrder   = "control.order"
@@ -346,9 +347,17 @@
 	Generation uint64 `json:"generation"`
 }
 
+// TicketReply contains a ticket for a FoundRequest to the same replica.
+type TicketReply struct {
+	Ticket string `json:"ticket"`
+}
+
 // FoundRequest founds the replica groups, with the receiving replica as the only
 // member.
-type FoundRequest struct{}
+type FoundRequest struct {
+	// Ticket is the last ticket that the replica issued.
+	Ticket string `json:"ticket"`
+}
 
 // FoundReply contains the ID of the founder.
 type FoundReply struct {
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -97,8 +97,9 @@
 	// than the one in effect.
 	RevisionConflict Kind = "revision_conflict"
 	// OrderOutdated is an order about a failure domain that does not build on its current
-	// generation, or a membership change that does not build on the current members. This
-	// sending has not been accepted and never will be.
+	// generation, a membership change that does not build on the current members, or a
+	// request that may have waited for too long. This sending has not been accepted and never
+	// will be.
 	OrderOutdated Kind = "order_outdated"
 	// NoLeader is a command to a replica group without a reachable leader; it may
 	// or may not have been accepted, and may be sent again.
--- a/internal/operate/members.go
+++ b/internal/operate/members.go
@@ -10,8 +10,12 @@
 // Found founds the replica groups with the replica at address as the only member.
 // It does not retry: a second founder would create a second system.
 func (c *ControlClient) Found(ctx context.Context, address string) (protocol.FoundReply, error) {
+	var ticket protocol.TicketReply
+	if err := c.caller.Call(ctx, address, protocol.MethodTicket, protocol.Empty{}, &ticket); err != nil {
+		return protocol.FoundReply{}, err
+	}
 	var reply protocol.FoundReply
-	err := c.caller.Call(ctx, address, protocol.MethodFound, protocol.FoundRequest{}, &reply)
+	err := c.caller.Call(ctx, address, protocol.MethodFound, protocol.FoundRequest(ticket), &reply)
 	return reply, err
 }
 
--- a/internal/process/control/cluster_test.go
+++ b/internal/process/control/cluster_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/teaselrack/teaselrack/internal/connection/mesh"
 	"github.com/teaselrack/teaselrack/internal/connection/protocol"
+	"github.com/teaselrack/teaselrack/internal/operate"
 	"github.com/teaselrack/teaselrack/internal/process/configuration"
 	"github.com/teaselrack/teaselrack/internal/process/control"
 	"github.com/teaselrack/teaselrack/internal/process/ledger"
@@ -92,7 +93,8 @@
 }
 
 func (c *cluster) foundGroups() {
-	must.NoError(c.t, c.operator.Call(c.t.Context(), c.replicas[0].address, protocol.MethodFound, protocol.FoundRequest{}, &protocol.FoundReply{}))
+	_, err := operate.NewControlClient(nil, c.operator).Found(c.t.Context(), c.replicas[0].address)
+	must.NoError(c.t, err)
 	for _, r := range c.replicas[1:] {
 		c.admit(r.address)
 	}
@@ -342,6 +344,14 @@
 	return err
 }
 
+// foundAt founds the groups at a role directly, as an operator.
+func foundAt(t *testing.T, role *control.Role) {
+	t.Helper()
+	reply, err := role.Handlers()[protocol.MethodTicket](t.Context(), mesh.Peer{Name: operatorName, Role: mesh.Operator}, []byte("{}"))
+	must.NoError(t, err)
+	must.NoError(t, callRole(role, protocol.MethodFound, protocol.FoundRequest{Ticket: reply.(protocol.TicketReply).Ticket}))
+}
+
 // applyAt applies a note at a role directly, as an operator.
 func applyAt(t *testing.T, role *control.Role, text string) {
 	t.Helper()
--- a/internal/process/control/membership.go
+++ b/internal/process/control/membership.go
@@ -19,20 +19,6 @@
 	return groups
 }
 
-// Found founds every group with this replica as the only member. Errors:
-// AlreadyFounded.
-func (s *Service) Found(ctx context.Context, peer mesh.Peer, _ protocol.FoundRequest) (protocol.FoundReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, membershipTimeout)
-	defer cancel()
-	for _, group := range s.groups() {
-		if err := group.Found(ctx); err != nil {
-			return protocol.FoundReply{}, err
-		}
-	}
-	s.record("group.founded", "by %s", peer.Name)
-	return protocol.FoundReply{ID: s.options.Group.Status().ID}, nil
-}
-
 // Admit adds the replica at an address to every group, or to the group that the
 // request names. It is idempotent. The request says up to which index its sender knows the
 // members: this replica cannot tell how long ago it was sent. Errors: BadRequest, NotLeader,
--- a/internal/process/control/service.go
+++ b/internal/process/control/service.go
@@ -119,6 +119,7 @@
 	exchanges exchangeTimes
 	effect    effectWait
 	pauses    pauseWatch
+	ticket    foundTicket
 	// inbox holds the reports of crashes that the target log does not have yet.
 	inbox *quarantine.Inbox
 	// membership is nil if only operators admit and remove members.
@@ -167,6 +168,7 @@
 		protocol.MethodPlan:    rpc.Method(s.Plan, operators...),
 		protocol.MethodExport:  rpc.Method(s.Export, operators...),
 		protocol.MethodStatus:  rpc.Method(s.Status, operators...),
+		protocol.MethodTicket:  rpc.Method(s.Ticket, mesh.Operator),
 		protocol.MethodFound:   rpc.Method(s.Found, mesh.Operator),
 		protocol.MethodAdmit:   rpc.Method(s.Admit, operators...),
 		protocol.MethodRemove:  rpc.Method(s.Remove, operators...),
--- a/internal/process/control/traffic_test.go
+++ b/internal/process/control/traffic_test.go
@@ -133,7 +133,7 @@
 		must.NoError(t, role.Close())
 		must.NoError(t, pool.Close())
 	})
-	must.NoError(t, callRole(role, protocol.MethodFound, protocol.FoundRequest{}))
+	foundAt(t, role)
 	applyAt(t, role, firstNote())
 	return ln, newLoop(address, daemonPool), role
 }
