Tests of responses with status 000 that answer the request

The case of TestBrokenResponses with status 000 did not echo the request's id, so it would have been rejected for that as well. Three more do: with a length, in chunks, and without an end, the first two on a connection that stays open.

They pass without a change of the product, on real processes, beside the target and forwarded (once): the client gets 502 and nothing of the response.

--- a/e2e/broken_responses_test.go
+++ b/e2e/broken_responses_test.go
@@ -64,7 +64,11 @@
 	_ = conn.Close()
 }
 
-const unframed = "HTTP/1.1 200 OK\r\n\r\n" + marker
+const (
+	// ownID stands for the header that names the request.
+	ownID    = "Request-Id: ID\r\n"
+	unframed = "HTTP/1.1 200 OK\r\n\r\n" + marker
+)
 
 var targetResponses = map[string]targetResponse{
 	"reset-upload":      {true, unframed, resetConn, http.StatusBadGateway},
@@ -75,6 +79,9 @@
 	"finished-request":  {false, unframed, closeConn, http.StatusOK},
 	"early-upload":      {true, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\nConnection: close\r\n\r\n" + marker, finish, http.StatusOK},
 	"status-000":        {false, "HTTP/1.1 000 Garbled\r\nContent-Length: 7\r\n\r\nGarbled", closeConn, http.StatusBadGateway},
+	"status-000-of-id":  {false, "HTTP/1.1 000 Garbled\r\n" + ownID + "Content-Length: 7\r\n\r\nGarbled", finish, http.StatusBadGateway},
+	"status-000-chunks": {false, "HTTP/1.1 000\r\n" + ownID + "Transfer-Encoding: chunked\r\n\r\n7\r\nGarbled\r\n0\r\n\r\n", finish, http.StatusBadGateway},
+	"status-000-no-end": {false, "HTTP/1.1 000 Garbled\r\n" + ownID + "\r\nGarbled", closeConn, http.StatusBadGateway},
 	"status-099-first":  {false, "HTTP/1.1 099 Garbled\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nGarbled", closeConn, http.StatusBadGateway},
 	"space-in-name":     {false, "HTTP/1.1 200 OK\r\nGarbled Name: 1\r\nContent-Length: 7\r\n\r\nGarbled", closeConn, http.StatusBadGateway},
 	"space-in-length":   {false, "HTTP/1.1 200 OK\r\nContent-Length : 7\r\n\r\nGarbled, and more", closeConn, http.StatusBadGateway},
@@ -93,7 +100,8 @@
 		panic(err)
 	}
 	const success = "HTTP/1.1 200 OK\r\n"
-	_, _ = io.WriteString(conn, strings.Replace(response.text, success, success+"Request-Id: "+r.Header.Get("Request-Id")+"\r\n", 1))
+	text := strings.Replace(response.text, success, success+ownID, 1)
+	_, _ = io.WriteString(conn, strings.Replace(text, ownID, "Request-Id: "+r.Header.Get("Request-Id")+"\r\n", 1))
 	response.end(conn.(*net.TCPConn))
 }
 
