A queue of connections that cannot be checked ends the listener

An error of poll(2) other than an interrupted call left the age of all connections growing, so that each order would have got 503 without a hint. Accept returns it now, and the process ends with it. Found by reading; no run showed it.

--- a/internal/connection/listener/timed.go
+++ b/internal/connection/listener/timed.go
@@ -74,7 +74,10 @@
 	if err != nil {
 		return err // the listener is closed
 	}
-	if pollErr == nil && waiting == 0 {
+	switch {
+	case pollErr != nil && !errors.Is(pollErr, unix.EINTR):
+		return os.NewSyscallError("poll", pollErr)
+	case pollErr == nil && waiting == 0:
 		l.emptyAt = now
 	}
 	return nil
