--- a/e2e/late_order_test.go
+++ b/e2e/late_order_test.go
@@ -74,7 +74,7 @@
 
 // orderByWayOf sends an order to replicas that stand still, several times at once, and
 // afterwards to others, which acknowledge it. If keep is set, its sender goes on waiting for
-// the replicas that stand still, and does what they respond; the result then ends the wait.
+// the replicas that stand still, and follows their redirects, until abandon is called.
 func (m *mesh) orderByWayOf(path string, frozen, others []*meshProcess, keep bool) (abandon func()) {
 	client := *m.client
 	ctx, cancel := context.WithCancel(m.t.Context())
