A table of teams without rows lets no key pass

Cause: a keyed route needed a key only if there was a team.

Now Entries.KeysRequired carries the difference, and State.KeysRequired alone decides. It is written only where there is no team, so that all other configurations keep their digests between builds. Replicas complete what an earlier build has logged or stored from the kept text of the configuration.

Ruled out: refusing such a configuration (the users' list of invalid ones does not have it); deciding at the entry alone (a daemon that follows an update, and a restarted replica, would not know).

--- a/e2e/mesh_test.go
+++ b/e2e/mesh_test.go
@@ -206,7 +206,13 @@
 // acknowledges it, and returns that replica.
 func (m *mesh) putConfiguration(revision int) *meshProcess {
 	m.t.Helper()
-	body := configuration(revision, m.maxBodyBytes)
+	return m.put(revision, configuration(revision, m.maxBodyBytes))
+}
+
+// put sends the text of a revision to the replicas in turn until one acknowledges it, and
+// returns that replica. A rejection fails the test.
+func (m *mesh) put(revision int, body []byte) *meshProcess {
+	m.t.Helper()
 	for deadline := time.Now().Add(formTimeout); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
 		for _, p := range m.replicas {
 			response, err := m.client.Post("http://"+p.address(controlPort)+"/-/config/put", "application/json", bytes.NewReader(body))
--- a/internal/process/configuration/machine.go
+++ b/internal/process/configuration/machine.go
@@ -22,6 +22,8 @@
 // The methods that only read may be called from any goroutine.
 type Machine struct {
 	historySize int
+	// readSource reads the texts of full configurations. It may be nil.
+	readSource version.SourceReader
 
 	mu    sync.RWMutex
 	state *version.State
@@ -70,6 +72,19 @@
 	return &Machine{historySize: max(historySize, 1), state: s, baseDigest: s.Digest(), generations: make(map[string]uint64)}
 }
 
+// ReadSourceWith makes the state machine complete what earlier builds have logged or stored
+// of a full configuration with what read finds in its text. It must be called before the
+// state machine is used.
+func (m *Machine) ReadSourceWith(read version.SourceReader) { m.readSource = read }
+
+// completed returns the state with what its text adds to it.
+func (m *Machine) completed(s *version.State) *version.State {
+	if m.readSource == nil {
+		return s
+	}
+	return s.CompletedFromSource(m.readSource)
+}
+
 // Apply applies one committed note and returns its encoded Result.
 func (m *Machine) Apply(_ uint64, command []byte) []byte {
 	result, err := EncodeResult(m.apply(command))
@@ -137,6 +152,9 @@
 	if err != nil {
 		return Result{Kind: fault.KindOf(err), Message: fault.Message(err)}
 	}
+	if o.Configuration != nil && !next.KeysRequired() {
+		next = m.completed(next)
+	}
 	m.accept(next, command)
 	return Result{Number: next.Number(), Digest: next.NoteDigest()}
 }
@@ -267,6 +285,10 @@
 	if err := checkNotes(state, snapshot); err != nil {
 		return err
 	}
+	if complete := m.completed(state); complete != state {
+		// The kept notes lead to the state that was stored.
+		state, snapshot.Notes, snapshot.BaseDigest = complete, nil, complete.Digest()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = state
--- a/internal/process/control/role.go
+++ b/internal/process/control/role.go
@@ -22,11 +22,12 @@
 	"github.com/teaselrack/teaselrack/internal/process/targetlog"
 	"github.com/teaselrack/teaselrack/internal/request/envelope"
 	"github.com/teaselrack/teaselrack/internal/request/hop"
+	"github.com/teaselrack/teaselrack/internal/version"
 )
 
 // RoleOptions configures the control role and holds its dependencies. All fields
 // are required except FailureDomain, ReplicaDomain, OpenDisk, AutoMembership, EffectTimeout, LedgerShards, HeartbeatInterval,
-// ElectionTimeout, MaxQuotaOutage and TokenTTL.
+// ElectionTimeout, MaxQuotaOutage, TokenTTL and ReadSource.
 type RoleOptions struct {
 	// DataDir is the data directory; each group has a subdirectory in it.
 	DataDir string
@@ -59,6 +60,9 @@
 	Caller   Caller
 	Recorder hop.Recorder
 	Log      *zap.Logger
+	// ReadSource reads the texts of full configurations; see configuration.Machine. It may
+	// be nil.
+	ReadSource version.SourceReader
 }
 
 // Role is the control role of one process: its member of each replica group and
@@ -83,6 +87,7 @@
 
 func (r *Role) open() error {
 	machine, targetLog := configuration.NewMachine(configuration.DefaultHistory), targetlog.NewMachine()
+	machine.ReadSourceWith(r.options.ReadSource)
 	group, err := r.openGroup(ConfigurationGroup, &stateMachine{machine, targetLog})
 	if err != nil {
 		return err
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -273,6 +273,7 @@
 		ElectionTimeout:   electionTimeout,
 		MaxQuotaOutage:    maxQuotaOutage,
 		TokenTTL:          tokenTTL,
+		ReadSource:        c.ReadSource,
 		Caller:            n.pool,
 		Recorder:          n.events,
 		Log:               n.log,
--- a/internal/process/node/options.go
+++ b/internal/process/node/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/teaselrack/teaselrack/internal/fault"
 	"github.com/teaselrack/teaselrack/internal/request/relay"
+	"github.com/teaselrack/teaselrack/internal/version"
 )
 
 // Options are the parameters of a Node. A node has the traffic role, the
@@ -76,6 +77,9 @@
 	// Operators is the address, among Options.Handlers, of the calls whose age CallAge
 	// bounds. It may be empty.
 	Operators string
+	// ReadSource reads the texts of full configurations; see configuration.Machine. It may
+	// be nil.
+	ReadSource version.SourceReader
 }
 
 // Validate returns a SettingsInvalid error if the options are incomplete or
--- a/internal/request/hop/hop_test.go
+++ b/internal/request/hop/hop_test.go
@@ -224,6 +224,27 @@
 	})
 }
 
+// TestKeyedRouteWithoutTeams checks that a keyed route still requires a key after the last
+// team was withdrawn, and that an open route does not.
+func TestKeyedRouteWithoutTeams(t *testing.T) {
+	runMesh(t, []string{"tides"}, func(t *testing.T, m *testMesh) {
+		m.serveTargets(0, func(http.ResponseWriter, *http.Request) {})
+		m.config.apply(func(n *version.Note) {
+			for _, team := range m.config.state.Entries().Teams {
+				n.Withdrawn.Teams = append(n.Withdrawn.Teams, team.Name)
+			}
+			for _, key := range m.config.state.Entries().Keys {
+				n.Withdrawn.Keys = append(n.Withdrawn.Keys, key.Hash)
+			}
+		})
+		for _, authorization := range []string{"", "Bearer o", "Bearer " + secret} {
+			set := func(r *http.Request) { r.Header.Set("Authorization", authorization) }
+			must.Eq(t, fault.Unauthenticated, m.call(http.MethodGet, "/look", "", set).errorBody.Kind)
+			must.Eq(t, http.StatusOK, m.call(http.MethodGet, "/open", "", set).status)
+		}
+	})
+}
+
 // TestCancellationReachesEveryHop checks that a request is canceled at all hops when
 // the caller cancels it, or its deadline passes, while the third hop runs.
 func TestCancellationReachesEveryHop(t *testing.T) {
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -215,7 +215,7 @@
 	}
 	req.route = route
 	req.fromTarget = route.Access != version.Keyed
-	if state.HasTeams() && route.Access == version.Keyed {
+	if state.KeysRequired() && route.Access == version.Keyed {
 		key, known := state.Key(r.Header.Get(e.HeaderNames.Key))
 		if !known {
 			return fault.New(fault.Unauthenticated, "unknown API key")
--- a/internal/version/apply.go
+++ b/internal/version/apply.go
@@ -46,6 +46,8 @@
 	e.Targets = mergeSection(&errs, "target", e.Targets, n.Added.Targets, n.Changed.Targets, w.Targets, func(t Target) []string { return []string{targetID(t.Service, t.Name)} })
 	e.Services = mergeSection(&errs, "service", e.Services, n.Added.Services, n.Changed.Services, w.Services, func(v Service) []string { return []string{v.Name} })
 	e.Limits = lastLimits(e.Limits, n.Added.Limits, n.Changed.Limits)
+	// Without a full configuration, keyed routes always require a key.
+	e.KeysRequired = s.keysRequired && s.revision > 0 && len(e.Teams) == 0
 	checkReferences(&errs, e)
 	if err := errs.asError(); err != nil {
 		return nil, err
--- a/internal/version/model.go
+++ b/internal/version/model.go
@@ -174,6 +174,9 @@
 	Services       []Service       `yaml:"services,omitempty" cbor:"6,keyasint,omitempty" validate:"dive"`
 	// Limits, where set, replaces the limits in effect.
 	Limits *Limits `yaml:"limits,omitempty" cbor:"7,keyasint,omitempty"`
+	// KeysRequired tells a full configuration that declares teams, but has none, from one
+	// that declares no teams. It is false where there are teams.
+	KeysRequired bool `yaml:"-" cbor:"8,keyasint,omitempty"`
 }
 
 // WithdrawnNames lists the entries that a release note withdraws.
--- a/internal/version/order.go
+++ b/internal/version/order.go
@@ -1,6 +1,10 @@
 package version
 
-import "github.com/teaselrack/teaselrack/internal/fault"
+import (
+	"slices"
+
+	"github.com/teaselrack/teaselrack/internal/fault"
+)
 
 // Order is a change whose note number the control replicas assign. It does not
 // build on the number of the preceding note, but on what it changes: a full
@@ -67,21 +71,34 @@
 }
 
 func (s *State) isAccepted(c *FullConfiguration) bool {
-	digest := ""
+	var digests []string
 	for _, a := range s.accepted {
 		if a.Revision != c.Revision {
 			continue
 		}
-		if digest == "" {
-			digest = c.Digest()
+		if digests == nil {
+			digests = c.acceptedDigests()
 		}
-		if a.Digest == digest {
+		if slices.Contains(digests, a.Digest) {
 			return true
 		}
 	}
 	return false
 }
 
+// acceptedDigests returns the digests with which c may have been accepted: its own, and
+// that of earlier builds, which did not know Entries.KeysRequired. The text tells such
+// configurations apart, so the second is left out where there is no text.
+func (c *FullConfiguration) acceptedDigests() []string {
+	digests := []string{c.Digest()}
+	if c.Entries.KeysRequired && len(c.Source) > 0 {
+		earlier := *c
+		earlier.Entries.KeysRequired = false
+		digests = append(digests, earlier.Digest())
+	}
+	return digests
+}
+
 // ApplyOrder returns the state after the order. Errors: RevisionConflict where a
 // full configuration does not build on the revision in effect, and NoteInvalid
 // where its own revision is not above that one or the order is empty.
--- a/internal/version/state.go
+++ b/internal/version/state.go
@@ -35,6 +35,8 @@
 
 	services map[string]Service
 	limits   Limits
+	// keysRequired is true also after the last team was withdrawn.
+	keysRequired bool
 	// routesByHost are the routes of one host, longest path first.
 	routesByHost map[string][]Route
 	// ranks are the ranks that requests on keyed routes can have, ascending.
@@ -142,6 +144,7 @@
 		Targets:        sortedValues(s.targets),
 		Services:       sortedValues(s.services),
 		Limits:         s.limitsEntry(),
+		KeysRequired:   s.keysRequired && len(s.teams) == 0,
 	}
 }
 
@@ -171,8 +174,10 @@
 // Limits returns the limits on what one caller may send.
 func (s *State) Limits() Limits { return s.limits }
 
-// HasTeams reports whether any team is declared.
-func (s *State) HasTeams() bool { return len(s.teams) > 0 }
+// KeysRequired reports whether a request on a keyed route needs the key of a team. It
+// does not where a full configuration declares no teams. One that declares teams and has
+// none requires keys, so that every request is rejected.
+func (s *State) KeysRequired() bool { return s.keysRequired }
 
 // RouteForHost returns the route of host with the longest path that is a prefix
 // of the given path. The second result is false where there is none.
@@ -271,6 +276,7 @@
 		domains:      index(e.FailureDomains, func(d FailureDomain) string { return d.Name }),
 		targets:      index(e.Targets, func(t Target) string { return targetID(t.Service, t.Name) }),
 		services:     index(e.Services, func(v Service) string { return v.Name }),
+		keysRequired: e.KeysRequired || len(e.Teams) > 0,
 		routesByHost: make(map[string][]Route),
 	}
 	for _, k := range e.Keys {
--- a/internal/version/update.go
+++ b/internal/version/update.go
@@ -36,6 +36,7 @@
 		limits := after.limits
 		u.Set.Limits = &limits
 	}
+	u.Set.KeysRequired = after.Entries().KeysRequired
 	return u
 }
 
@@ -71,6 +72,7 @@
 			Targets:        applyDifference(s.targets, u.Set.Targets, u.Withdrawn.Targets),
 			Services:       applyDifference(s.services, u.Set.Services, u.Withdrawn.Services),
 			Limits:         s.limitsAfter(u),
+			KeysRequired:   u.Set.KeysRequired,
 		},
 	})
 }
