Routes that share a name are all served

It took no earlier configuration, and routes without a name were the same case.

Cause: routes were kept in a map by name, in the state, its stored form, updates, merges of notes and differences. What selects a route is its host and path; names are labels, and the list of what makes a configuration invalid does not have them.

Now a state holds all routes of a name, and an update replaces them together in the encoding of before. Tables of a process that were keyed by the name use Route.ID. Host and path are compared apart.

Ruled out: refusing such a configuration (not on the users' list); host and path as the key everywhere (longer metadata between daemons for all routes).

--- a/e2e/odd_configuration_test.go
+++ b/e2e/odd_configuration_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -127,3 +128,44 @@
 	time.Sleep(inForceLimit)
 	checkClosed("key-1")
 }
+
+// TestRoutesThatShareAName guards against routes that get 404 because another one has their
+// name.
+func TestRoutesThatShareAName(t *testing.T) {
+	const (
+		orders = `["r","h.example","/orders/","unsafe",1000,true,"s"]`
+		stock  = `["r","h.example","/stock/","safe",2000,true,"t"]`
+		none   = `[null,"h.example","/none/","safe",2000,true,"t"]`
+		nobody = `[null,"h.example","/nobody/","safe",2000,true,"s"]`
+	)
+	m := startMesh(t, 2)
+	revision := 0
+	put := func(rows ...string) {
+		revision++
+		text := meshText(revision, revision-1, strings.Join(rows, ","), "")
+		m.put(revision, []byte(text))
+		m.checkReadBack(text)
+	}
+	checkRoutes := func(paths ...string) {
+		t.Helper()
+		for _, path := range []string{"/orders/", "/stock/", "/none/", "/nobody/"} {
+			want := http.StatusNotFound
+			if slices.Contains(paths, path) {
+				want = http.StatusServiceUnavailable
+			}
+			m.awaitStatus(want, path, "")
+		}
+	}
+	put(orders, stock, none, nobody)
+	checkRoutes("/orders/", "/stock/", "/none/", "/nobody/")
+	m.restart()
+	checkRoutes("/orders/", "/stock/", "/none/", "/nobody/")
+	put(stock, none)
+	checkRoutes("/stock/", "/none/")
+	put(orders, stock, strings.Replace(none, "none", "nobody", 1))
+	checkRoutes("/orders/", "/stock/", "/nobody/")
+	m.restart()
+	checkRoutes("/orders/", "/stock/", "/nobody/")
+	put(orders)
+	checkRoutes("/orders/")
+}
--- a/internal/request/relay/decisions_test.go
+++ b/internal/request/relay/decisions_test.go
@@ -54,6 +54,34 @@
 	must.LessEq(t, requests-refused+1, m.instances[0].stub.count())
 }
 
+// TestRoutesOfOneNameAreShedApart guards against requests that are shed because another
+// route with the same name leads to an overloaded service.
+func TestRoutesOfOneNameAreShedApart(t *testing.T) {
+	const requests = 50
+	m := newMesh(t, version.Idempotent, 0, 1)
+	entries := m.state.Entries()
+	other := entries.Routes[0]
+	other.Path = "/other/"
+	entries.Routes = append(entries.Routes, other)
+	state, err := version.Initial().ApplyOrder(&version.Order{Configuration: &version.FullConfiguration{Revision: 1, Entries: entries}})
+	must.NoError(t, err)
+	m.state = state
+	outside := m.addRemote()
+	overloaded, _ := m.state.RouteForHost(host, "/p/x")
+	refused := make(map[string]int)
+	for range requests {
+		for _, path := range []string{"/p/x", "/other/x"} {
+			observeLevel(outside.entry.Levels, overloaded.ID, shedding.Bottleneck{Service: "deep", Level: 0.9, Cost: time.Second})
+			resp, _ := m.send(outside, "GET", path, nil, "")
+			if resp.StatusCode != http.StatusOK {
+				refused[path]++
+			}
+		}
+	}
+	must.Eq(t, 0, refused["/other/x"])
+	must.GreaterEq(t, requests/2, refused["/p/x"])
+}
+
 // TestDaemonReportsWhenAColdServiceIsWarm checks that responses pass on when the level of a
 // called service ends.
 func TestDaemonReportsWhenAColdServiceIsWarm(t *testing.T) {
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -195,7 +195,7 @@
 // count counts the request in the call graph and the retry budget.
 func (e *EntryHandler) count(req *inboundRequest) {
 	if req.fromTarget {
-		req.call = e.CallGraph.ObserveCall(req.receivedAt, req.route.Name, req.service, req.callerDeadline)
+		req.call = e.CallGraph.ObserveCall(req.receivedAt, req.route.ID, req.service, req.callerDeadline)
 	}
 	if req.call.Repeat {
 		e.RetryBudget.CountRepeat(req.receivedAt, req.service)
@@ -292,7 +292,7 @@
 // choose returns the target of the next attempt.
 func (e *EntryHandler) choose(req *inboundRequest, history *attempts) (balancing.Choice, bool) {
 	for {
-		choice, ok := e.Balancer.Choose(time.Now(), req.service, req.route.Name, req.objectiveDeadline.Sub(req.receivedAt), history.excluded)
+		choice, ok := e.Balancer.Choose(time.Now(), req.service, req.route.ID, req.objectiveDeadline.Sub(req.receivedAt), history.excluded)
 		if ok || !history.reconsider() {
 			return choice, ok
 		}
@@ -354,7 +354,7 @@
 	choice.Update(func(t *balancing.Target) {
 		if response != nil && response.Load >= 0 {
 			t.RecordLoad(now, response.Load, response.ShedLevel)
-			t.RecordCalledLoad(now, req.route.Name, response.CalledLoad)
+			t.RecordCalledLoad(now, req.route.ID, response.CalledLoad)
 		}
 		if response != nil {
 			t.RecordStatement(now, response.Statement)
@@ -414,7 +414,7 @@
 func (e *EntryHandler) forward(ctx context.Context, req *inboundRequest, choice balancing.Choice, history *attempts) (*Response, error) {
 	now := time.Now()
 	m := &ForwardingMetadata{
-		RequestID: req.id, Service: req.service, Route: req.route.Name, Team: req.team, Origin: e.Service, Rank: req.rank, FromTarget: req.fromTarget, ClientRetry: req.clientRetry,
+		RequestID: req.id, Service: req.service, Route: req.route.ID, Team: req.team, Origin: e.Service, Rank: req.rank, FromTarget: req.fromTarget, ClientRetry: req.clientRetry,
 		Idempotent: req.route.Mode == version.Idempotent, Remaining: req.deadline.Sub(now), ObjectiveRemaining: req.objectiveDeadline.Sub(now),
 		Known: choice.Stated(), Repeat: history.delivered > 0 || req.call.Repeat, Probe: req.probe, LastResort: history.lastResort || history.forwards == maxForwards-1 || req.body.rest != nil,
 	}
--- a/internal/request/relay/forwarding_metadata.go
+++ b/internal/request/relay/forwarding_metadata.go
@@ -14,7 +14,7 @@
 type ForwardingMetadata struct {
 	// RequestID is the ID that the caller gave to this attempt.
 	RequestID string
-	// Service is the service that the request is for. Route is the name of the
+	// Service is the service that the request is for. Route is the ID of the
 	// matched route.
 	Service string
 	Route   string
--- a/internal/request/relay/shed.go
+++ b/internal/request/relay/shed.go
@@ -21,8 +21,8 @@
 		return nil
 	}
 	req.clientRetry = e.Rejections.Consume(req.receivedAt, req.fingerprint())
-	bottleneck := e.Levels.ForRoute(req.receivedAt, req.route.Name)
-	fraction := e.Demand.ShedFraction(req.receivedAt, req.rank, req.route.Name, bottleneck)
+	bottleneck := e.Levels.ForRoute(req.receivedAt, req.route.ID)
+	fraction := e.Demand.ShedFraction(req.receivedAt, req.rank, req.route.ID, bottleneck)
 	if fraction <= 0 || rand.Float64() >= fraction {
 		return nil
 	}
--- a/internal/version/apply.go
+++ b/internal/version/apply.go
@@ -68,19 +68,20 @@
 
 // mergeSection applies the withdrawn, changed and added entries of one kind to
 // the current ones. names returns all names of an entry, the canonical one
-// first.
+// first. Several current entries may have the same name: they are withdrawn together, and
+// none of them can be changed by its name.
 func mergeSection[V any](errs *problems, kind string, current, added, changed []V, withdrawn []string, names func(V) []string) []V {
-	all := make(map[string]V, len(current)+len(added))
+	all := make(map[string][]V, len(current)+len(added))
 	alias := make(map[string]string)
-	put := func(v V) {
+	put := func(v V, others []V) {
 		id := names(v)[0]
-		all[id] = v
+		all[id] = append(others, v)
 		for _, other := range names(v) {
 			alias[other] = id
 		}
 	}
 	for _, v := range current {
-		put(v)
+		put(v, all[names(v)[0]])
 	}
 	for _, name := range withdrawn {
 		id, ok := alias[name]
@@ -91,20 +92,23 @@
 		delete(all, id)
 	}
 	for _, v := range changed {
-		if _, ok := all[names(v)[0]]; !ok {
-			errs.add("changed %s %q is not in force", kind, names(v)[0])
-			continue
+		switch name := names(v)[0]; len(all[name]) {
+		case 0:
+			errs.add("changed %s %q is not in force", kind, name)
+		case 1:
+			put(v, nil)
+		default:
+			errs.add("changed %s %q is ambiguous: %d entries in force have this name", kind, name, len(all[name]))
 		}
-		put(v)
 	}
 	for _, v := range added {
 		if _, ok := all[names(v)[0]]; ok {
 			errs.add("added %s %q is already in force", kind, names(v)[0])
 			continue
 		}
-		put(v)
+		put(v, nil)
 	}
-	return sortedValues(all)
+	return slices.Concat(sortedValues(all)...)
 }
 
 // checkReferences checks the rules that involve more than one entry.
@@ -134,15 +138,16 @@
 // checkRoutes reports routes that match the same request, and splits whose
 // weights add up to 0.
 func checkRoutes(errs *problems, routes []Route) {
-	byPath := make(map[string][]Route, len(routes))
+	type place struct{ host, path string }
+	byPlace := make(map[place][]Route, len(routes))
 	for _, r := range routes {
-		hostPath := r.Host + r.Path
-		for _, other := range byPath[hostPath] {
+		at := place{r.Host, r.Path}
+		for _, other := range byPlace[at] {
 			if shareMethod(r.Methods, other.Methods) {
-				errs.add("routes %q and %q have the same path %s and a method in common", other.Name, r.Name, hostPath)
+				errs.add("routes %q and %q have the same path %s%s and a method in common", other.Name, r.Name, r.Host, r.Path)
 			}
 		}
-		byPath[hostPath] = append(byPath[hostPath], r)
+		byPlace[at] = append(byPlace[at], r)
 		if len(r.Split) > 0 && totalWeight(r.Split) <= 0 {
 			errs.add("the weights of route %q add up to 0", r.Name)
 		}
--- a/internal/version/diff.go
+++ b/internal/version/diff.go
@@ -63,8 +63,8 @@
 	return c, true
 }
 
-// textByName returns the YAML of each entry by the name of the entry. For an entry
-// that cannot be encoded, it returns the error message instead.
+// textByName returns the YAML of the entries of each name. For an entry that cannot be
+// encoded, it returns the error message instead.
 func textByName[V any](entries []V, name func(V) string) map[string]string {
 	m := make(map[string]string, len(entries))
 	for _, v := range entries {
@@ -72,7 +72,10 @@
 		if err != nil {
 			text = []byte(err.Error())
 		}
-		m[name(v)] = strings.TrimSpace(string(text))
+		if m[name(v)] != "" {
+			m[name(v)] += "\n"
+		}
+		m[name(v)] += strings.TrimSpace(string(text))
 	}
 	return m
 }
--- a/internal/version/model.go
+++ b/internal/version/model.go
@@ -83,6 +83,8 @@
 
 // Route maps a path prefix to a service.
 type Route struct {
+	// ID identifies the route among those of one State, which sets it.
+	ID   string `yaml:"-" cbor:"-"`
 	Name string `yaml:"name" cbor:"1,keyasint" validate:"required,name"`
 	// Path is the path prefix, matched at segment boundaries; the longest match
 	// wins.
--- a/internal/version/state.go
+++ b/internal/version/state.go
@@ -28,8 +28,8 @@
 	teams              map[string]Team
 	keys               map[string]Key // by hash
 	keyByID            map[string]Key
-	routes             map[string]Route
-	routesByPathLength []Route // longest path first
+	routes             map[string][]Route // by name; see groupRoutes
+	routesByPathLength []Route            // longest path first, with IDs
 	domains            map[string]FailureDomain
 	targets            map[string]Target // by service/name
 
@@ -139,7 +139,7 @@
 	return Entries{
 		Teams:          sortedValues(s.teams),
 		Keys:           sortedValues(s.keys),
-		Routes:         sortedValues(s.routes),
+		Routes:         slices.Concat(sortedValues(s.routes)...),
 		FailureDomains: sortedValues(s.domains),
 		Targets:        sortedValues(s.targets),
 		Services:       sortedValues(s.services),
@@ -272,7 +272,7 @@
 		teams:        index(e.Teams, func(t Team) string { return t.Name }),
 		keys:         make(map[string]Key, len(e.Keys)),
 		keyByID:      make(map[string]Key, len(e.Keys)),
-		routes:       index(e.Routes, func(r Route) string { return r.Name }),
+		routes:       groupRoutes(e.Routes),
 		domains:      index(e.FailureDomains, func(d FailureDomain) string { return d.Name }),
 		targets:      index(e.Targets, func(t Target) string { return targetID(t.Service, t.Name) }),
 		services:     index(e.Services, func(v Service) string { return v.Name }),
@@ -287,7 +287,7 @@
 	if e.Limits != nil {
 		s.limits = *e.Limits
 	}
-	s.routesByPathLength = sortedValues(s.routes)
+	s.routesByPathLength = identifiedRoutes(s.routes)
 	slices.SortStableFunc(s.routesByPathLength, func(a, b Route) int { return len(b.Path) - len(a.Path) })
 	for _, r := range s.routesByPathLength {
 		s.routesByHost[r.Host] = append(s.routesByHost[r.Host], r)
--- a/internal/version/update.go
+++ b/internal/version/update.go
@@ -16,7 +16,8 @@
 	Number     uint64 `cbor:"1,keyasint"`
 	NoteDigest string `cbor:"2,keyasint"`
 	Revision   uint64 `cbor:"3,keyasint,omitempty"`
-	// Set holds the entries that were added or changed.
+	// Set holds the entries that were added or changed, and with a route all others of its
+	// name.
 	Set Entries `cbor:"4,keyasint,omitempty"`
 	// Withdrawn names the entries that were removed; keys by their full hash.
 	Withdrawn WithdrawnNames `cbor:"5,keyasint,omitempty"`
@@ -28,7 +29,9 @@
 	u := &Update{Number: after.number, NoteDigest: after.noteDigest, Revision: after.revision}
 	u.Set.Teams, u.Withdrawn.Teams = difference(before.teams, after.teams)
 	u.Set.Keys, u.Withdrawn.Keys = difference(before.keys, after.keys)
-	u.Set.Routes, u.Withdrawn.Routes = difference(before.routes, after.routes)
+	var changed [][]Route
+	changed, u.Withdrawn.Routes = difference(before.routes, after.routes)
+	u.Set.Routes = slices.Concat(changed...)
 	u.Set.FailureDomains, u.Withdrawn.FailureDomains = difference(before.domains, after.domains)
 	u.Set.Targets, u.Withdrawn.Targets = difference(before.targets, after.targets)
 	u.Set.Services, u.Withdrawn.Services = difference(before.services, after.services)
@@ -67,7 +70,7 @@
 		Entries: Entries{
 			Teams:          applyDifference(s.teams, u.Set.Teams, u.Withdrawn.Teams),
 			Keys:           applyDifference(s.keys, u.Set.Keys, u.Withdrawn.Keys),
-			Routes:         applyDifference(s.routes, u.Set.Routes, u.Withdrawn.Routes),
+			Routes:         s.routesAfter(u),
 			FailureDomains: applyDifference(s.domains, u.Set.FailureDomains, u.Withdrawn.FailureDomains),
 			Targets:        applyDifference(s.targets, u.Set.Targets, u.Withdrawn.Targets),
 			Services:       applyDifference(s.services, u.Set.Services, u.Withdrawn.Services),
@@ -89,6 +92,23 @@
 	return append(values, set...)
 }
 
+// routesAfter returns the routes after the update. A name has either the routes that the
+// update sets, or those of before.
+func (s *State) routesAfter(u *Update) []Route {
+	kept := maps.Clone(s.routes)
+	for _, name := range u.Withdrawn.Routes {
+		delete(kept, name)
+	}
+	for i := range u.Set.Routes {
+		delete(kept, u.Set.Routes[i].Name)
+	}
+	routes := slices.Clone(u.Set.Routes)
+	for _, group := range kept {
+		routes = append(routes, group...)
+	}
+	return routes
+}
+
 func (s *State) limitsAfter(u *Update) *Limits {
 	if u.Set.Limits != nil {
 		return u.Set.Limits
--- a/internal/version/update_test.go
+++ b/internal/version/update_test.go
@@ -15,7 +15,7 @@
 	for i := range 4 {
 		if rapid.Bool().Draw(t, "route") {
 			e.Routes = append(e.Routes, Route{
-				Name: fmt.Sprint("r", i), Host: "h", Path: fmt.Sprintf("/%d/", i), Timeout: time.Second,
+				Name: rapid.SampledFrom([]string{fmt.Sprint("r", i), "r0", ""}).Draw(t, "name"), Host: "h", Path: fmt.Sprintf("/%d/", i), Timeout: time.Second,
 				Split: []Share{{Service: "s", Weight: float64(rapid.IntRange(1, 2).Draw(t, "weight"))}, {Service: "t", Weight: 1}},
 			})
 		}
