Refuse no configuration that the list of invalid ones does not have

What callers saw: a configuration with a route without timeout_ms, with a duration of more than 30 days, with a key that is listed twice, or by two tenants, was refused with 400. PROTOCOL.md says what makes a configuration invalid, and none of these is there.

Cause: the validation had rules of its own. A request on a route without a timeout ends at the caller's time limit, which the relay did already. A key that is listed more than once belongs to the first tenant that lists it, so that the choice does not depend on an order of maps. Numbers that no duration can hold are still refused: they cannot be read.

--- a/internal/version/full_configuration.go
+++ b/internal/version/full_configuration.go
@@ -10,12 +10,13 @@
 	// timeout: an excess of a minute or more is treated as a mistake in the unit.
 	maxObjectiveExcess = time.Minute
 	// maxFullDuration bounds every duration, so that none overflows where it is
-	// calculated with.
-	maxFullDuration = 30 * 24 * time.Hour
+	// calculated with. It is a third of what a time.Duration holds.
+	maxFullDuration = 100 * 365 * 24 * time.Hour
 )
 
 // Validate returns a NoteInvalid error that lists every problem of the full
-// configuration that depends on its content alone, or nil.
+// configuration that depends on its content alone, or nil. Its senders know which
+// configurations are invalid, so it must report nothing else. A route may have no timeout.
 func (c *FullConfiguration) Validate() error {
 	var errs problems
 	if c.Revision == 0 {
@@ -27,16 +28,15 @@
 	}
 	checkDurations(&errs, c.Entries)
 	checkKeys(&errs, c.Entries)
-	checkSharedKeys(&errs, c.Entries.Keys)
 	checkRoutes(&errs, c.Entries.Routes)
 	return errs.asError()
 }
 
-// checkDurations reports durations above maxFullDuration.
+// checkDurations reports durations beyond maxFullDuration, in either direction.
 func checkDurations(errs *problems, e Entries) {
 	check := func(d time.Duration, format string, args ...any) {
-		if d > maxFullDuration {
-			errs.add(format+" is longer than %s", append(args, maxFullDuration)...)
+		if d > maxFullDuration || d < -maxFullDuration {
+			errs.add(format+" is beyond %s", append(args, maxFullDuration)...)
 		}
 	}
 	for _, r := range e.Routes {
@@ -56,9 +56,6 @@
 	if !strings.HasPrefix(r.Path, "/") {
 		errs.add("the prefix %q of route %q does not begin with a slash", r.Path, r.Name)
 	}
-	if r.Timeout <= 0 {
-		errs.add("route %q has no timeout", r.Name)
-	}
 	if r.Objective-r.Timeout >= maxObjectiveExcess {
 		errs.add("the objective %s of route %q is %s or more above its timeout %s", r.Objective, r.Name, maxObjectiveExcess, r.Timeout)
 	}
@@ -73,17 +70,6 @@
 	}
 }
 
-// checkSharedKeys reports keys that belong to more than one team.
-func checkSharedKeys(errs *problems, keys []Key) {
-	teams := make(map[string]string, len(keys))
-	for _, k := range keys {
-		if other, ok := teams[k.Hash]; ok && other != k.Team {
-			errs.add("teams %q and %q share the key %s", other, k.Team, KeyID(k.Hash))
-		}
-		teams[k.Hash] = k.Team
-	}
-}
-
 // Services returns the names of the services that the route may send requests to.
 func (r Route) Services() []string {
 	if len(r.Split) == 0 {
