Teams that share a name keep their own limits

What callers saw: of two tenants with one name, the requests of both were held to the limit and the rank of the last. With a tenant without a name, requests on public routes took its tokens and got 429.

Cause: as for routes, teams were kept in a map by name, and the empty name stood for "no team" as well.

The list of invalid configurations has neither case, so they are not refused.

--- a/e2e/odd_configuration_test.go
+++ b/e2e/odd_configuration_test.go
@@ -169,3 +169,28 @@
 	put(orders)
 	checkRoutes("/orders/")
 }
+
+// TestTeamsThatShareAName guards against requests that are rejected because another team with
+// the same name is over its rate, and against public ones that pay for a team without a name.
+func TestTeamsThatShareAName(t *testing.T) {
+	const (
+		routes   = `["keyed","h.example","/keyed/","safe",1000,false,"s"],["public","h.example","/public/","safe",1000,true,"s"]`
+		teams    = `,"tenants":{"columns":["name","api_keys","rate_per_s","burst"],"rows":[["team",["free"],0,0],["team",["slow"],0.5,1],[null,["slower"],0.5,1]]}`
+		requests = 40
+	)
+	m := startMesh(t, 2)
+	m.put(1, []byte(meshText(1, 0, routes, teams)))
+	m.awaitStatus(http.StatusUnauthorized, "/keyed/x", neverHeld)
+	for _, c := range []struct {
+		path, key string
+		limited   bool
+	}{{"/keyed/x", "slow", true}, {"/keyed/x", "slower", true}, {"/keyed/x", "free", false}, {"/public/x", "", false}} {
+		rejected := 0
+		for i := range requests {
+			if m.daemons[i%2].status(c.path, c.key) == http.StatusTooManyRequests {
+				rejected++
+			}
+		}
+		must.Eq(t, c.limited, rejected > 0, must.Sprintf("%s with key %q: %d of %d rejected", c.path, c.key, rejected, requests))
+	}
+}
--- a/internal/process/configuration/machine.go
+++ b/internal/process/configuration/machine.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return Result{Kind: fault.KindOf(err), Message: fault.Message(err)}
 	}
-	if o.Configuration != nil && !next.KeysRequired() {
+	if o.Configuration != nil && o.Configuration.Entries.AmbiguousTeams() {
 		next = m.completed(next)
 	}
 	m.accept(next, command)
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -162,7 +162,7 @@
 	if err := e.shed(ctx, req); err != nil {
 		return nil, err
 	}
-	if t, ok := state.Team(req.team); ok && t.Rate > 0 {
+	if t, ok := state.Team(req.team); ok && req.team != "" && t.Rate > 0 {
 		req.progress.Reach(drain.WaitingForToken)
 		if err := e.Quota.Take(ctx, req.team); err != nil {
 			return nil, withRetryAfter(err, req.retryAfter())
@@ -220,7 +220,8 @@
 		if !known {
 			return fault.New(fault.Unauthenticated, "unknown API key")
 		}
-		req.team = key.Team
+		team, _ := state.Team(key.Team)
+		req.team, req.teamLabel = key.Team, team.DisplayName()
 	}
 	req.rank = state.Rank(req.team, &route)
 	req.service = route.ServiceFor(rand.Float64())
@@ -414,7 +415,7 @@
 func (e *EntryHandler) forward(ctx context.Context, req *inboundRequest, choice balancing.Choice, history *attempts) (*Response, error) {
 	now := time.Now()
 	m := &ForwardingMetadata{
-		RequestID: req.id, Service: req.service, Route: req.route.ID, Team: req.team, Origin: e.Service, Rank: req.rank, FromTarget: req.fromTarget, ClientRetry: req.clientRetry,
+		RequestID: req.id, Service: req.service, Route: req.route.ID, Team: req.teamLabel, Origin: e.Service, Rank: req.rank, FromTarget: req.fromTarget, ClientRetry: req.clientRetry,
 		Idempotent: req.route.Mode == version.Idempotent, Remaining: req.deadline.Sub(now), ObjectiveRemaining: req.objectiveDeadline.Sub(now),
 		Known: choice.Stated(), Repeat: history.delivered > 0 || req.call.Repeat, Probe: req.probe, LastResort: history.lastResort || history.forwards == maxForwards-1 || req.body.rest != nil,
 	}
--- a/internal/request/relay/forwarding_metadata.go
+++ b/internal/request/relay/forwarding_metadata.go
@@ -18,8 +18,8 @@
 	// matched route.
 	Service string
 	Route   string
-	// Team is the team on whose behalf the request runs. It is empty for a
-	// public route.
+	// Team is the team on whose behalf the request runs, by the name that the target
+	// sees. It is empty for a public route.
 	Team string
 	// Origin is the service of the instance where the request entered.
 	Origin string
--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -55,8 +55,10 @@
 	reservation *listener.Reservation
 	route       version.Route
 	service     string
-	team        string
-	rank        int
+	// team is empty for a public route. teamLabel is the name that the target sees.
+	team      string
+	teamLabel string
+	rank      int
 	// fromTarget is true for a request on a route that requires no API key. Such
 	// a request has no team and is treated as one that a target sends.
 	fromTarget bool
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -98,17 +98,17 @@
 	// addresses is the number of listeners.
 	addresses int
 	// takeToken, if set, replaces Take.
-	takeToken func() error
+	takeToken func(team string) error
 }
 
 func (m *mesh) Current() *version.State { return m.state }
 
 // Take never limits a team, unless takeToken is set.
-func (m *mesh) Take(context.Context, string) error {
+func (m *mesh) Take(_ context.Context, team string) error {
 	if m.takeToken == nil {
 		return nil
 	}
-	return m.takeToken()
+	return m.takeToken(team)
 }
 
 func (m *mesh) list(service string) []protocol.TargetRecord {
--- a/internal/request/relay/retry_after_test.go
+++ b/internal/request/relay/retry_after_test.go
@@ -56,7 +56,7 @@
 			m := newMeshOn(t, network, version.Once, 0, 0)
 			outside := m.addRemote()
 			if noToken {
-				m.takeToken = func() error {
+				m.takeToken = func(string) error {
 					time.Sleep(240 * time.Millisecond)
 					return fault.New(fault.QuotaExceeded, "no token")
 				}
@@ -78,7 +78,7 @@
 func TestRejectionAtTheLimitOfATeam(t *testing.T) {
 	m := newMesh(t, version.Once, 0, 1)
 	for kind, status := range map[fault.Kind]int{fault.QuotaExceeded: http.StatusTooManyRequests, fault.QuotaUnavailable: http.StatusServiceUnavailable} {
-		m.takeToken = func() error { return fault.New(kind, "no token") }
+		m.takeToken = func(string) error { return fault.New(kind, "no token") }
 		for limit, most := range map[string]float64{"5000": 0.1, "240": 0.08} {
 			resp, _ := m.send(m.instances[0], "POST", "/p/x", map[string]string{"Teaselrack-Timeout": limit}, "body")
 			must.Eq(t, status, resp.StatusCode)
--- a/internal/version/model.go
+++ b/internal/version/model.go
@@ -69,6 +69,9 @@
 	// requests. Between teams of equal rank, the rank of the route decides. 0 is
 	// shed last.
 	Rank *int `yaml:"rank,omitempty" cbor:"5,keyasint,omitempty" validate:"omitempty,gte=0,lte=1000"`
+	// Label is the name of the team that targets see, where it differs from Name. Release
+	// notes do not set it.
+	Label *string `yaml:"-" cbor:"6,keyasint,omitempty"`
 }
 
 // Key is a caller's key, stored only as a hash.
--- a/internal/version/order.go
+++ b/internal/version/order.go
@@ -87,13 +87,13 @@
 }
 
 // acceptedDigests returns the digests with which c may have been accepted: its own, and
-// that of earlier builds, which did not know Entries.KeysRequired. The text tells such
-// configurations apart, so the second is left out where there is no text.
+// that of earlier builds. These logged different configurations as the same entries, but the
+// text tells them apart, so the second digest is left out where there is no text.
 func (c *FullConfiguration) acceptedDigests() []string {
 	digests := []string{c.Digest()}
-	if c.Entries.KeysRequired && len(c.Source) > 0 {
+	if len(c.Source) > 0 {
 		earlier := *c
-		earlier.Entries.KeysRequired = false
+		earlier.Entries = c.Entries.asOfEarlierBuilds()
 		digests = append(digests, earlier.Digest())
 	}
 	return digests
--- a/internal/version/source.go
+++ b/internal/version/source.go
@@ -12,8 +12,8 @@
 
 // CompletedFromSource returns the state with what earlier builds left out of the stored
 // form of a full configuration, although its text has it: that it declares teams, but has
-// none, and all but one of the routes that have the same name. It returns s itself if
-// nothing is missing or the text cannot be read.
+// none, and all but one of the teams and of the routes that have the same name. It returns
+// s itself if nothing is missing or the text cannot be read.
 func (s *State) CompletedFromSource(read SourceReader) *State {
 	if len(s.source) == 0 {
 		return s
@@ -24,13 +24,24 @@
 	}
 	complete := s.Entries()
 	complete.Routes = slices.Concat(sortedValues(s.routesCompletedBy(content.Routes))...)
-	complete.KeysRequired = complete.KeysRequired || content.KeysRequired && len(complete.Teams) == 0
-	if reflect.DeepEqual(complete, s.Entries()) {
-		return s
+	if s.hasTeamsOf(content.asOfEarlierBuilds()) {
+		complete.Teams, complete.Keys = content.Teams, content.Keys
 	}
+	complete.KeysRequired = complete.KeysRequired || content.KeysRequired && len(complete.Teams) == 0
 	stored := s.stored()
 	stored.Entries = complete
-	return build(stored)
+	if next := build(stored); next.digest != s.digest {
+		return next
+	}
+	return s
+}
+
+// hasTeamsOf reports whether the state has just the teams and keys that remain of the entries
+// when the last of each name is kept.
+func (s *State) hasTeamsOf(e Entries) bool {
+	teams := index(e.Teams, func(t Team) string { return t.Name })
+	keys := index(e.Keys, func(k Key) string { return k.Hash })
+	return reflect.DeepEqual(teams, s.teams) && reflect.DeepEqual(keys, s.keys)
 }
 
 // routesCompletedBy returns the routes by name. Where several of the given routes have one
