A route without a name is forwarded to other daemons

What callers saw: requests on the only route without a name got 400 wherever another daemon had the target.

Cause: the ID of the route, then its name, is the last field of the metadata between daemons, separated by tabs. HTTP drops a tab at the end of a header, so that the receiver missed a field. The list of invalid configurations does not have such a route.

Now an ID is never empty: without a name it is host and path.

Evidence: TestRouteWithoutANameIsForwarded failed without the change (400 in place of 200).

--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -529,6 +529,21 @@
 	}
 }
 
+// TestRouteWithoutANameIsForwarded guards against requests that another daemon cannot read
+// because their route has no name.
+func TestRouteWithoutANameIsForwarded(t *testing.T) {
+	m := newMesh(t, version.Once, 0, 1)
+	entries := m.state.Entries()
+	entries.Routes[0].Name = ""
+	state, err := version.Initial().ApplyOrder(&version.Order{Configuration: &version.FullConfiguration{Revision: 1, Entries: entries}})
+	must.NoError(t, err)
+	m.state = state
+	for _, from := range []*instance{m.instances[0], m.addRemote()} {
+		resp, _ := m.send(from, "POST", "/p/x", nil, "body")
+		must.Eq(t, http.StatusOK, resp.StatusCode)
+	}
+}
+
 func TestStatusForKind(t *testing.T) {
 	for _, kind := range fault.Kinds() {
 		status := statusForKind(kind)
--- a/internal/version/route_group.go
+++ b/internal/version/route_group.go
@@ -23,7 +23,8 @@
 }
 
 // identifiedRoutes returns the routes of all groups with their IDs, in the order of their
-// names. The ID of a route is its name if no other route has it, otherwise its host and path.
+// names. The ID of a route is its name if it has one and no other route has it, otherwise its
+// host and path. It is never empty: daemons send it to each other at the end of a header.
 func identifiedRoutes(groups map[string][]Route) []Route {
 	routes := slices.Concat(sortedValues(groups)...)
 	taken := make(map[string]bool, len(routes))
@@ -33,7 +34,7 @@
 	for i := range routes {
 		r := &routes[i]
 		r.ID = r.Name
-		if len(groups[r.Name]) == 1 {
+		if r.Name != "" && len(groups[r.Name]) == 1 {
 			continue
 		}
 		for r.ID = r.Host + r.Path; taken[r.ID]; {
--- a/internal/version/route_group_test.go
+++ b/internal/version/route_group_test.go
@@ -81,6 +81,7 @@
 		{Name: "h/1/", Host: "h", Path: "/3/"}, {Name: "h/1//", Host: "h", Path: "/4/"},
 		{Name: "", Host: "h", Path: "/5/"}, {Name: "", Host: "", Path: "/5/"}, {Name: "b", Host: "h", Path: "/6/"},
 	}
+	must.Eq(t, "h/1/", identifiedRoutes(groupRoutes([]Route{{Host: "h", Path: "/1/"}}))[0].ID)
 	ids := make(map[string]string)
 	for _, r := range identifiedRoutes(groupRoutes(routes)) {
 		must.MapNotContainsKey(t, ids, r.ID)
