Request IDs reach targets as they were sent

Cause: the metadata between daemons joins its fields with tabs and escaped none.

Now fields that could not be told apart, or could not stand in a header, are escaped, and a flag says so. What needs no escape is sent as before, and earlier builds ignore the flag: during a roll they read such an ID in its escaped form, and shift nothing. What an earlier build sends unescaped is put together again.

Evidence: TestRequestIDsComeOutAsTheyWentIn (ID cut off at the tab), the seeds of FuzzForwardingMetadata and TestMetadataOfEarlierBuilds failed without the change.

--- a/internal/process/shedding/call_graph.go
+++ b/internal/process/shedding/call_graph.go
@@ -1,6 +1,8 @@
 package shedding
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -147,6 +149,13 @@
 	return perRequest
 }
 
+// Routes returns the routes for which something is kept, sorted.
+func (c *CallGraph) Routes() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.routes))
+}
+
 // Service returns the service that a called route is for.
 func (c *CallGraph) Service(route string) string {
 	c.mu.Lock()
--- a/internal/request/relay/forwarding_metadata.go
+++ b/internal/request/relay/forwarding_metadata.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"fmt"
+	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -53,20 +56,34 @@
 }
 
 // metadataFields is the number of fields of the encoded form, which are separated
-// by tabs. The flags are the letters in the sixth field.
+// by tabs. The flags are the letters in the sixth field. metadataID and metadataRoute are
+// the positions of the last two fields.
 const (
 	metadataFields  = 10
+	metadataID      = 8
+	metadataRoute   = 9
 	flagFromTarget  = "c"
 	flagIdempotent  = "r"
 	flagClientRetry = "b"
 	flagRepeat      = "a"
 	flagLastResort  = "l"
 	flagProbe       = "p"
+	// flagEscaped says that the text fields are escaped. Without it they are not: most have
+	// nothing to escape, and earlier builds know no escapes.
+	flagEscaped = "e"
 )
 
-// Encode returns m as the value of a header. Durations are in microseconds.
+// Encode returns m as the value of a header. Durations are in microseconds. It escapes text
+// fields that could not be told apart, or could not stand in a header.
 func (m *ForwardingMetadata) Encode() string {
+	text := []string{m.Service, m.Team, m.Origin, m.RequestID, m.Route}
 	flags := ""
+	if slices.ContainsFunc(text, needsEscape) {
+		flags = flagEscaped
+		for i := range text {
+			text[i] = escape(text[i])
+		}
+	}
 	if m.FromTarget {
 		flags += flagFromTarget
 	}
@@ -86,8 +103,8 @@
 		flags += flagProbe
 	}
 	return strings.Join([]string{
-		"1", m.Service, m.Team, m.Origin, strconv.Itoa(m.Rank), flags,
-		formatMicroseconds(m.Remaining), formatMicroseconds(m.ObjectiveRemaining), m.RequestID, m.Route,
+		"1", text[0], text[1], text[2], strconv.Itoa(m.Rank), flags,
+		formatMicroseconds(m.Remaining), formatMicroseconds(m.ObjectiveRemaining), text[3], text[4],
 	}, "\t")
 }
 
@@ -96,9 +113,23 @@
 // DecodeForwardingMetadata parses a value that Encode returned. Errors:
 // BadRequest.
 func DecodeForwardingMetadata(text string) (*ForwardingMetadata, error) {
-	fields := strings.SplitN(text, "\t", metadataFields)
-	if len(fields) != metadataFields || fields[0] != "1" {
-		return nil, fault.New(fault.BadRequest, "malformed forwarding metadata %q", text)
+	fields := strings.Split(text, "\t")
+	if len(fields) < metadataFields || fields[0] != "1" {
+		return nil, fault.New(fault.BadRequest, "malformed forwarding metadata %.200q", text)
+	}
+	if last := len(fields) - 1; last > metadataRoute {
+		// An earlier build does not escape the tabs of a request ID.
+		fields[metadataID] = strings.Join(fields[metadataID:last], "\t")
+		fields[metadataRoute] = fields[last]
+	}
+	if strings.Contains(fields[5], flagEscaped) {
+		for _, i := range []int{1, 2, 3, metadataID, metadataRoute} {
+			unescaped, err := url.PathUnescape(fields[i])
+			if err != nil {
+				return nil, fault.Wrap(fault.BadRequest, err, "malformed field %.200q in the forwarding metadata", fields[i])
+			}
+			fields[i] = unescaped
+		}
 	}
 	rank, err := strconv.Atoi(fields[4])
 	if err != nil {
@@ -122,7 +153,29 @@
 		Probe:              strings.Contains(fields[5], flagProbe),
 		Remaining:          time.Duration(remaining) * time.Microsecond,
 		ObjectiveRemaining: time.Duration(objectiveRemaining) * time.Microsecond,
-		RequestID:          fields[8],
-		Route:              fields[9],
+		RequestID:          fields[metadataID],
+		Route:              fields[metadataRoute],
 	}, nil
 }
+
+// escapedBytes are the bytes that escape replaces, besides control characters: the header
+// of the metadata would lose a space at its end.
+const escapedBytes = " %\x7f"
+
+// needsEscape reports whether a field cannot stand in a header beside others, separated by tabs.
+func needsEscape(field string) bool {
+	return strings.HasSuffix(field, " ") || strings.ContainsFunc(field, func(r rune) bool { return r < ' ' || r == 0x7f })
+}
+
+// escape replaces bytes by a percent sign and two hexadecimal digits.
+func escape(field string) string {
+	var b strings.Builder
+	for i := range len(field) {
+		if c := field[i]; c < ' ' || strings.IndexByte(escapedBytes, c) >= 0 {
+			_, _ = fmt.Fprintf(&b, "%%%02X", c)
+		} else {
+			_ = b.WriteByte(c)
+		}
+	}
+	return b.String()
+}
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
 	"github.com/teaselrack/teaselrack/internal/connection/memnet"
@@ -518,6 +519,57 @@
 	<-freed
 }
 
+// TestRequestIDsComeOutAsTheyWentIn guards against IDs that shift the fields of the metadata
+// between daemons: targets got others, and callers chose the names of routes, which the daemon
+// beside the target kept.
+func TestRequestIDsComeOutAsTheyWentIn(t *testing.T) {
+	m := newMesh(t, version.Once, 0, 1)
+	outside := m.addRemote()
+	for _, id := range []string{"a\tb", "a\tb\tc\td\te\tf\tg\th\ti\tj\tk", "%09", "%", "a%\tb", "a b", "\"a\"", "h\xc3\xa9", "\xff\xfe", "a\t%2"} {
+		for _, from := range []*instance{m.instances[0], outside} {
+			resp, _ := m.send(from, "POST", "/p/x", map[string]string{"Teaselrack-Request": id}, "body")
+			must.Eq(t, http.StatusOK, resp.StatusCode, must.Sprintf("%q", id))
+			must.Eq(t, []string{id}, lastRequest(m.instances[0].stub).Header["Teaselrack-Request"])
+			must.Eq(t, id, resp.Header.Get("Teaselrack-Request"))
+		}
+	}
+	configured, _ := m.state.RouteForHost(host, "/p/x")
+	must.Eq(t, []string{configured.ID}, m.instances[0].peerHandler.CallGraph.Routes(), must.Sprint("no caller chooses the name of a route"))
+}
+
+// FuzzForwardingMetadata checks that all text comes out of a header as it went in.
+func FuzzForwardingMetadata(f *testing.F) {
+	f.Add("s", "t", "o", "id", "r")
+	f.Add("", "", "", "", "r")
+	f.Add("a\tb", "\r\n", " ", "%09", "r ")
+	f.Add("\x00", "\x7f", "%", "\xff", "\t")
+	f.Fuzz(func(t *testing.T, service, team, origin, id, route string) {
+		if route == "" {
+			return // no route has an empty ID
+		}
+		m := &ForwardingMetadata{Service: service, Team: team, Origin: origin, RequestID: id, Route: route, Remaining: time.Second}
+		value := m.Encode()
+		must.True(t, httpguts.ValidHeaderFieldValue(value))
+		must.Eq(t, value, strings.Trim(value, " \t"), must.Sprint("a header loses spaces at its ends"))
+		got, err := DecodeForwardingMetadata(value)
+		must.NoError(t, err)
+		must.Eq(t, m, got)
+	})
+}
+
+// TestMetadataOfEarlierBuilds checks what a daemon reads that an earlier build sends, which
+// escapes nothing.
+func TestMetadataOfEarlierBuilds(t *testing.T) {
+	for _, id := range []string{"id", "%41", "a\tb", "a\tb\tc"} {
+		got, err := DecodeForwardingMetadata("1\ts\tt\to\t0\tcr\t1\t1\t" + id + "\tr")
+		must.NoError(t, err)
+		must.Eq(t, id, got.RequestID)
+		must.Eq(t, "r", got.Route)
+	}
+	plain := &ForwardingMetadata{Service: "s", Team: "t", Origin: "o", RequestID: "100%", Route: "r"}
+	must.Eq(t, "1\ts\tt\to\t0\t\t0\t0\t100%\tr", plain.Encode(), must.Sprint("what needs no escape is sent as before"))
+}
+
 func TestForwardingMetadataRoundTrip(t *testing.T) {
 	m := &ForwardingMetadata{RequestID: "id", Service: "s", Route: "r", Team: "t", Origin: "o", Rank: 3, FromTarget: true, Idempotent: true, ClientRetry: true, Repeat: true, LastResort: true, Remaining: time.Second, ObjectiveRemaining: time.Millisecond}
 	got, err := DecodeForwardingMetadata(m.Encode())
