A team whose name cannot stand in a header is refused at the entry

What targets saw: a configuration may name a team with a line break, and the request of such a team reached its target with headers that nobody had sent.

Cause: the name of the team was written into the request as it is. The list of invalid configurations does not have such a name, and no header can hold it, so the entry refuses the requests of the team (403, not run) and says why.

Evidence: TestTeamsWhoseNameCannotStandInAHeader failed without the change (200 in place of 403); it also checks that tabs, spaces and other scripts come out unchanged.

--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/teaselrack/teaselrack/internal/connection/drain"
 	"github.com/teaselrack/teaselrack/internal/connection/http1"
@@ -205,7 +206,7 @@
 }
 
 // identify determines the route, the team, the rank and the deadlines of a
-// request. Errors: UnknownRoute, Unauthenticated.
+// request. Errors: UnknownRoute, Unauthenticated, Forbidden.
 func (e *EntryHandler) identify(req *inboundRequest, state *version.State) error {
 	r := req.request
 	req.revision = state.Revision()
@@ -222,6 +223,9 @@
 		}
 		team, _ := state.Team(key.Team)
 		req.team, req.teamLabel = key.Team, team.DisplayName()
+		if !httpguts.ValidHeaderFieldValue(req.teamLabel) {
+			return fault.New(fault.Forbidden, "the name %.100q of the team cannot stand in a header", req.teamLabel)
+		}
 	}
 	req.rank = state.Rank(req.team, &route)
 	req.service = route.ServiceFor(rand.Float64())
--- a/internal/request/relay/team_names_test.go
+++ b/internal/request/relay/team_names_test.go
@@ -53,3 +53,30 @@
 	defer s.mu.Unlock()
 	return s.requests[len(s.requests)-1]
 }
+
+// TestTeamsWhoseNameCannotStandInAHeader guards against a name that adds headers, or a whole
+// request, to what a target gets. All other names reach it as they are.
+func TestTeamsWhoseNameCannotStandInAHeader(t *testing.T) {
+	m := newMesh(t, version.Idempotent, 0, 1)
+	outside := m.addRemote()
+	entries := m.state.Entries()
+	for name, want := range map[string]int{
+		"a\r\nX-Evil: 1": http.StatusForbidden, "a\x00": http.StatusForbidden, "a\x7f": http.StatusForbidden,
+		"a\tb": http.StatusOK, "a b": http.StatusOK, "caf\u00e9": http.StatusOK, "%0d%0a": http.StatusOK,
+	} {
+		entries.SetTeams([]version.Team{{Name: name}}, [][]string{{version.HashKey(key)}})
+		state, err := version.Initial().ApplyOrder(&version.Order{Configuration: &version.FullConfiguration{Revision: 1, Entries: entries}})
+		must.NoError(t, err)
+		m.state = state
+		for _, from := range []*instance{m.instances[0], outside} {
+			before := m.instances[0].stub.count()
+			resp, _ := m.send(from, "GET", "/p/x", nil, "")
+			must.Eq(t, want, resp.StatusCode, must.Sprintf("%q", name))
+			if want != http.StatusOK {
+				must.Eq(t, before, m.instances[0].stub.count())
+				continue
+			}
+			must.Eq(t, []string{name}, lastRequest(m.instances[0].stub).Header["Teaselrack-Team"])
+		}
+	}
+}
