What is learned of a route is bounded and forgotten

Names of routes of earlier configurations were kept for good too.

Cause: the call graph and the levels kept an entry for each route and service for as long as the process ran.

Now both keep at most 16,384 routes, and forget those without a request or a report for a minute, and the services that belong to none.

--- a/internal/process/shedding/call_graph.go
+++ b/internal/process/shedding/call_graph.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	// route below which nothing is reported for it.
 	minCallsPerRequest = 0.3
 	minRequests        = 5
+	// minCalls is the count of calls below which a called route is forgotten.
+	minCalls = 0.01
 )
 
 // CallGraph learns which routes are called by the requests of a route. A call
@@ -37,6 +40,7 @@
 	routes  map[string]*callCounts
 	// services holds the service that the last call of a route was for.
 	services map[string]string
+	sweptAt  time.Time
 }
 
 // parent is a running request that may be the parent of a call.
@@ -163,12 +167,16 @@
 	return c.services[route]
 }
 
-// counts returns the counts of a route, decayed up to now.
+// counts returns the counts of a route, decayed up to now. If there are maxRoutes others, they
+// are not kept.
 func (c *CallGraph) counts(now time.Time, route string) *callCounts {
+	c.forgetStale(now)
 	counts, ok := c.routes[route]
 	if !ok {
 		counts = &callCounts{updatedAt: now, calls: make(map[string]float64)}
-		c.routes[route] = counts
+		if len(c.routes) < maxRoutes {
+			c.routes[route] = counts
+		}
 		return counts
 	}
 	if elapsed := now.Sub(counts.updatedAt); elapsed >= time.Second {
@@ -181,3 +189,26 @@
 	}
 	return counts
 }
+
+// forgetStale forgets the routes that have had no request for routeStaleAfter, the calls of
+// which next to nothing is left, and the services of routes that none calls.
+func (c *CallGraph) forgetStale(now time.Time) {
+	if !sweepDue(now, &c.sweptAt) {
+		return
+	}
+	called := make(map[string]bool)
+	for route, counts := range c.routes {
+		if now.Sub(counts.updatedAt) >= routeStaleAfter {
+			delete(c.routes, route)
+			continue
+		}
+		for name, n := range counts.calls {
+			if math.Abs(n) < minCalls {
+				delete(counts.calls, name)
+				continue
+			}
+			called[name] = true
+		}
+	}
+	maps.DeleteFunc(c.services, func(route, _ string) bool { return !called[route] })
+}
--- a/internal/process/shedding/levels.go
+++ b/internal/process/shedding/levels.go
@@ -1,6 +1,7 @@
 package shedding
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -22,6 +23,7 @@
 	mu       sync.Mutex
 	services map[string]*serviceLevel
 	routes   map[string]routeBottleneck
+	sweptAt  time.Time
 }
 
 // serviceLevel is the level of one service, smoothed over its targets: the higher of two
@@ -77,6 +79,8 @@
 type routeBottleneck struct {
 	service string
 	cost    time.Duration
+	// reportedAt is when it was last reported.
+	reportedAt time.Time
 }
 
 // Observe records the bottleneck reported in a response to a request of the
@@ -88,10 +92,14 @@
 		l.services = make(map[string]*serviceLevel)
 		l.routes = make(map[string]routeBottleneck)
 	}
+	l.forgetStale(now)
 	if reported.Service == "" {
 		l.observeNoShedding(now, route)
 		return
 	}
+	if _, known := l.routes[route]; !known && len(l.routes) >= maxRoutes {
+		return
+	}
 	service, ok := l.services[reported.Service]
 	if !ok {
 		service = &serviceLevel{}
@@ -103,9 +111,34 @@
 		bottleneck = routeBottleneck{service: reported.Service, cost: reported.Cost}
 	}
 	bottleneck.cost += time.Duration(smoothing * float64(reported.Cost-bottleneck.cost))
+	bottleneck.reportedAt = now
 	l.routes[route] = bottleneck
 }
 
+// forgetStale forgets the routes that no response has named for routeStaleAfter, and the
+// services that are the bottleneck of no route.
+func (l *Levels) forgetStale(now time.Time) {
+	if !sweepDue(now, &l.sweptAt) {
+		return
+	}
+	bottlenecks := make(map[string]bool)
+	for route, b := range l.routes {
+		if now.Sub(b.reportedAt) >= routeStaleAfter {
+			delete(l.routes, route)
+			continue
+		}
+		bottlenecks[b.service] = true
+	}
+	maps.DeleteFunc(l.services, func(name string, _ *serviceLevel) bool { return !bottlenecks[name] })
+}
+
+// Routes returns the number of routes, and of services, for which something is kept.
+func (l *Levels) Routes() (routes, services int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.routes), len(l.services)
+}
+
 // observeNoShedding records that the known bottleneck service of the route has
 // nothing to shed.
 func (l *Levels) observeNoShedding(now time.Time, route string) {
@@ -114,6 +147,8 @@
 		return
 	}
 	l.services[bottleneck.service].observe(now, Bottleneck{})
+	bottleneck.reportedAt = now
+	l.routes[route] = bottleneck
 }
 
 // decay lowers the lasting level if it has not been reported for decayAfter.
