A caller whose body comes in when the deadline passes gets its 504

Cause: the read deadline of the connection and the deadline of the request are the same moment. If the read fails first, net/http cancels the context of the request as if the caller had gone, and the entry then cut the connection.

TestEndsOfAContext forces the order.

Ruled out: a later read deadline (the response waits for the read of a caller that has stopped sending, because net/http reads on before it writes).

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -364,7 +364,7 @@
 // any byte of the request may have been sent.
 func classify(ctx context.Context, err error, sent bool) error {
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || fault.DeadlinePassed(ctx):
 		return fault.OfContext(ctx, err, sent)
 	case sent:
 		return fault.Wrap(fault.ConnectionLost, err, "the connection was lost: %s", err)
--- a/internal/fault/context_test.go
+++ b/internal/fault/context_test.go
@@ -19,6 +19,10 @@
 	cancel()
 	below, cancel := context.WithTimeout(stopped, time.Hour)
 	defer cancel()
+	// The server cancels the context of a request whose body it cannot read at the deadline.
+	late, cancel := context.WithDeadline(canceled, time.Unix(1, 0))
+	defer cancel()
+	must.Eq(t, context.Canceled, late.Err())
 	for _, c := range []struct {
 		ctx           context.Context
 		before, after Kind
@@ -27,6 +31,7 @@
 		{below, ShuttingDown, Interrupted},
 		{expired, DeadlineNotRun, DeadlineUnknown},
 		{canceled, CallerGone, CallerGone},
+		{late, DeadlineNotRun, DeadlineUnknown},
 	} {
 		must.Eq(t, c.before, KindOf(OfContext(c.ctx, nil, false)))
 		must.Eq(t, c.after, KindOf(OfContext(c.ctx, c.ctx.Err(), true)))
--- a/internal/request/relay/unfinished_body_test.go
+++ b/internal/request/relay/unfinished_body_test.go
@@ -89,3 +89,61 @@
 	}
 	must.Eq(t, http.StatusOK, status(send(half+rest)))
 }
+
+// TestDeadlineInTheMiddleOfALongBody guards against connections that are closed without a
+// response because the deadline passes while a long body comes in: the read deadline of the
+// connection and the deadline of the request are the same moment, and either may be seen first.
+func TestDeadlineInTheMiddleOfALongBody(t *testing.T) {
+	const (
+		callers   = 40
+		limit     = 400 // ms
+		bodyBytes = 400 << 10
+	)
+	for name, framing := range map[string]string{"length": fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes), "chunks": "Transfer-Encoding: chunked\r\n\r\n"} {
+		m := newMesh(t, version.Once, 0, 1)
+		for way, from := range map[string]*instance{"local": m.instances[0], "forwarded": m.addRemote()} {
+			t.Run(name+", "+way, func(t *testing.T) {
+				statuses := make(chan int, callers)
+				for range callers {
+					go func() {
+						statuses <- uploadSlowly(from.entryAddress, fmt.Sprintf("POST /p/x HTTP/1.1\r\nHost: %s\r\nTeaselrack-Request: id-1\r\nTeaselrack-Key: %s\r\nTeaselrack-Timeout: %d\r\n%s", host, key, limit, framing), name == "chunks")
+					}()
+				}
+				got := make(map[int]int)
+				for range callers {
+					got[<-statuses]++
+				}
+				// 503 where the deadline passes before enough of the body for a target has arrived.
+				must.Eq(t, callers, got[http.StatusGatewayTimeout]+got[http.StatusServiceUnavailable], must.Sprint(got))
+			})
+		}
+	}
+}
+
+// uploadSlowly sends a head and a body without end, and returns the status of the response: 0 if
+// there is none.
+func uploadSlowly(address, head string, chunks bool) int {
+	caller, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = caller.Close() }()
+	go func() {
+		part := strings.Repeat("x", 16<<10)
+		if chunks {
+			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		}
+		for next := head + part; ; next = part {
+			if _, err := caller.Write([]byte(next)); err != nil {
+				return // the daemon has closed the connection
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
