A target that responds early gets the rest of the body

What callers and targets saw: a target may respond before it has read a long body, and read on.

Cause: before net/http writes the head of a response, it reads up to 256 KB of the request body by itself, and throws them away while they are copied to the target. And the connection to the target was closed as soon as a whole response had been read.

Now the response may begin while the body comes in (full duplex), and the connections stay open until the target has read it, at most until the deadline of the request. Such a response says that the connection of the caller ends, so that a rest that nobody reads is never taken for a request; where the whole body has arrived, it is kept as before. Responses that refuse a long body no longer wait for a part of it.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -162,7 +162,7 @@
 	start := time.Now()
 	r.Progress.Sending()
 	writtenBefore := c.counter.written.Load()
-	requestWritten := c.send(r)
+	upload := c.send(r)
 	resp, err := c.receive(r, idHeader)
 	if err != nil {
 		stop()
@@ -174,38 +174,48 @@
 		return nil, classify(ctx, err, sent)
 	}
 	c.peerIdleTimeout = keepAlive(resp.Header)
-	resp.Body = &body{ReadCloser: resp.Body, conn: c, stop: stop, requestWritten: requestWritten, reusable: !resp.Close, complete: resp.Body == http.NoBody}
+	resp.Body = &body{ReadCloser: resp.Body, conn: c, ctx: ctx, stop: stop, upload: upload, reusable: !resp.Close, complete: resp.Body == http.NoBody}
 	return resp, nil
 }
 
-// send writes r and returns a function that reports whether all of it was
-// written. A body that is still arriving is written in another goroutine,
+// upload is the writing of one request.
+type upload struct {
+	// done is closed once nothing more is written. err is the error then.
+	done chan struct{}
+	err  error
+}
+
+// complete reports whether the whole request has been written.
+func (u *upload) complete() bool {
+	select {
+	case <-u.done:
+		return u.err == nil
+	default:
+		return false
+	}
+}
+
+// send writes r. A body that is still arriving is written in another goroutine,
 // because the server may respond before it has the complete body. Write errors
 // are not returned: the read that follows fails or finds an early response, which
 // closing the connection would discard. If the body cannot be read to its end, the
 // connection is closed, because the server would wait for the rest.
-func (c *conn) send(r *Request) (requestWritten func() bool) {
+func (c *conn) send(r *Request) *upload {
 	c.writer.Reset(c.counter)
+	u := &upload{done: make(chan struct{})}
 	if r.Rest == nil {
-		err := r.writeTo(c.writer)
-		return func() bool { return err == nil }
+		u.err = r.writeTo(c.writer)
+		close(u.done)
+		return u
 	}
-	var mu sync.Mutex
-	fullyWritten := false
 	go func() {
-		err := r.writeTo(c.writer)
-		if err != nil && !c.counter.writeFailed() {
+		defer close(u.done)
+		u.err = r.writeTo(c.writer)
+		if u.err != nil && !c.counter.writeFailed() {
 			c.close()
 		}
-		mu.Lock()
-		defer mu.Unlock()
-		fullyWritten = err == nil
 	}()
-	return func() bool {
-		mu.Lock()
-		defer mu.Unlock()
-		return fullyWritten
-	}
+	return u
 }
 
 // receive reads the response to r. Responses to earlier requests of this
@@ -330,12 +340,33 @@
 // body is a response body that releases its connection when it is closed.
 type body struct {
 	io.ReadCloser
-	conn           *conn
-	stop           func() bool
-	requestWritten func() bool
-	reusable       bool
-	complete       bool
-	once           sync.Once
+	conn *conn
+	// ctx is that of the request. stop ends its effect on the connection.
+	ctx      context.Context
+	stop     func() bool
+	upload   *upload
+	reusable bool
+	complete bool
+	once     sync.Once
+}
+
+// Uploading reports whether the body of the request is still being written.
+func (b *body) Uploading() bool {
+	select {
+	case <-b.upload.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// AwaitUpload waits until the body of the request has been written, as far as the server reads
+// it and the context of the request lasts.
+func (b *body) AwaitUpload() {
+	select {
+	case <-b.upload.done:
+	case <-b.ctx.Done():
+	}
 }
 
 func (b *body) Read(p []byte) (int, error) {
@@ -355,7 +386,7 @@
 func (b *body) Close() error {
 	b.once.Do(func() {
 		canceled := !b.stop()
-		b.conn.release(b.complete && b.reusable && !canceled && b.requestWritten())
+		b.conn.release(b.complete && b.reusable && !canceled && b.upload.complete())
 	})
 	return nil
 }
--- a/internal/request/relay/body.go
+++ b/internal/request/relay/body.go
@@ -33,6 +33,8 @@
 	// rest is the unread remainder. It is nil if prefix holds the whole body.
 	rest   io.Reader
 	length int64 // of the whole body in bytes, -1 if unknown
+	// arrival is set for the body of a request whose response may begin before its end.
+	arrival *arrival
 }
 
 // bufferBody reads the beginning of a body. A body of at most maxBufferedBytes
@@ -91,7 +93,8 @@
 		return bufferedBody{}, fault.Wrap(fault.BadRequest, err, "the request body was truncated")
 	case body.rest != nil:
 		reservation.ReadLongBody()
-		return body, nil
+		body.arrival, err = respondEarly(w, r, &body)
+		return body, err
 	}
 	return body, setReadDeadline(controller, time.Time{})
 }
@@ -147,8 +150,10 @@
 	// Statement is what the target says about itself.
 	Statement protocol.Statement
 	// source is closed once the response has been forwarded. It is nil if the
-	// whole body was buffered.
+	// whole body was buffered and the request has been sent.
 	source io.Closer
+	// upload is set if the body of the request was still being sent when the response began.
+	upload upload
 	// completed is called when source is closed. Its argument is the error if
 	// the response was truncated, otherwise nil.
 	completed func(error)
@@ -172,7 +177,10 @@
 		}
 		return nil, fault.Wrap(fault.AnswerBroken, err, "the response of the target was truncated: %s", err)
 	}
-	if body.rest == nil {
+	if u, ok := resp.Body.(upload); ok && u.Uploading() {
+		response.upload = u
+	}
+	if body.rest == nil && response.upload == nil {
 		_ = resp.Body.Close()
 		return response, nil
 	}
@@ -197,15 +205,21 @@
 	}
 }
 
+// complete reports err to the functions registered with onComplete.
+func (r *Response) complete(err error) {
+	if r.completed != nil {
+		r.completed(err)
+		r.completed = nil
+	}
+}
+
 // Close closes the source of the body and reports err to the functions
-// registered with onComplete.
+// registered with onComplete, if complete has not been called.
 func (r *Response) Close(err error) {
 	if r.source != nil {
 		_ = r.source.Close()
 		r.source = nil
-		if r.completed != nil {
-			r.completed(err)
-		}
+		r.complete(err)
 	}
 }
 
--- a/internal/request/relay/entry.go
+++ b/internal/request/relay/entry.go
@@ -106,6 +106,7 @@
 		h[e.HeaderNames.RequestID] = []string{req.id}
 	}
 	disableContentSniffing(h)
+	req.body.arrival.keepConnection(r, h)
 	e.Stats.CountResponse(response.Status, time.Since(req.receivedAt))
 	if err := writeResponse(w, response); err != nil {
 		e.Log.Info("response interrupted", zap.String("request", req.id), zap.String("route", req.route.Name), zap.String("reason", err.Error()))
@@ -135,6 +136,7 @@
 	if kind == fault.CallerGone && req.request.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
+	req.body.arrival.keepConnection(req.request, w.Header())
 	writeErrorResponse(w, err, retryAfter)
 }
 
--- a/internal/request/relay/peer_handler.go
+++ b/internal/request/relay/peer_handler.go
@@ -92,6 +92,7 @@
 	m.ObjectiveRemaining = scheduleOf(p.Shutdown).Bound(time.Now(), m.ObjectiveRemaining)
 	resp, err := p.Serve(ctx, m, request)
 	progress.Reach(drain.BeingAnswered)
+	body.arrival.keepConnection(r, w.Header())
 	if err != nil {
 		var retryErr *RetryAfterError
 		retryAfter := time.Duration(0)
@@ -200,11 +201,9 @@
 		}
 	}
 	if resp.rest == nil {
-		return nil
+		return resp.finish(w, nil)
 	}
-	err := resp.stream(w)
-	resp.Close(err)
-	return err
+	return resp.finish(w, resp.stream(w))
 }
 
 func mayHaveBody(status int) bool {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -64,6 +65,13 @@
 	s.respond = respond
 }
 
+// received returns the requests so far.
+func (s *stub) received() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.requests)
+}
+
 func (s *stub) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
