A time limit that no duration holds is no limit

What callers saw: a request with a Deadline-Ms of 2^63-1 got 503 at once, with the advice to return after 1 ms, each time.

Cause: the milliseconds were multiplied before they were compared with the longest time limit, and overflowed to a time in the past.

--- a/internal/request/relay/inbound_request.go
+++ b/internal/request/relay/inbound_request.go
@@ -153,8 +153,9 @@
 func (e *EntryHandler) setDeadlines(req *inboundRequest) {
 	remaining := defaultTimeout
 	if text := req.request.Header.Get(e.HeaderNames.Deadline); text != "" {
-		if ms, err := strconv.ParseInt(text, 10, 64); err == nil && ms > 0 {
-			remaining = min(remaining, time.Duration(ms)*time.Millisecond)
+		// More milliseconds than a duration holds are no limit.
+		if ms, err := strconv.ParseInt(text, 10, 64); err == nil && ms > 0 && ms < remaining.Milliseconds() {
+			remaining = time.Duration(ms) * time.Millisecond
 		}
 	}
 	req.callerDeadline = req.receivedAt.Add(remaining)
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -345,6 +345,16 @@
 	}
 }
 
+// TestTimeLimitsThatOverflow guards against requests that are refused at once because their
+// time limit is longer than a duration holds.
+func TestTimeLimitsThatOverflow(t *testing.T) {
+	m := newMesh(t, version.Once, 0, 1)
+	for _, limit := range []string{"9223372036854775807", "9223372036855", "92233720368547758070", "30001", "5000"} {
+		resp, _ := m.send(m.instances[0], "POST", "/p/x", map[string]string{"Teaselrack-Timeout": limit}, "body")
+		must.Eq(t, http.StatusOK, resp.StatusCode, must.Sprint(limit))
+	}
+}
+
 // TestFinalResponseAtTheTimeout guards against requests that outlive their
 // timeout because no target responds.
 func TestFinalResponseAtTheTimeout(t *testing.T) {
