Host headers match routes without regard to case and port

Cause: hosts were compared byte by byte. Letter case means nothing in a host, and a client that connects to another port than 80 sends it along.

Now a host that no route names as it is is compared in lower case, and then without its port. A route that names a port still matches only that.

--- a/internal/version/order_test.go
+++ b/internal/version/order_test.go
@@ -74,6 +74,27 @@
 	}
 }
 
+// TestHostsThatDifferInCaseOrByAPort guards against a 404 for a host that only its letter case or
+// a port tells from that of a route. A route that names the host as it is goes first.
+func TestHostsThatDifferInCaseOrByAPort(t *testing.T) {
+	order := configurationOrder(7, 0)
+	order.Configuration.Entries.Routes = []Route{
+		{Name: "lower", Host: "a.example", Path: "/"}, {Name: "upper", Host: "A.example", Path: "/"}, {Name: "mixed", Host: "B.example", Path: "/"},
+		{Name: "port", Host: "c.example:8080", Path: "/"}, {Name: "address", Host: "::1", Path: "/"},
+	}
+	state, err := Initial().ApplyOrder(order)
+	must.NoError(t, err)
+	for host, want := range map[string]string{
+		"a.example": "lower", "A.example": "upper", "b.EXAMPLE": "mixed", "b.example:80": "mixed", "B.Example:8443": "mixed",
+		"c.example:8080": "port", "C.example:8080": "port", "c.example": "", "c.example:80": "", "[::1]:80": "address",
+		"d.example": "", "": "", "b.example:80:80": "",
+	} {
+		r, ok := state.RouteForHost(host, "/x")
+		must.Eq(t, want != "", ok, must.Sprint(host))
+		must.Eq(t, want, r.Name)
+	}
+}
+
 func TestServiceForFollowsTheWeights(t *testing.T) {
 	r := Route{Split: []Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
 	counts := map[string]int{}
--- a/internal/version/state.go
+++ b/internal/version/state.go
@@ -37,8 +37,9 @@
 	limits   Limits
 	// keysRequired is true also after the last team was withdrawn.
 	keysRequired bool
-	// routesByHost are the routes of one host, longest path first.
-	routesByHost map[string][]Route
+	// routesByHost are the routes of one host, longest path first, routesByLowerHost those of
+	// one host in lower case.
+	routesByHost, routesByLowerHost map[string][]Route
 	// ranks are the ranks that requests on keyed routes can have, ascending.
 	ranks []int
 	// serviceNames are the names of the services in routes and service entries,
@@ -182,7 +183,7 @@
 // RouteForHost returns the route of host with the longest path that is a prefix
 // of the given path. The second result is false where there is none.
 func (s *State) RouteForHost(host, path string) (Route, bool) {
-	for _, r := range s.routesByHost[host] {
+	for _, r := range s.routesOfHost(host) {
 		if matchPath(r.Path, path) {
 			return r, true
 		}
@@ -278,6 +279,8 @@
 		services:     index(e.Services, func(v Service) string { return v.Name }),
 		keysRequired: e.KeysRequired || len(e.Teams) > 0,
 		routesByHost: make(map[string][]Route),
+
+		routesByLowerHost: make(map[string][]Route),
 	}
 	for _, k := range e.Keys {
 		k.ID = KeyID(k.Hash)
@@ -291,6 +294,8 @@
 	slices.SortStableFunc(s.routesByPathLength, func(a, b Route) int { return len(b.Path) - len(a.Path) })
 	for _, r := range s.routesByPathLength {
 		s.routesByHost[r.Host] = append(s.routesByHost[r.Host], r)
+		lower := strings.ToLower(r.Host)
+		s.routesByLowerHost[lower] = append(s.routesByLowerHost[lower], r)
 	}
 	s.ranks = ranksOf(e)
 	s.serviceNames = servicesOf(e)
