Tests of a node use addresses of their own and notice when one ends

The dump of its goroutines shows two of three nodes: the third had ended, and the test threw away with what. That another process had taken its address is suspected: the address was free when it was chosen, and is among those from which connections begin.

Now the addresses are loopback addresses that no connection begins at, and a node that ends by itself fails its test at once, with its error. No check is weaker.

--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,12 +25,17 @@
 // freeAddress returns a loopback address with an unused port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// No connection of another process begins at this address, and none of other tests.
+	host := fmt.Sprintf("127.%d.%d.%d", 120+os.Getpid()%100, os.Getpid()/100%250+1, 1+addresses.Add(1)%250)
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	must.NoError(t, err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
 
+// addresses is the number of addresses that freeAddress has returned.
+var addresses atomic.Uint32
+
 // start runs a node until stop is called or the test ends.
 func start(t *testing.T, o Options) (n *Node, stop func() error) {
 	t.Helper()
@@ -44,7 +52,13 @@
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- n.Run(ctx) }()
+	go func() {
+		err := n.Run(ctx)
+		if ctx.Err() == nil {
+			t.Errorf("%s ended by itself: %v", o.Instance, err)
+		}
+		ended <- err
+	}()
 	stopped := false
 	stop = func() error {
 		if stopped {
@@ -59,11 +73,12 @@
 }
 
 // eventually waits until check returns true. The time limit of the test bounds
-// the wait.
+// the wait, and the end of a node.
 func eventually(t *testing.T, check func() bool) {
 	t.Helper()
 	for !check() {
 		must.NoError(t, t.Context().Err())
+		must.False(t, t.Failed())
 		time.Sleep(20 * time.Millisecond)
 	}
 }
