A caller that leaves with its response does not end the upload

What targets saw: of a body that was still being sent when the response had been read, the end was missing now and then.

A caller that has sent everything and has the whole response may close its connection; a daemon that forwards does so. That canceled the context of the request, which closed the connection to the target with the last of the body unsent.

Now the end of the context has no effect on the connection once the whole response has been read; the deadline, and the end of the process, still end the upload.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -174,7 +174,11 @@
 		return nil, classify(ctx, err, sent)
 	}
 	c.peerIdleTimeout = keepAlive(resp.Header)
-	resp.Body = &body{ReadCloser: resp.Body, conn: c, ctx: ctx, stop: stop, upload: upload, reusable: !resp.Close, complete: resp.Body == http.NoBody}
+	b := &body{ReadCloser: resp.Body, conn: c, ctx: ctx, stop: stop, upload: upload, reusable: !resp.Close}
+	if resp.Body == http.NoBody {
+		b.setComplete()
+	}
+	resp.Body = b
 	return resp, nil
 }
 
@@ -347,9 +351,21 @@
 	upload   *upload
 	reusable bool
 	complete bool
+	// detached is true once the end of the context has no effect on the connection any more.
+	detached bool
 	once     sync.Once
 }
 
+// setComplete records that the whole response has been read. If the request is still being
+// sent, its caller may have the response and leave: what has arrived of the body is for the
+// server all the same.
+func (b *body) setComplete() {
+	b.complete = true
+	if b.Uploading() {
+		b.detached = b.stop()
+	}
+}
+
 // Uploading reports whether the body of the request is still being written.
 func (b *body) Uploading() bool {
 	select {
@@ -360,19 +376,37 @@
 	}
 }
 
-// AwaitUpload waits until the body of the request has been written, as far as the server reads
-// it and the context of the request lasts.
+// AwaitUpload waits until the body of the request has been written, as far as it arrives and
+// the server reads it, at most until the deadline of the request or the end of this process.
 func (b *body) AwaitUpload() {
-	select {
-	case <-b.upload.done:
-	case <-b.ctx.Done():
+	var expired <-chan time.Time
+	if deadline, ok := b.ctx.Deadline(); ok {
+		timer := time.NewTimer(time.Until(deadline))
+		defer timer.Stop()
+		expired = timer.C
+	}
+	ended := b.ctx.Done()
+	for {
+		select {
+		case <-b.upload.done:
+			return
+		case <-expired:
+			return
+		case <-ended:
+			if !b.detached || errors.Is(context.Cause(b.ctx), fault.ErrStopping) {
+				return
+			}
+			ended = nil
+		}
 	}
 }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		b.complete = true
+		if !b.complete {
+			b.setComplete()
+		}
 		return n, err
 	}
 	if err != nil {
@@ -385,7 +419,7 @@
 // response was read to its end, and closes the connection otherwise.
 func (b *body) Close() error {
 	b.once.Do(func() {
-		canceled := !b.stop()
+		canceled := !b.detached && !b.stop()
 		b.conn.release(b.complete && b.reusable && !canceled && b.upload.complete())
 	})
 	return nil
--- a/internal/request/relay/early_response_test.go
+++ b/internal/request/relay/early_response_test.go
@@ -56,7 +56,7 @@
 			all := make([]byte, uploadBytes)
 			n, err := io.ReadFull(requestBody, all[:readBeforeResponse])
 			if err == nil {
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTeaselrack-Request: id-1\r\nContent-Length: 5\r\n\r\nearly")
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTeaselrack-Request: id-1\r\nConnection: close\r\nContent-Length: 5\r\n\r\nearly")
 				var more int
 				more, _ = io.ReadFull(requestBody, all[readBeforeResponse:])
 				n += more
@@ -156,3 +156,42 @@
 		}
 	}
 }
+
+// TestTargetReadsOnAfterItsCallerHasLeft guards against bodies whose end is lost because their
+// caller, which has sent everything and has the response, closes its connection before the
+// target has read them.
+func TestTargetReadsOnAfterItsCallerHasLeft(t *testing.T) {
+	const bodyBytes = 200 << 10 // what the sockets on the way hold
+	body := make([]byte, bodyBytes)
+	random := rand.NewChaCha8([32]byte{2})
+	_, _ = random.Read(body)
+	for framing, chunks := range map[string]bool{"length": false, "chunks": true} {
+		received := make(chan [sha256.Size]byte, uploads)
+		left := make(chan struct{}, uploads)
+		m, entries := newMeshOfRawTarget(t, func(conn *net.TCPConn, requestBody io.Reader) {
+			defer func() { _ = conn.Close() }()
+			if chunks {
+				requestBody = httputil.NewChunkedReader(requestBody)
+			}
+			all := make([]byte, bodyBytes)
+			n, err := io.ReadFull(requestBody, all[:readBeforeResponse])
+			if err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTeaselrack-Request: id-1\r\nConnection: close\r\nContent-Length: 5\r\n\r\nearly")
+				<-left
+				time.Sleep(50 * time.Millisecond) // the daemons notice it
+				var more int
+				more, _ = io.ReadFull(requestBody, all[readBeforeResponse:])
+				n += more
+			}
+			received <- sha256.Sum256(all[:n])
+		})
+		for way, from := range entries {
+			t.Run(framing+", "+way, func(t *testing.T) {
+				resp, _ := m.uploadWhole(from, framed(body, chunks))
+				left <- struct{}{}
+				must.Eq(t, http.StatusOK, resp.StatusCode)
+				must.Eq(t, sha256.Sum256(body), <-received)
+			})
+		}
+	}
+}
